Bring up the thin path: daemon, tool, stand-ins and demo

A request enters at any daemon, reaches the owner of its key over gRPC, runs on the backend server beside the owner and its answer comes back. Ownership is decided by pure systems: members and assignments live in the table service, a lease is renewed from one peer, an expired one is taken over by a conditional write.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# The commands of the README; each does all the set-up it needs itself.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+DEPLOYMENT ?= qc-east
+SECONDS ?= 20
+PACKAGES = cmake g++ make ninja-build clang-format clang-tidy libgrpc++-dev \
+  libprotobuf-dev libcpp-httplib-dev libgoogle-glog-dev \
+  libboost-dev libboost-program-options-dev libexpected-dev \
+  libtrompeloeil-cpp-dev catch2 libbenchmark-dev libxxhash-dev
+
+.PHONY: all setup configure test demo bench lint format
+
+all: configure
+	cmake --build $(BUILD) -j $(JOBS)
+
+setup:
+	@if ! dpkg -s $(PACKAGES) >/dev/null 2>&1; then \
+	  apt-get update && \
+	  apt-get install -y --no-install-recommends $(PACKAGES); fi
+
+configure: setup
+	@cmake -S . -B $(BUILD) -G Ninja >$(BUILD).log 2>&1 || \
+	  { cat $(BUILD).log; exit 1; }
+	@rm -f $(BUILD).log
+
+test: all
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: all
+	tests/demo/demo.sh $(abspath $(BUILD)) $(DEPLOYMENT) $(SECONDS)
+
+bench: all
+	cmake --build $(BUILD) --target bench
+
+SOURCES = $(shell git ls-files --cached --others --exclude-standard \
+  'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' \
+  ':!src/wire/generated')
+
+format: setup
+	clang-format -i $(SOURCES)
+
+lint: configure
+	clang-format --dry-run --Werror $(SOURCES)
+	printf '%s\n' $(filter %.cpp,$(SOURCES)) | \
+	  xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** Public header of the base library: time, errors, identifiers. */
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+
+#include <tl/expected.hpp>
+
+namespace fescuetiller {
+
+/** What kind of failure an Error describes; decides whether to retry. */
+enum class ErrorCode
+{
+  Invalid,     ///< The input is wrong; the same call fails again.
+  Conflict,    ///< A condition of a conditional write did not hold.
+  Unavailable, ///< The peer was not reached; nothing took effect.
+  Unknown,     ///< The peer may have acted; its answer was lost.
+  Refused,     ///< The peer answered that it will not do this.
+  Expired,     ///< A deadline or lease ran out before the step.
+};
+
+/** Failure of one step against one peer. */
+struct Error
+{
+  ErrorCode code = ErrorCode::Invalid;
+  std::string step; ///< What was being done, e.g. "read settings".
+  std::string peer; ///< Address, file or name of the other end.
+  std::string message;
+
+  friend bool operator==(const Error& aLeft, const Error& aRight);
+};
+
+const char*
+ToString(ErrorCode aCode);
+
+/** One line: step, peer, message. */
+std::string
+ToString(const Error& aError);
+
+std::ostream&
+operator<<(std::ostream& aStream, const Error& aError);
+
+template<typename T>
+using Result = tl::expected<T, Error>;
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/fescuetillerd/controlloop.cpp
@@ -0,0 +1,270 @@
+#include "fescuetillerd/controlloop.h"
+
+#include <random>
+
+#include <glog/logging.h>
+
+namespace fescuetiller {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kPollInterval = std::chrono::milliseconds(200);
+constexpr Duration kGrantInterval = std::chrono::milliseconds(150);
+constexpr Duration kHealthInterval = std::chrono::milliseconds(200);
+constexpr size_t kStoreWriters = 2;
+constexpr size_t kPushThreads = 2;
+
+Incarnation
+DrawIncarnation()
+{
+  static std::random_device device;
+  std::uniform_int_distribution<Incarnation> any(1);
+  return any(device);
+}
+
+} // namespace
+
+ControlLoop::ControlLoop(OwnershipSettings aSettings,
+                         PlacementPolicy aPlacement,
+                         ControlParts aParts)
+  : system(std::move(aSettings), std::move(aPlacement), DrawIncarnation)
+  , parts(std::move(aParts))
+  , storeWrites(kStoreWriters)
+  , storeReads(1)
+  , pushes(kPushThreads)
+  , backendCalls(2)
+{
+}
+
+ControlLoop::~ControlLoop()
+{
+  this->Stop();
+}
+
+void
+ControlLoop::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void
+ControlLoop::Stop()
+{
+  this->stopping = true;
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+  this->storeWrites.Stop();
+  this->storeReads.Stop();
+  this->pushes.Stop();
+  this->backendCalls.Stop();
+}
+
+bool
+ControlLoop::Stopped() const
+{
+  return this->stopped;
+}
+
+ControlStatus
+ControlLoop::Status() const
+{
+  std::lock_guard<std::mutex> lock(this->statusMutex);
+  ControlStatus copy = this->status;
+  copy.storeReachable = this->storeReachable;
+  copy.backendHealthy = this->backendHealthy;
+  return copy;
+}
+
+void
+ControlLoop::Run()
+{
+  while (!this->stopping) {
+    std::vector<Input> inputs = this->parts.socket.Receive(kTick);
+    std::vector<Input> others = this->parts.inbox.TakeAll();
+    inputs.insert(inputs.end(), others.begin(), others.end());
+    this->TickOnce(BootClock::now(), std::move(inputs));
+  }
+}
+
+void
+ControlLoop::TickOnce(Time aNow, std::vector<Input> aInputs)
+{
+  this->ReportIdle(aInputs);
+  for (const auto& output : this->system.Tick(aNow, aInputs)) {
+    std::visit([this](const auto& aOutput) { this->Perform(aOutput); }, output);
+  }
+  this->PublishTables();
+  this->PollStore(aNow);
+  this->RenewGrants(aNow);
+  this->CheckBackend(aNow);
+  this->parts.gate.Tick(aNow);
+  this->stopped = this->system.Stopped();
+}
+
+void
+ControlLoop::ReportIdle(std::vector<Input>& aInputs)
+{
+  for (const auto& partition : this->parts.serving.Idle()) {
+    aInputs.push_back(PartitionIdle{ partition });
+  }
+}
+
+void
+ControlLoop::Perform(const SendRenewal& aOutput)
+{
+  this->parts.socket.Send(aOutput);
+}
+
+void
+ControlLoop::Perform(const SendAck& aOutput)
+{
+  this->parts.socket.Send(aOutput);
+}
+
+void
+ControlLoop::Perform(const StartTransaction& aOutput)
+{
+  this->storeWrites.Add([this, aOutput] { this->RunTransaction(aOutput); });
+}
+
+void
+ControlLoop::Perform(const PushRows& aOutput)
+{
+  this->pushes.Add([this, aOutput] {
+    wire::Deltas deltas;
+    for (const auto& row : aOutput.rows) {
+      *deltas.add_rows() = ToWire(row);
+    }
+    this->parts.peers.Exchange(aOutput.address, deltas);
+  });
+}
+
+void
+ControlLoop::RunTransaction(const StartTransaction& aOutput)
+{
+  thread_local std::unique_ptr<TableStore> store = this->parts.openStore();
+  auto result = store->Transact(aOutput.transaction);
+  this->parts.inbox.Put(TransactionAnswer{ aOutput.id, std::move(result) });
+}
+
+void
+ControlLoop::PublishTables()
+{
+  Serving serving = this->system.CurrentServing();
+  if (!(serving == this->published)) {
+    this->parts.serving.Publish(serving);
+    this->published = serving;
+  }
+  const ClusterTable& table = this->system.Table();
+  bool changed = table.ChangeCount() != this->publishedChange;
+  if (changed) {
+    this->publishedChange = table.ChangeCount();
+    this->parts.routes.Publish(table);
+  }
+  std::lock_guard<std::mutex> lock(this->statusMutex);
+  this->status.serving = serving;
+  this->status.counters = this->system.Counters();
+  if (!changed) {
+    return;
+  }
+  this->status.members.clear();
+  this->status.assignments.clear();
+  for (const auto& [incarnation, member] : table.Members()) {
+    this->status.members.push_back(member);
+  }
+  for (const auto& [partition, assignment] : table.Assignments()) {
+    this->status.assignments.push_back(assignment);
+  }
+}
+
+void
+ControlLoop::PollStore(Time aNow)
+{
+  if (aNow < this->nextPoll || this->readPending.exchange(true)) {
+    return;
+  }
+  this->nextPoll = aNow + kPollInterval;
+  this->storeReads.Add([this] {
+    this->ReadChanges();
+    this->readPending = false;
+  });
+}
+
+void
+ControlLoop::ReadChanges()
+{
+  thread_local std::unique_ptr<TableStore> store = this->parts.openStore();
+  bool reachable = true;
+  for (const char* table : { kMemberTable, kAssignmentTable, kClassTable }) {
+    RowVersion& since = this->readRevisions[table];
+    auto read = store->ReadChanges(table, since);
+    if (!read) {
+      reachable = false;
+      LOG_IF(WARNING, this->storeReachable) << read.error();
+      break;
+    }
+    since = read->revision;
+    if (read->rows.empty()) {
+      continue;
+    }
+    if (this->parts.classes.Apply(read->rows)) {
+      this->parts.gate.SetTargets(this->parts.classes.All());
+    }
+    this->parts.inbox.Put(RowsLearned{ std::move(read->rows) });
+  }
+  LOG_IF(INFO, reachable && !this->storeReachable) << "table service reached";
+  this->storeReachable = reachable;
+}
+
+void
+ControlLoop::RenewGrants(Time aNow)
+{
+  if (aNow < this->nextGrant || this->grantPending) {
+    return;
+  }
+  this->nextGrant = aNow + kGrantInterval;
+  wire::Grants grants;
+  grants.set_incarnation(this->published.incarnation);
+  grants.set_sequence(++this->grantSequence);
+  grants.set_lease_until_boot_ns(ToBootNanoseconds(this->published.leaseUntil));
+  for (const auto& owned : this->published.partitions) {
+    auto* granted = grants.add_partitions();
+    granted->set_partition(owned.partition.index);
+    granted->set_epoch(owned.epoch);
+  }
+  this->grantPending = true;
+  this->backendCalls.Add([this, grants] {
+    this->parts.backend.SendGrants(grants);
+    this->grantPending = false;
+  });
+}
+
+void
+ControlLoop::CheckBackend(Time aNow)
+{
+  if (aNow < this->nextHealth || this->healthPending.exchange(true)) {
+    return;
+  }
+  this->nextHealth = aNow + kHealthInterval;
+  this->backendCalls.Add([this] {
+    auto health = this->parts.backend.ReadHealth();
+    bool healthy = health && health->healthy();
+    if (this->backendHealthy && !healthy) {
+      LOG(WARNING) << "backend server lost: "
+                   << (health ? "reports itself unhealthy"
+                              : ToString(health.error()));
+      this->parts.inbox.Put(BackendLost{});
+    }
+    this->backendHealthy = healthy;
+    bool draining = health && health->draining();
+    if (draining != this->backendDraining.exchange(draining)) {
+      LOG(INFO) << "backend server " << (draining ? "drains" : "is back");
+      this->parts.inbox.Put(DrainRequested{ draining });
+    }
+    this->healthPending = false;
+  });
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/fescuetillerd/daemon.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <grpcpp/grpcpp.h>
+
+#include "fescuetillerd/controlloop.h"
+#include "fescuetillerd/httpserver.h"
+#include "fescuetillerd/peerservice.h"
+
+namespace fescuetiller {
+
+/** One fescuetillerd process: owns every part and wires them together. */
+class Daemon
+{
+public:
+  explicit Daemon(Settings aSettings);
+  ~Daemon();
+
+  /** Binds all ports, reaches the platform once, starts all threads. */
+  Result<void> Start();
+
+  /** Hands everything over and lets running requests end.
+   * @return An error when that took longer than the stop timeout. */
+  Result<void> Stop();
+
+private:
+  Result<void> ReachPlatform();
+  Result<void> StartPeerServer();
+  Result<void> WritePortsFile() const;
+  void InstallBackendApi();
+  void InstallOperatorApi();
+  std::string StatusText() const;
+  std::string MetricsText() const;
+  OwnershipSettings MakeOwnershipSettings() const;
+  std::unique_ptr<TableStore> OpenStore() const;
+  std::string Address(uint16_t aPort) const;
+
+  Settings settings;
+  ControlSocket socket;
+  Inbox inbox;
+  ServingTable serving;
+  Routes routes;
+  Classes classes;
+  SlotGate gate;
+  BackendLink backend;
+  PeerClient peers;
+  ClassMetrics metrics;
+  Executor executor;
+  Router router;
+  PeerService peerService;
+  HttpServer callerServer;
+  HttpServer backendServer;
+  HttpServer operatorServer;
+  std::unique_ptr<grpc::Server> peerServer;
+  std::unique_ptr<ControlLoop> control;
+};
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/fescuetillerd/routes.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "ownership/ownership.h"
+
+namespace fescuetiller {
+
+/** Where a partition's owner is reached. */
+struct Route
+{
+  Incarnation owner = kNoIncarnation;
+  std::string peerAddress;
+  std::string callerAddress;
+};
+
+/** Owners of all partitions, published by the control thread. Thread-safe. */
+class Routes
+{
+public:
+  void Publish(const ClusterTable& aTable);
+
+  std::optional<Route> Find(const PartitionId& aPartition) const;
+
+private:
+  using Map = std::map<PartitionId, Route>;
+
+  mutable std::mutex mutex;
+  std::shared_ptr<const Map> current = std::make_shared<Map>();
+};
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/metrics/metrics.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Public header of the metrics library. */
+
+#include "metrics/classmetrics.h"
--- /dev/null
+++ b/src/ownership/ownership.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/** Public header of the ownership library: members, leases, takeovers, moves.
+ */
+
+#include "ownership/clustertable.h"
+#include "ownership/leasegrantor.h"
+#include "ownership/leaseholder.h"
+#include "ownership/messages.h"
+#include "ownership/ownershipsystem.h"
+#include "ownership/records.h"
+#include "ownership/servingtable.h"
+#include "ownership/transactionqueue.h"
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Public header of the placement library: which server should own what. */
+
+#include "placement/placementpolicy.h"
--- /dev/null
+++ b/src/requests/requests.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Public header of the requests library: requests and their outcomes. */
+
+#include "requests/request.h"
--- /dev/null
+++ b/src/scheduling/scheduling.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Public header of the scheduling library: who gets the next slot. */
+
+#include "scheduling/scheduler.h"
--- /dev/null
+++ b/tests/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
