--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -94,6 +94,7 @@
   ownership.controlAddress = this->Address(this->settings.controlPort);
   ownership.peerAddress = this->Address(this->settings.peerPort);
   ownership.callerAddress = this->Address(this->settings.callerPort);
+  ownership.operatorAddress = this->Address(this->settings.operatorPort);
   ownership.partitions = this->settings.partitions;
   return ownership;
 }
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -71,6 +71,7 @@
   this->self.controlAddress = this->settings.controlAddress;
   this->self.peerAddress = this->settings.peerAddress;
   this->self.callerAddress = this->settings.callerAddress;
+  this->self.operatorAddress = this->settings.operatorAddress;
   this->holder = LeaseHolder(this->settings.lease, this->self.incarnation);
   this->grantor = LeaseGrantor(this->settings.lease, this->self.incarnation);
   this->transactions = TransactionQueue(this->settings.lease.retryInterval);
--- a/src/ownership/ownershipsystem.h
+++ b/src/ownership/ownershipsystem.h
@@ -20,6 +20,7 @@
   std::string controlAddress;
   std::string peerAddress;
   std::string callerAddress;
+  std::string operatorAddress;
   /** Number of partitions of each service. */
   std::map<std::string, uint32_t> partitions;
   LeaseSettings lease;
--- a/src/ownership/records.cpp
+++ b/src/ownership/records.cpp
@@ -83,6 +83,7 @@
   record.set_control_address(aMember.controlAddress);
   record.set_peer_address(aMember.peerAddress);
   record.set_caller_address(aMember.callerAddress);
+  record.set_operator_address(aMember.operatorAddress);
   record.set_state(ToWire(aMember.state));
   record.set_grantor(aMember.grantor);
   record.set_ended_by(aMember.endedBy);
@@ -130,6 +131,7 @@
   member.controlAddress = record.control_address();
   member.peerAddress = record.peer_address();
   member.callerAddress = record.caller_address();
+  member.operatorAddress = record.operator_address();
   member.state = *state;
   member.grantor = record.grantor();
   member.endedBy = record.ended_by();
--- a/src/ownership/records.h
+++ b/src/ownership/records.h
@@ -27,6 +27,7 @@
   std::string controlAddress;
   std::string peerAddress;
   std::string callerAddress;
+  std::string operatorAddress;
   MemberState state = MemberState::Active;
   Incarnation grantor = kNoIncarnation; ///< kNoIncarnation: the table service.
   Incarnation endedBy = kNoIncarnation; ///< Adopted the wards, when ended.
