Spread rows and loads from daemon to daemon

Cause: every daemon read every change from the table service, which carries about 2,000 reads/s: 13,000 daemons would poll once in 20 s, and nothing spread while the service was down.

A changed row is now sent to six random peers by each daemon that learns it, and comparisons of digests with random peers repair what that missed. All daemons also spread their busy slots. Polls of the table service are paced by the number of members.

--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(10);
-constexpr Duration kPollInterval = std::chrono::milliseconds(200);
+constexpr Duration kLeastPollInterval = std::chrono::milliseconds(200);
+/** Share of the store's reads that all daemons together use for polling. */
+constexpr double kPollsPerSecond = 200;
+constexpr Duration kLoadInterval = std::chrono::milliseconds(200);
 constexpr Duration kGrantInterval = std::chrono::milliseconds(150);
 constexpr Duration kHealthInterval = std::chrono::milliseconds(200);
 constexpr size_t kStoreWriters = 2;
@@ -29,11 +32,13 @@
                          PlacementPolicy aPlacement,
                          ControlParts aParts)
   : system(std::move(aSettings), std::move(aPlacement), DrawIncarnation)
+  , gossip(GossipSettings(), static_cast<uint32_t>(DrawIncarnation()))
   , parts(std::move(aParts))
   , storeWrites(kStoreWriters)
   , storeReads(1)
   , pushes(kPushThreads)
   , backendCalls(2)
+  , pollInterval(kLeastPollInterval)
 {
 }
 
@@ -81,18 +86,22 @@
 ControlLoop::Run()
 {
   while (!this->stopping) {
-    std::vector<Input> inputs = this->parts.socket.Receive(kTick);
-    std::vector<Input> others = this->parts.inbox.TakeAll();
-    inputs.insert(inputs.end(), others.begin(), others.end());
-    this->TickOnce(BootClock::now(), std::move(inputs));
+    ReceivedMessages received = this->parts.socket.Receive(kTick);
+    for (auto& input : this->parts.inbox.TakeAll()) {
+      received.ownership.push_back(std::move(input));
+    }
+    this->TickOnce(BootClock::now(), std::move(received));
   }
 }
 
 void
-ControlLoop::TickOnce(Time aNow, std::vector<Input> aInputs)
+ControlLoop::TickOnce(Time aNow, ReceivedMessages aReceived)
 {
-  this->ReportIdle(aInputs);
-  for (const auto& output : this->system.Tick(aNow, aInputs)) {
+  std::vector<Input> inputs = std::move(aReceived.ownership);
+  this->TickGossip(aNow, aReceived.gossip, inputs);
+  this->MeasureLoad(aNow, inputs);
+  this->ReportIdle(inputs);
+  for (const auto& output : this->system.Tick(aNow, inputs)) {
     std::visit([this](const auto& aOutput) { this->Perform(aOutput); }, output);
   }
   this->PublishTables();
@@ -103,6 +112,65 @@
   this->stopped = this->system.Stopped();
 }
 
+void
+ControlLoop::TickGossip(Time aNow,
+                        const std::vector<GossipReceived>& aReceived,
+                        std::vector<Input>& aInputs)
+{
+  for (const auto& input : aInputs) {
+    if (const auto* rows = std::get_if<RowsLearned>(&input)) {
+      this->ApplyClasses(this->gossip.Learn(rows->rows));
+    }
+  }
+  GossipOutput output = this->gossip.Tick(aNow, aReceived);
+  for (const auto& message : output.messages) {
+    this->parts.socket.Send(message);
+  }
+  if (!output.learned.empty()) {
+    this->ApplyClasses(output.learned);
+    aInputs.push_back(RowsLearned{ std::move(output.learned) });
+  }
+}
+
+void
+ControlLoop::ApplyClasses(const std::vector<Row>& aRows)
+{
+  if (this->parts.classes.Apply(aRows)) {
+    this->parts.gate.SetTargets(this->parts.classes.All());
+  }
+}
+
+void
+ControlLoop::UpdatePeers()
+{
+  std::vector<std::string> addresses;
+  for (const auto& [incarnation, member] : this->system.Table().Members()) {
+    if (member.state != MemberState::Ended &&
+        incarnation != this->system.Self()) {
+      addresses.push_back(member.controlAddress);
+    }
+  }
+  auto members = static_cast<double>(addresses.size() + 1);
+  std::chrono::duration<double> fair(members / kPollsPerSecond);
+  this->pollInterval = std::max<Duration>(
+    kLeastPollInterval, std::chrono::duration_cast<Duration>(fair));
+  this->gossip.SetPeers(
+    std::make_shared<std::vector<std::string>>(std::move(addresses)));
+}
+
+void
+ControlLoop::MeasureLoad(Time aNow, std::vector<Input>& aInputs)
+{
+  this->load.Sample(aNow, this->parts.serving.RunningByPartition());
+  if (aNow < this->nextLoad) {
+    return;
+  }
+  this->nextLoad = aNow + kLoadInterval;
+  this->gossip.SetOwnLoad(this->system.Self(), this->load.Total());
+  aInputs.push_back(PeerLoadsLearned{ this->gossip.Loads() });
+  aInputs.push_back(LoadMeasured{ this->load.Partitions() });
+}
+
 void
 ControlLoop::ReportIdle(std::vector<Input>& aInputs)
 {
@@ -146,7 +214,17 @@
 {
   thread_local std::unique_ptr<TableStore> store = this->parts.openStore();
   auto result = store->Transact(aOutput.transaction);
+  std::vector<Row> rows;
+  if (result && result->committed) {
+    rows = aOutput.transaction.changes;
+    for (auto& row : rows) {
+      row.version = result->revision;
+    }
+  } else if (result) {
+    rows = result->conflicts;
+  }
   this->parts.inbox.Put(TransactionAnswer{ aOutput.id, std::move(result) });
+  this->parts.inbox.Put(RowsLearned{ std::move(rows) });
 }
 
 void
@@ -162,10 +240,12 @@
   if (changed) {
     this->publishedChange = table.ChangeCount();
     this->parts.routes.Publish(table);
+    this->UpdatePeers();
   }
   std::lock_guard<std::mutex> lock(this->statusMutex);
   this->status.serving = serving;
   this->status.counters = this->system.Counters();
+  this->status.gossip = this->gossip.Counters();
   if (!changed) {
     return;
   }
@@ -185,7 +265,7 @@
   if (aNow < this->nextPoll || this->readPending.exchange(true)) {
     return;
   }
-  this->nextPoll = aNow + kPollInterval;
+  this->nextPoll = aNow + this->pollInterval;
   this->storeReads.Add([this] {
     this->ReadChanges();
     this->readPending = false;
@@ -209,9 +289,6 @@
     if (read->rows.empty()) {
       continue;
     }
-    if (this->parts.classes.Apply(read->rows)) {
-      this->parts.gate.SetTargets(this->parts.classes.All());
-    }
     this->parts.inbox.Put(RowsLearned{ std::move(read->rows) });
   }
   LOG_IF(INFO, reachable && !this->storeReachable) << "table service reached";
--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -8,6 +8,7 @@
 #include "fescuetillerd/classes.h"
 #include "fescuetillerd/controlsocket.h"
 #include "fescuetillerd/inbox.h"
+#include "fescuetillerd/loadmeter.h"
 #include "fescuetillerd/peerclient.h"
 #include "fescuetillerd/routes.h"
 #include "fescuetillerd/slotgate.h"
@@ -36,6 +37,7 @@
   std::vector<Member> members;
   std::vector<Assignment> assignments;
   OwnershipCounters counters;
+  GossipCounters gossip;
   bool storeReachable = false;
   bool backendHealthy = false;
 };
@@ -64,7 +66,13 @@
 
 private:
   void Run();
-  void TickOnce(Time aNow, std::vector<Input> aInputs);
+  void TickOnce(Time aNow, ReceivedMessages aReceived);
+  void TickGossip(Time aNow,
+                  const std::vector<GossipReceived>& aReceived,
+                  std::vector<Input>& aInputs);
+  void ApplyClasses(const std::vector<Row>& aRows);
+  void UpdatePeers();
+  void MeasureLoad(Time aNow, std::vector<Input>& aInputs);
   void Perform(const SendRenewal& aOutput);
   void Perform(const SendAck& aOutput);
   void Perform(const StartTransaction& aOutput);
@@ -78,6 +86,8 @@
   void ReadChanges();
 
   OwnershipSystem system;
+  GossipSystem gossip;
+  LoadMeter load;
   ControlParts parts;
   WorkQueue storeWrites;
   WorkQueue storeReads;
@@ -96,6 +106,8 @@
   Time nextPoll;
   Time nextGrant;
   Time nextHealth;
+  Time nextLoad;
+  Duration pollInterval;
   uint64_t grantSequence = 0;
   uint64_t publishedChange = 0;
   Serving published;
--- a/src/fescuetillerd/controlsocket.cpp
+++ b/src/fescuetillerd/controlsocket.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr size_t kMaxDatagramBytes = 1400;
+constexpr size_t kMaxDatagramBytes = 65507;
 constexpr size_t kMaxDatagramsAtOnce = 256;
 
 std::optional<sockaddr_in>
@@ -40,9 +40,17 @@
   return address;
 }
 
+std::string
+FormatAddress(const sockaddr_in& aAddress)
+{
+  char ip[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &aAddress.sin_addr, ip, sizeof ip);
+  return std::string(ip) + ":" + std::to_string(ntohs(aAddress.sin_port));
+}
+
 } // namespace
 
-std::optional<Input>
+std::optional<ControlMessage>
 ParseDatagram(const std::string& aBytes)
 {
   wire::Datagram datagram;
@@ -57,6 +65,9 @@
     const auto& ack = datagram.ack();
     return RenewalAck{ ack.holder(), ack.grantor(), ack.sequence() };
   }
+  if (datagram.has_gossip()) {
+    return FromWire(datagram.gossip());
+  }
   return std::nullopt;
 }
 
@@ -94,37 +105,48 @@
   return ntohs(address.sin_port);
 }
 
-std::optional<Input>
-ControlSocket::ReceiveOne()
+bool
+ControlSocket::ReceiveOne(ReceivedMessages& aReceived)
 {
-  char buffer[kMaxDatagramBytes];
-  while (true) {
-    ssize_t size = recv(this->descriptor, buffer, sizeof buffer, 0);
-    if (size < 0) {
-      return std::nullopt;
-    }
-    auto input = ParseDatagram(std::string(buffer, static_cast<size_t>(size)));
-    if (input) {
-      return input;
-    }
+  thread_local std::string buffer(kMaxDatagramBytes, '\0');
+  sockaddr_in from{};
+  socklen_t fromSize = sizeof from;
+  ssize_t size = recvfrom(this->descriptor,
+                          buffer.data(),
+                          buffer.size(),
+                          0,
+                          reinterpret_cast<sockaddr*>(&from),
+                          &fromSize);
+  if (size < 0) {
+    return false;
+  }
+  auto message = ParseDatagram(buffer.substr(0, static_cast<size_t>(size)));
+  if (!message) {
     ++this->malformed;
+    return true;
   }
+  if (auto* gossip = std::get_if<GossipMessage>(&*message)) {
+    aReceived.gossip.push_back({ FormatAddress(from), std::move(*gossip) });
+  } else if (auto* renewal = std::get_if<Renewal>(&*message)) {
+    aReceived.ownership.emplace_back(*renewal);
+  } else {
+    aReceived.ownership.emplace_back(std::get<RenewalAck>(*message));
+  }
+  return true;
 }
 
-std::vector<Input>
+ReceivedMessages
 ControlSocket::Receive(Duration aWait)
 {
   pollfd waiting{ this->descriptor, POLLIN, 0 };
   poll(&waiting, 1, static_cast<int>(ToMilliseconds(aWait)));
-  std::vector<Input> inputs;
-  while (inputs.size() < kMaxDatagramsAtOnce) {
-    auto input = this->ReceiveOne();
-    if (!input) {
+  ReceivedMessages received;
+  for (size_t count = 0; count < kMaxDatagramsAtOnce; ++count) {
+    if (!this->ReceiveOne(received)) {
       break;
     }
-    inputs.push_back(*input);
   }
-  return inputs;
+  return received;
 }
 
 void
@@ -162,6 +184,14 @@
   this->SendTo(aMessage.address, datagram.SerializeAsString());
 }
 
+void
+ControlSocket::Send(const SendGossip& aMessage)
+{
+  wire::Datagram datagram;
+  *datagram.mutable_gossip() = ToWire(aMessage.message);
+  this->SendTo(aMessage.to, datagram.SerializeAsString());
+}
+
 uint64_t
 ControlSocket::Malformed() const
 {
--- a/src/fescuetillerd/controlsocket.h
+++ b/src/fescuetillerd/controlsocket.h
@@ -2,12 +2,25 @@
 
 #include <optional>
 #include <string>
+#include <variant>
 
+#include "gossip/gossip.h"
 #include "ownership/ownership.h"
 
 namespace fescuetiller {
 
-/** UDP socket for lease renewals. Used by the control thread alone. */
+/** What one datagram may hold. */
+using ControlMessage = std::variant<Renewal, RenewalAck, GossipMessage>;
+
+/** Everything that arrived since the last call, by who handles it. */
+struct ReceivedMessages
+{
+  std::vector<Input> ownership;
+  std::vector<GossipReceived> gossip;
+};
+
+/** UDP socket for lease renewals and gossip. Used by the control thread alone.
+ */
 class ControlSocket
 {
 public:
@@ -20,23 +33,24 @@
 
   /** Waits up to aWait for the first datagram, then takes all that wait.
    * Malformed ones are counted and dropped. */
-  std::vector<Input> Receive(Duration aWait);
+  ReceivedMessages Receive(Duration aWait);
 
   void Send(const SendRenewal& aMessage);
   void Send(const SendAck& aMessage);
+  void Send(const SendGossip& aMessage);
 
   uint64_t Malformed() const;
 
 private:
   void SendTo(const std::string& aAddress, const std::string& aBytes);
-  std::optional<Input> ReceiveOne();
+  bool ReceiveOne(ReceivedMessages& aReceived);
 
   int descriptor = -1;
   uint64_t malformed = 0;
 };
 
 /** One control datagram, or nothing when it is malformed. */
-std::optional<Input>
+std::optional<ControlMessage>
 ParseDatagram(const std::string& aBytes);
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -30,7 +30,6 @@
   , router(settings.partitions, routes, classes, executor, peers, metrics)
   , peerService(router,
                 [this](const std::vector<Row>& aRows) {
-                  this->classes.Apply(aRows);
                   this->inbox.Put(RowsLearned{ aRows });
                 })
   , callerServer(kCallerThreads)
@@ -260,6 +259,9 @@
        << "fescuetiller_takeovers_total " << status.counters.takeovers << "\n"
        << "# TYPE fescuetiller_moves_out_total counter\n"
        << "fescuetiller_moves_out_total " << status.counters.movesOut << "\n"
+       << "# TYPE fescuetiller_gossip_bytes_sent_total counter\n"
+       << "fescuetiller_gossip_bytes_sent_total " << status.gossip.bytesSent
+       << "\n"
        << "# TYPE fescuetiller_claims_total counter\n"
        << "fescuetiller_claims_total " << status.counters.claims << "\n";
   return text.str();
--- a/src/ownership/servingtable.cpp
+++ b/src/ownership/servingtable.cpp
@@ -64,6 +64,17 @@
   return idle;
 }
 
+std::map<PartitionId, size_t>
+ServingTable::RunningByPartition() const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  std::map<PartitionId, size_t> counts = this->running;
+  for (const auto& [partition, entry] : this->entries) {
+    counts.emplace(partition, 0);
+  }
+  return counts;
+}
+
 size_t
 ServingTable::Running() const
 {
--- a/src/ownership/servingtable.h
+++ b/src/ownership/servingtable.h
@@ -40,6 +40,9 @@
 
   size_t Running() const;
 
+  /** Requests running for each owned partition. */
+  std::map<PartitionId, size_t> RunningByPartition() const;
+
 private:
   struct Entry
   {
--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -129,8 +129,11 @@
   --daemon "127.0.0.1:$(port "$folder/$first-1.ports" operator_port)"
 sleep $((seconds / 4))
 echo "killing the daemon and the backend server of $first-2"
-kill -KILL "${processes[$first-2]}" "${processes[$first-2-backend]}"
-wait "${processes[$first-2]}" "${processes[$first-2-backend]}" 2>/dev/null || true
+{
+  kill -KILL "${processes[$first-2]}" "${processes[$first-2-backend]}"
+  wait "${processes[$first-2]}" || true
+  wait "${processes[$first-2-backend]}" || true
+} 2>/dev/null
 rm "$folder/$first-2.ports"
 list_callers
 sleep 1
