--- a/bench/gossip.cpp
+++ b/bench/gossip.cpp
@@ -100,7 +100,7 @@
     std::vector<int> steps;
     std::map<RowVersion, int> open;
     for (int step = 0; step < kMaxSteps; ++step) {
-      auto version = static_cast<RowVersion>(step / kStepsBetween + 1);
+      RowVersion version = static_cast<uint32_t>(step / kStepsBetween) + 1;
       if (step % kStepsBetween == 0 && version <= kChanges) {
         swarm.Change(version);
         open[version] = step;
