Record operators' changes in the transaction that makes them

A change by an operator and its audit entry are one transaction, conditional on the head of the audit trail. A lost answer is settled by reading the entry back. The operators' tool is split into one file for each command.

An unknown section is now reported at its own line; the test expected the line of its first key, since the parser did not know the section's place.

The operator port answered before the control loop existed; its servers are bound first and answer last.

--- a/src/config/classtarget.cpp
+++ b/src/config/classtarget.cpp
@@ -1,6 +1,8 @@
 #include "config/classtarget.h"
 
-#include "wire/wire.h"
+#include <sstream>
+
+#include "config/inifile.h"
 
 namespace fescuetiller {
 
@@ -17,8 +19,8 @@
   return { kClassTable, aService + "/" + aName };
 }
 
-Row
-ToRow(const ClassTarget& aTarget)
+wire::ClassRecord
+ToWire(const ClassTarget& aTarget)
 {
   wire::ClassRecord record;
   record.set_name(aTarget.name);
@@ -31,8 +33,27 @@
   record.set_removed(aTarget.removed);
   record.set_changed_by(aTarget.changedBy);
   record.set_write_id(aTarget.writeId);
+  return record;
+}
+
+std::string
+Describe(const ClassTarget& aTarget)
+{
+  if (aTarget.removed) {
+    return "removed";
+  }
+  std::ostringstream text;
+  text << "latency_ms=" << ToMilliseconds(aTarget.latency)
+       << " percentile=" << aTarget.percentile << " share=" << aTarget.share
+       << " idempotent=" << (aTarget.idempotent ? "true" : "false");
+  return text.str();
+}
+
+Row
+ToRow(const ClassTarget& aTarget)
+{
   return { ClassKey(aTarget.service, aTarget.name),
-           record.SerializeAsString(),
+           ToWire(aTarget).SerializeAsString(),
            aTarget.version,
            false };
 }
@@ -64,17 +85,19 @@
 Check(const ClassTarget& aTarget)
 {
   auto wrong = [&](const std::string& aText) {
-    return tl::unexpected(
-      Error{ ErrorCode::Invalid, "check class target", aTarget.name, aText });
+    return tl::unexpected(Error{ ErrorCode::Invalid,
+                                 "check class target",
+                                 aTarget.service + "/" + aTarget.name,
+                                 aText });
   };
-  if (aTarget.service.empty()) {
-    return wrong("service must not be empty");
+  if (!IsName(aTarget.service)) {
+    return wrong(std::string("the service's name ") + kNameRule);
   }
-  if (aTarget.name.empty()) {
-    return wrong("name must not be empty");
+  if (!IsName(aTarget.name)) {
+    return wrong(std::string("the class's name ") + kNameRule);
   }
-  if (aTarget.latency <= Duration(0)) {
-    return wrong("latency must be above 0 ms");
+  if (aTarget.latency <= Duration(0) || aTarget.latency > kMaxTargetLatency) {
+    return wrong("latency_ms must be from 1 to 3600000");
   }
   if (!(aTarget.percentile > 0 && aTarget.percentile < 100)) {
     return wrong("percentile must lie between 0 and 100");
--- a/src/config/classtarget.h
+++ b/src/config/classtarget.h
@@ -6,10 +6,12 @@
 #include <vector>
 
 #include "platform/platform.h"
+#include "wire/wire.h"
 
 namespace fescuetiller {
 
 constexpr const char* kClassTable = "class";
+constexpr Duration kMaxTargetLatency = std::chrono::hours(1);
 
 /** What operators ask of one class of work. */
 struct ClassTarget
@@ -33,6 +35,13 @@
 RowKey
 ClassKey(const std::string& aService, const std::string& aName);
 
+wire::ClassRecord
+ToWire(const ClassTarget& aTarget);
+
+/** What is asked for, on one line, as the audit trail keeps it. */
+std::string
+Describe(const ClassTarget& aTarget);
+
 Row
 ToRow(const ClassTarget& aTarget);
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,246 +1,396 @@
 #include "config/settings.h"
 
-#include <fstream>
-#include <functional>
-#include <sstream>
-
-#include <boost/lexical_cast.hpp>
-#include <boost/property_tree/ini_parser.hpp>
+#include <arpa/inet.h>
 
 namespace fescuetiller {
 
 namespace {
 
 constexpr uint32_t kMaxPartitions = 1U << 20U;
+constexpr uint64_t kMaxPort = 65535;
+constexpr uint64_t kMaxMilliseconds = 3600000;
+constexpr uint64_t kMaxBytes = 64 * 1024 * 1024;
+constexpr uint64_t kMaxThreads = 4096;
+constexpr const char* kServicePrefix = "service ";
+
+using Setter = IniSetter<Settings>;
 
-/** Line on which a key stands, for error messages; 0 when it is missing. */
-int
-LineOf(const std::string& aText,
-       const std::string& aSection,
-       const std::string& aKey)
+/** Sets a field once its text was read; what is read decides the field. */
+template<typename Field, typename Value>
+Result<void>
+Assign(Field& aField, const Result<Value>& aValue)
 {
-  std::istringstream lines(aText);
-  std::string line;
-  bool inSection = false;
-  for (int number = 1; std::getline(lines, line); ++number) {
-    if (!line.empty() && line[0] == '[') {
-      inSection = line.find("[" + aSection + "]") == 0;
-      if (inSection && aKey.empty()) {
-        return number;
-      }
-      continue;
-    }
-    std::string name = line.substr(0, line.find('='));
-    name.erase(name.find_last_not_of(" \t") + 1);
-    if (inSection && name == aKey) {
-      return number;
-    }
+  if (!aValue) {
+    return tl::unexpected(aValue.error());
   }
-  return 0;
+  aField = static_cast<Field>(*aValue);
+  return {};
 }
 
-/** Where one value stands and how to report that it is wrong. */
-struct Entry
+Result<void>
+Assign(Duration& aField, const Result<uint64_t>& aValue)
 {
-  const std::string& text;
-  const std::string& file;
-  std::string section;
-  std::string key;
-  std::string value;
-
-  Error Wrong(const std::string& aAllowed) const
-  {
-    int line = LineOf(this->text, this->section, this->key);
-    std::string place =
-      this->file + (line > 0 ? ":" + std::to_string(line) : "");
-    return { ErrorCode::Invalid,
-             "read settings",
-             place,
-             "[" + this->section + "] " + this->key + " = \"" + this->value +
-               "\": " + aAllowed };
+  if (!aValue) {
+    return tl::unexpected(aValue.error());
   }
-};
+  aField = std::chrono::milliseconds(*aValue);
+  return {};
+}
 
-using Setter = std::function<Result<void>(const Entry&, Settings&)>;
+template<typename Field>
+Setter
+Number(Field Settings::*aField, uint64_t aLeast, uint64_t aMost)
+{
+  return [=](const IniEntry& aEntry, Settings& aSettings) {
+    return Assign(aSettings.*aField, ParseNumber(aEntry, aLeast, aMost));
+  };
+}
 
-Result<uint64_t>
-ParseNumber(const Entry& aEntry, uint64_t aLeast, uint64_t aMost)
+template<typename Group, typename Field>
+Setter
+Number(Group Settings::*aGroup,
+       Field Group::*aField,
+       uint64_t aLeast,
+       uint64_t aMost)
 {
-  uint64_t number = 0;
-  bool parsed = boost::conversion::try_lexical_convert(aEntry.value, number);
-  bool negative = !aEntry.value.empty() && aEntry.value[0] == '-';
-  if (!parsed || negative || number < aLeast || number > aMost) {
-    return tl::unexpected(aEntry.Wrong("must be a whole number from " +
-                                       std::to_string(aLeast) + " to " +
-                                       std::to_string(aMost)));
-  }
-  return number;
+  return [=](const IniEntry& aEntry, Settings& aSettings) {
+    return Assign(aSettings.*aGroup.*aField,
+                  ParseNumber(aEntry, aLeast, aMost));
+  };
 }
 
+using TextRule = bool (*)(const std::string&);
+
 Setter
-Text(std::string Settings::*aField)
+Text(std::string Settings::*aField, TextRule aRule, const char* aAllowed)
 {
-  return [aField](const Entry& aEntry, Settings& aSettings) -> Result<void> {
-    if (aEntry.value.empty()) {
-      return tl::unexpected(aEntry.Wrong("must not be empty"));
+  return [=](const IniEntry& aEntry, Settings& aSettings) -> Result<void> {
+    if (!aRule(aEntry.value)) {
+      return tl::unexpected(aEntry.Wrong(aAllowed));
     }
     aSettings.*aField = aEntry.value;
     return {};
   };
 }
 
-template<typename T>
+bool
+IsIp(const std::string& aText)
+{
+  in_addr parsed{};
+  return inet_pton(AF_INET, aText.c_str(), &parsed) == 1;
+}
+
+bool
+IsAddress(const std::string& aText)
+{
+  size_t colon = aText.rfind(':');
+  if (colon == std::string::npos || !IsIp(aText.substr(0, colon))) {
+    return false;
+  }
+  IniEntry port;
+  port.value = aText.substr(colon + 1);
+  return ParseNumber(port, 1, kMaxPort).has_value();
+}
+
+bool
+IsPath(const std::string& aText)
+{
+  return !aText.empty();
+}
+
 Setter
-Number(T Settings::*aField, uint64_t aLeast, uint64_t aMost)
+Name(std::string Settings::*aField)
 {
-  return [=](const Entry& aEntry, Settings& aSettings) -> Result<void> {
-    auto number = ParseNumber(aEntry, aLeast, aMost);
-    if (!number) {
-      return tl::unexpected(number.error());
-    }
-    aSettings.*aField = static_cast<T>(*number);
-    return {};
-  };
+  return Text(aField, IsName, kNameRule);
+}
+
+Setter
+Ip(std::string Settings::*aField)
+{
+  return Text(aField, IsIp, "must be an IPv4 address such as 10.0.0.1");
+}
+
+Setter
+Port(uint16_t Settings::*aField)
+{
+  return Number(aField, 0, kMaxPort);
+}
+
+Setter
+Milliseconds(Duration Settings::*aField)
+{
+  return Number(aField, 1, kMaxMilliseconds);
 }
 
 Setter
-Milliseconds(Duration Settings::*aField, uint64_t aLeast, uint64_t aMost)
+Milliseconds(Duration LeaseSettings::*aField)
+{
+  return Number(&Settings::lease, aField, 1, kMaxMilliseconds);
+}
+
+Setter
+Milliseconds(Duration Limits::*aField)
+{
+  return Number(&Settings::limits, aField, 1, kMaxMilliseconds);
+}
+
+Result<void>
+SetGoal(const IniEntry& aEntry, Settings& aSettings)
 {
-  return [=](const Entry& aEntry, Settings& aSettings) -> Result<void> {
-    auto number = ParseNumber(aEntry, aLeast, aMost);
-    if (!number) {
-      return tl::unexpected(number.error());
+  for (auto goal : { PlacementGoal::UnavailableTime, PlacementGoal::Churn }) {
+    if (aEntry.value == ToString(goal)) {
+      aSettings.weighMost = goal;
+      return {};
     }
-    aSettings.*aField = std::chrono::milliseconds(*number);
-    return {};
-  };
+  }
+  return tl::unexpected(aEntry.Wrong("must be unavailable_time or churn"));
 }
 
-const std::map<std::string, std::map<std::string, Setter>>&
-Setters()
+const std::map<std::string, IniSetters<Settings>>&
+Sections()
 {
-  constexpr uint64_t kMaxPort = 65535;
-  constexpr uint64_t kMaxMilliseconds = 3600000;
-  constexpr uint64_t kMaxBytes = 64 * 1024 * 1024;
-  static const std::map<std::string, std::map<std::string, Setter>> kSetters = {
+  static const std::map<std::string, IniSetters<Settings>> kSections = {
     { "daemon",
       {
-        { "name", Text(&Settings::name) },
-        { "zone", Text(&Settings::zone) },
-        { "listen_ip", Text(&Settings::listenIp) },
-        { "caller_port", Number(&Settings::callerPort, 0, kMaxPort) },
-        { "backend_port", Number(&Settings::backendPort, 0, kMaxPort) },
-        { "operator_port", Number(&Settings::operatorPort, 0, kMaxPort) },
-        { "peer_port", Number(&Settings::peerPort, 0, kMaxPort) },
-        { "control_port", Number(&Settings::controlPort, 0, kMaxPort) },
-        { "ports_file", Text(&Settings::portsFile) },
-        { "default_deadline_ms",
-          Milliseconds(&Settings::defaultDeadline, 1, kMaxMilliseconds) },
-        { "stop_timeout_ms",
-          Milliseconds(&Settings::stopTimeout, 1, kMaxMilliseconds) },
-        { "max_body_bytes", Number(&Settings::maxBodyBytes, 1, kMaxBytes) },
+        { "name", Name(&Settings::name) },
+        { "zone", Name(&Settings::zone) },
+        { "listen_ip", Ip(&Settings::listenIp) },
+        { "operator_ip", Ip(&Settings::operatorIp) },
+        { "peer_ip", Ip(&Settings::peerIp) },
+        { "backend_ip", Ip(&Settings::backendIp) },
+        { "caller_port", Port(&Settings::callerPort) },
+        { "backend_port", Port(&Settings::backendPort) },
+        { "operator_port", Port(&Settings::operatorPort) },
+        { "peer_port", Port(&Settings::peerPort) },
+        { "control_port", Port(&Settings::controlPort) },
+        { "ports_file",
+          Text(&Settings::portsFile, IsPath, "must not be empty") },
+        { "default_deadline_ms", Milliseconds(&Settings::defaultDeadline) },
+        { "stop_timeout_ms", Milliseconds(&Settings::stopTimeout) },
       } },
     { "platform",
       {
-        { "address", Text(&Settings::platformAddress) },
-        { "timeout_ms",
-          Milliseconds(&Settings::platformTimeout, 1, kMaxMilliseconds) },
+        { "address",
+          Text(&Settings::platformAddress,
+               IsAddress,
+               "must be an IPv4 address and a port, such as 10.0.0.1:80") },
+        { "timeout_ms", Milliseconds(&Settings::platformTimeout) },
+      } },
+    { "lease",
+      {
+        { "lease_ms", Milliseconds(&LeaseSettings::lease) },
+        { "renew_interval_ms", Milliseconds(&LeaseSettings::renewInterval) },
+        { "drift_margin_ms", Milliseconds(&LeaseSettings::driftMargin) },
+        { "grantor_timeout_ms", Milliseconds(&LeaseSettings::grantorTimeout) },
+        { "retry_interval_ms", Milliseconds(&LeaseSettings::retryInterval) },
+      } },
+    { "placement", { { "weigh_most", SetGoal } } },
+    { "limits",
+      {
+        { "max_body_bytes",
+          Number(&Settings::limits, &Limits::maxBodyBytes, 1, kMaxBytes) },
+        { "read_timeout_ms", Milliseconds(&Limits::readTimeout) },
+        { "write_timeout_ms", Milliseconds(&Limits::writeTimeout) },
+        { "keep_alive_timeout_ms", Milliseconds(&Limits::keepAliveTimeout) },
+        { "requests_per_connection",
+          Number(
+            &Settings::limits, &Limits::requestsPerConnection, 1, UINT32_MAX) },
+        { "caller_threads",
+          Number(&Settings::limits, &Limits::callerThreads, 1, kMaxThreads) },
       } },
   };
-  return kSetters;
+  return kSections;
 }
 
 Result<void>
-SetServiceEntry(const Entry& aEntry, Settings& aSettings)
+SetService(const IniSection& aSection, Settings& aSettings)
 {
-  if (aEntry.key != "partitions") {
-    return tl::unexpected(aEntry.Wrong("unknown key; allowed: partitions"));
-  }
-  auto number = ParseNumber(aEntry, 1, kMaxPartitions);
-  if (!number) {
-    return tl::unexpected(number.error());
+  std::string service =
+    aSection.place.section.substr(std::string(kServicePrefix).size());
+  if (!IsName(service)) {
+    return tl::unexpected(
+      aSection.place.Wrong(std::string("a service's name ") + kNameRule));
   }
-  std::string service = aEntry.section.substr(std::string("service ").size());
-  aSettings.partitions[service] = static_cast<uint32_t>(*number);
-  return {};
+  IniSetters<uint32_t> setters = {
+    { "partitions",
+      [](const IniEntry& aEntry, uint32_t& aCount) {
+        return Assign(aCount, ParseNumber(aEntry, 1, kMaxPartitions));
+      } },
+  };
+  return SetAll(aSection, setters, aSettings.partitions[service]);
 }
 
 Result<void>
-SetEntry(const Entry& aEntry, Settings& aSettings)
+SetSection(const IniSection& aSection, Settings& aSettings)
 {
-  if (aEntry.section.rfind("service ", 0) == 0) {
-    return SetServiceEntry(aEntry, aSettings);
+  if (aSection.place.section.rfind(kServicePrefix, 0) == 0) {
+    return SetService(aSection, aSettings);
   }
-  auto section = Setters().find(aEntry.section);
-  if (section == Setters().end()) {
-    return tl::unexpected(aEntry.Wrong(
-      "unknown section; allowed: [daemon], [platform], [service NAME]"));
+  auto section = Sections().find(aSection.place.section);
+  if (section == Sections().end()) {
+    return tl::unexpected(aSection.place.Wrong(
+      "unknown section; allowed: " + KeysOf(Sections()) + ", service NAME"));
   }
-  auto setter = section->second.find(aEntry.key);
-  if (setter == section->second.end()) {
-    std::string allowed;
-    for (const auto& [key, unused] : section->second) {
-      allowed += (allowed.empty() ? "" : ", ") + key;
+  return SetAll(aSection, section->second, aSettings);
+}
+
+/** Settings together with the sections that they were read from. */
+struct Checked
+{
+  const Settings& settings;
+  const std::vector<IniSection>& sections;
+  std::string file;
+
+  /** Where a key stands; the file alone when its default is in use. */
+  tl::unexpected<Error> Wrong(const std::string& aSection,
+                              const std::string& aKey,
+                              const std::string& aValue,
+                              const std::string& aAllowed) const
+  {
+    IniEntry place{ this->file, 0, aSection, aKey, aValue };
+    for (const auto& section : this->sections) {
+      for (const auto& entry : section.entries) {
+        bool found = entry.section == aSection && entry.key == aKey;
+        place.line = found ? entry.line : place.line;
+      }
     }
-    return tl::unexpected(aEntry.Wrong("unknown key; allowed: " + allowed));
+    return tl::unexpected(place.Wrong(aAllowed));
   }
-  return setter->second(aEntry, aSettings);
+};
+
+std::string
+Ms(Duration aTime)
+{
+  return std::to_string(ToMilliseconds(aTime));
 }
 
+/** Times that the lease protocol needs in a certain order. */
 Result<void>
-CheckRequired(const Settings& aSettings, const std::string& aFile)
+CheckLease(const Checked& aChecked)
 {
-  auto missing = [&](const std::string& aName) {
-    return tl::unexpected(Error{
-      ErrorCode::Invalid, "read settings", aFile, aName + " is missing" });
-  };
-  if (aSettings.name.empty()) {
-    return missing("[daemon] name");
+  const LeaseSettings& lease = aChecked.settings.lease;
+  auto wrong =
+    [&](const std::string& aKey, Duration aRead, const std::string& aAllowed) {
+      return aChecked.Wrong("lease", aKey, Ms(aRead), "must be " + aAllowed);
+    };
+  Duration usable = lease.lease - lease.driftMargin;
+  std::string usableText = "lease_ms less drift_margin_ms (" + Ms(usable) + ")";
+  if (usable <= Duration(0)) {
+    return wrong("drift_margin_ms",
+                 lease.driftMargin,
+                 "below lease_ms (" + Ms(lease.lease) + ")");
   }
-  if (aSettings.zone.empty()) {
-    return missing("[daemon] zone");
+  if (2 * lease.renewInterval > usable) {
+    return wrong("renew_interval_ms",
+                 lease.renewInterval,
+                 "at most half of " + usableText);
   }
-  if (aSettings.platformAddress.empty()) {
-    return missing("[platform] address");
+  if (lease.grantorTimeout <= lease.renewInterval ||
+      lease.grantorTimeout >= usable) {
+    return wrong("grantor_timeout_ms",
+                 lease.grantorTimeout,
+                 "above renew_interval_ms (" + Ms(lease.renewInterval) +
+                   ") and below " + usableText);
+  }
+  if (lease.retryInterval >= usable) {
+    return wrong(
+      "retry_interval_ms", lease.retryInterval, "below " + usableText);
+  }
+  return {};
+}
+
+/** A port that two listeners of one IP address ask for. */
+Result<void>
+CheckPorts(const Checked& aChecked)
+{
+  struct Listener
+  {
+    const char* key;
+    std::string ip;
+    uint16_t port;
+  };
+  const Settings& settings = aChecked.settings;
+  const Listener kListeners[] = {
+    { "caller_port", settings.listenIp, settings.callerPort },
+    { "backend_port", settings.backendIp, settings.backendPort },
+    { "operator_port", settings.operatorIp, settings.operatorPort },
+    { "peer_port", settings.peerIp, settings.peerPort },
+  };
+  std::map<std::pair<std::string, uint16_t>, std::string> taken;
+  for (const auto& listener : kListeners) {
+    auto [other, added] =
+      taken.emplace(std::pair(listener.ip, listener.port), listener.key);
+    if (!added && listener.port != 0) {
+      return aChecked.Wrong("daemon",
+                            listener.key,
+                            std::to_string(listener.port),
+                            "must differ from " + other->second);
+    }
   }
-  if (aSettings.partitions.empty()) {
-    return missing("[service NAME] partitions");
+  return {};
+}
+
+Result<void>
+CheckRequired(const Checked& aChecked)
+{
+  const Settings& settings = aChecked.settings;
+  const std::pair<bool, const char*> kRequired[] = {
+    { settings.name.empty(), "[daemon] name" },
+    { settings.zone.empty(), "[daemon] zone" },
+    { settings.platformAddress.empty(), "[platform] address" },
+    { settings.partitions.empty(), "[service NAME] partitions" },
+  };
+  for (const auto& [missing, key] : kRequired) {
+    if (missing) {
+      return tl::unexpected(Error{ ErrorCode::Invalid,
+                                   "read settings",
+                                   aChecked.file,
+                                   std::string(key) + " is missing" });
+    }
   }
   return {};
 }
 
+/** Ports without an IP address of their own are bound to the callers'. */
+void
+DefaultIps(Settings& aSettings)
+{
+  for (auto* ip :
+       { &aSettings.operatorIp, &aSettings.peerIp, &aSettings.backendIp }) {
+    if (ip->empty()) {
+      *ip = aSettings.listenIp;
+    }
+  }
+}
+
 } // namespace
 
+const char*
+ToString(PlacementGoal aGoal)
+{
+  return aGoal == PlacementGoal::Churn ? "churn" : "unavailable_time";
+}
+
 Result<Settings>
 ParseSettings(const std::string& aText, const std::string& aFile)
 {
-  boost::property_tree::ptree tree;
-  std::istringstream stream(aText);
-  try {
-    boost::property_tree::read_ini(stream, tree);
-  } catch (const boost::property_tree::ini_parser_error& error) {
-    return tl::unexpected(Error{ ErrorCode::Invalid,
-                                 "read settings",
-                                 aFile + ":" + std::to_string(error.line()),
-                                 error.message() });
+  auto sections = ParseIni(aText, aFile);
+  if (!sections) {
+    return tl::unexpected(sections.error());
   }
   Settings settings;
-  for (const auto& [section, keys] : tree) {
-    if (keys.empty()) {
-      Entry entry{ aText, aFile, section, "", keys.data() };
-      return tl::unexpected(entry.Wrong("a key must stand in a section"));
-    }
-    for (const auto& [key, value] : keys) {
-      Entry entry{ aText, aFile, section, key, value.data() };
-      auto set = SetEntry(entry, settings);
-      if (!set) {
-        return tl::unexpected(set.error());
-      }
+  for (const auto& section : *sections) {
+    auto set = SetSection(section, settings);
+    if (!set) {
+      return tl::unexpected(set.error());
     }
   }
-  auto complete = CheckRequired(settings, aFile);
-  if (!complete) {
-    return tl::unexpected(complete.error());
+  DefaultIps(settings);
+  for (auto check : { CheckRequired, CheckLease, CheckPorts }) {
+    auto passed = check({ settings, *sections, aFile });
+    if (!passed) {
+      return tl::unexpected(passed.error());
+    }
   }
   return settings;
 }
@@ -248,14 +398,11 @@
 Result<Settings>
 ReadSettings(const std::string& aFile)
 {
-  std::ifstream stream(aFile);
-  if (!stream) {
-    return tl::unexpected(Error{
-      ErrorCode::Invalid, "read settings", aFile, "cannot open the file" });
+  auto text = ReadTextFile(aFile);
+  if (!text) {
+    return tl::unexpected(text.error());
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return ParseSettings(text.str(), aFile);
+  return ParseSettings(*text, aFile);
 }
 
 } // namespace fescuetiller
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -3,16 +3,41 @@
 #include <map>
 #include <string>
 
-#include "base/base.h"
+#include "config/inifile.h"
+#include "ownership/leasesettings.h"
 
 namespace fescuetiller {
 
+/** What the deployment weighs most when partitions are placed. */
+enum class PlacementGoal
+{
+  UnavailableTime, ///< Move early, so that no key waits.
+  Churn,           ///< Move rarely, so that no request waits behind a move.
+};
+
+const char*
+ToString(PlacementGoal aGoal);
+
+/** What callers may send, as read from [limits]. */
+struct Limits
+{
+  uint32_t maxBodyBytes = 4 * 1024 * 1024;
+  Duration readTimeout = std::chrono::seconds(5);
+  Duration writeTimeout = std::chrono::seconds(5);
+  Duration keepAliveTimeout = std::chrono::seconds(5);
+  uint32_t requestsPerConnection = 100000;
+  uint32_t callerThreads = 128;
+};
+
 /** Everything a daemon reads from its INI file. */
 struct Settings
 {
   std::string name;
   std::string zone;
-  std::string listenIp = "127.0.0.1";
+  std::string listenIp = "127.0.0.1"; ///< Also for the other ports, if empty.
+  std::string operatorIp;
+  std::string peerIp; ///< Also of the control port.
+  std::string backendIp;
   uint16_t callerPort = 0;   ///< 0: any free port, as for the others.
   uint16_t backendPort = 0;  ///< For the backend server beside the daemon.
   uint16_t operatorPort = 0; ///< For fescuetillerctl and metrics.
@@ -24,7 +49,9 @@
   std::map<std::string, uint32_t> partitions; ///< For each service.
   Duration defaultDeadline = std::chrono::seconds(10);
   Duration stopTimeout = std::chrono::seconds(30);
-  uint32_t maxBodyBytes = 4 * 1024 * 1024;
+  LeaseSettings lease;
+  PlacementGoal weighMost = PlacementGoal::UnavailableTime;
+  Limits limits;
 };
 
 /** Reads settings; an error names file, line, key, value and what is allowed.
--- /dev/null
+++ b/src/fescuetillerctl/command.cpp
@@ -0,0 +1,187 @@
+#include "fescuetillerctl/command.h"
+
+namespace fescuetiller {
+
+namespace {
+
+constexpr uint32_t kMaxTimeoutMs = 600000;
+constexpr const char* kExitCodes =
+  "Exit codes: 0 ok, 1 failed, 2 wrong usage, 3 conflict (another change came "
+  "first),\n4 outcome unknown, 5 recorded but not in force yet.\n";
+
+const std::vector<Command>&
+AllCommands()
+{
+  static const std::vector<Command> kCommands = [] {
+    std::vector<Command> all = ClassCommands();
+    auto add = [&](const std::vector<Command>& aCommands) {
+      all.insert(all.end(), aCommands.begin(), aCommands.end());
+    };
+    add({ StatusCommand(), KeyLocateCommand() });
+    add(DrainCommands());
+    add({ AuditCommand() });
+    add(CheckCommands());
+    add({ MetricsCommand() });
+    return all;
+  }();
+  return kCommands;
+}
+
+/** The command that the leading words name, and how many words those are. */
+std::pair<const Command*, size_t>
+FindCommand(const std::vector<std::string>& aArguments)
+{
+  for (size_t words : { 2, 1 }) {
+    if (aArguments.size() < words) {
+      continue;
+    }
+    std::string name = aArguments[0];
+    if (words == 2) {
+      name += " " + aArguments[1];
+    }
+    for (const auto& command : AllCommands()) {
+      if (command.name == name) {
+        return { &command, words };
+      }
+    }
+  }
+  return { nullptr, 0 };
+}
+
+options::options_description
+CommonDescription(const Session& aSession)
+{
+  options::options_description common("Common options");
+  auto add = common.add_options();
+  add("help,h", "print this text");
+  add("json", "print one JSON document");
+  add("platform",
+      options::value<std::string>()->default_value(aSession.defaultPlatform),
+      "IP and port of the platform; or set FESCUETILLER_PLATFORM");
+  add("daemon",
+      options::value<std::string>(),
+      "operator address of one daemon, to ask it in the platform's place");
+  add("who",
+      options::value<std::string>()->default_value(aSession.user),
+      "who makes the change");
+  add("timeout-ms",
+      options::value<uint32_t>()->default_value(2000),
+      "longest wait for one answer");
+  return common;
+}
+
+void
+PrintOverview(std::ostream& aOut)
+{
+  aOut << "fescuetillerctl, the operators' tool.\n"
+       << "Usage: fescuetillerctl COMMAND [options]\n\nCommands:\n";
+  for (const auto& command : AllCommands()) {
+    std::string usage = command.name + " " + command.arguments;
+    constexpr size_t kColumn = 30;
+    usage.resize(std::max(usage.size() + 1, kColumn), ' ');
+    aOut << "  " << usage << command.summary << "\n";
+  }
+  aOut << "\nCOMMAND --help shows its options and examples.\n" << kExitCodes;
+}
+
+void
+PrintHelp(std::ostream& aOut,
+          const Command& aCommand,
+          const options::options_description& aVisible)
+{
+  aOut << aCommand.summary << "\nUsage: fescuetillerctl " << aCommand.name
+       << " " << aCommand.arguments << " [options]\n\n"
+       << aVisible << "\nExamples:\n"
+       << aCommand.examples << "\n"
+       << kExitCodes;
+}
+
+/** First line of a text; errors of libraries may have several. */
+std::string
+FirstLine(const std::string& aText)
+{
+  return aText.substr(0, aText.find('\n'));
+}
+
+ExitCode
+Run(Session& aSession,
+    const Command& aCommand,
+    const std::vector<std::string>& aArguments)
+{
+  options::options_description own("Options");
+  if (aCommand.addOptions) {
+    aCommand.addOptions(own);
+  }
+  options::options_description visible;
+  visible.add(own).add(CommonDescription(aSession));
+  options::options_description all;
+  all.add(visible);
+  options::positional_options_description positions;
+  for (const auto& position : aCommand.positions) {
+    all.add_options()(position.c_str(), options::value<std::string>());
+    positions.add(position.c_str(), 1);
+  }
+  options::variables_map values;
+  options::store(options::command_line_parser(aArguments)
+                   .options(all)
+                   .positional(positions)
+                   .run(),
+                 values);
+  options::notify(values);
+  if (values.count("help") != 0) {
+    PrintHelp(aSession.out, aCommand, visible);
+    return ExitCode::Ok;
+  }
+  CommonOptions common;
+  common.json = values.count("json") != 0;
+  common.platform = TextOption(values, "platform");
+  common.daemon = TextOption(values, "daemon");
+  common.who = TextOption(values, "who");
+  auto timeoutMs = values["timeout-ms"].as<uint32_t>();
+  if (timeoutMs == 0 || timeoutMs > kMaxTimeoutMs) {
+    return Fail(aSession,
+                ExitCode::Usage,
+                "--timeout-ms must be from 1 to " +
+                  std::to_string(kMaxTimeoutMs));
+  }
+  common.timeout = std::chrono::milliseconds(timeoutMs);
+  return aCommand.run(aSession, common, values);
+}
+
+} // namespace
+
+std::string
+TextOption(const options::variables_map& aValues, const std::string& aName)
+{
+  return aValues.count(aName) == 0 ? "" : aValues[aName].as<std::string>();
+}
+
+ExitCode
+RunCommand(Session& aSession, const std::vector<std::string>& aArguments)
+{
+  if (aArguments.empty()) {
+    return Fail(aSession, ExitCode::Usage, "no command; see --help");
+  }
+  if (aArguments[0] == "--help" || aArguments[0] == "-h") {
+    PrintOverview(aSession.out);
+    return ExitCode::Ok;
+  }
+  auto [command, words] = FindCommand(aArguments);
+  if (command == nullptr) {
+    return Fail(aSession,
+                ExitCode::Usage,
+                "unknown command " + FirstLine(aArguments[0]) + "; see --help");
+  }
+  std::vector<std::string> rest(
+    aArguments.begin() + static_cast<std::ptrdiff_t>(words), aArguments.end());
+  try {
+    return Run(aSession, *command, rest);
+  } catch (const options::error& error) {
+    return Fail(aSession,
+                ExitCode::Usage,
+                command->name + ": " + FirstLine(error.what()) + "; see " +
+                  command->name + " --help");
+  }
+}
+
+} // namespace fescuetiller
--- a/src/fescuetillerd/controlsocket.h
+++ b/src/fescuetillerd/controlsocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <optional>
 #include <string>
 
@@ -32,7 +33,7 @@
   std::optional<Input> ReceiveOne();
 
   int descriptor = -1;
-  uint64_t malformed = 0;
+  std::atomic<uint64_t> malformed{ 0 };
 };
 
 /** One control datagram, or nothing when it is malformed. */
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -14,11 +14,10 @@
 namespace {
 
 constexpr size_t kMaxPeerChannels = 64;
-constexpr size_t kCallerThreads = 128;
+constexpr size_t kMaxSmallBody = 65536;
 constexpr size_t kBackendThreads = 2;
 constexpr size_t kOperatorThreads = 4;
 constexpr int kStatusBadRequest = 400;
-constexpr int kStatusUnavailable = 503;
 
 } // namespace
 
@@ -28,12 +27,20 @@
   , peers(kMaxPeerChannels)
   , executor(serving, gate, backend)
   , router(settings.partitions, routes, classes, executor, peers, metrics)
-  , peerService(router,
-                [this](const std::vector<Row>& aRows) {
-                  this->classes.Apply(aRows);
-                  this->inbox.Put(RowsLearned{ aRows });
-                })
-  , callerServer(kCallerThreads)
+  , peerService(
+      router,
+      [this](const std::vector<Row>& aRows) { this->LearnRows(aRows); })
+  , drain(settings.name,
+          [this](bool aDrain) { this->inbox.Put(DrainRequested{ aDrain }); })
+  , monitor(
+      settings.name,
+      [this] { return this->Health(); },
+      [this] {
+        if (this->drainOutdated) {
+          this->RefreshDrain();
+        }
+      })
+  , callerServer(settings.limits.callerThreads)
   , backendServer(kBackendThreads)
   , operatorServer(kOperatorThreads)
 {
@@ -42,26 +49,23 @@
 Daemon::~Daemon() = default;
 
 std::unique_ptr<TableStore>
-Daemon::OpenStore() const
+Daemon::OpenStore()
 {
-  return std::make_unique<HttpTableStore>(this->settings.platformAddress,
-                                          this->settings.platformTimeout);
+  auto store = std::make_unique<HttpTableStore>(this->settings.platformAddress,
+                                                this->settings.platformTimeout);
+  return std::make_unique<CountingStore>(std::move(store), this->storeCounters);
 }
 
 std::string
-Daemon::Address(uint16_t aPort) const
+Daemon::Address(const std::string& aIp, uint16_t aPort)
 {
-  return this->settings.listenIp + ":" + std::to_string(aPort);
+  return aIp + ":" + std::to_string(aPort);
 }
 
 Result<void>
 Daemon::ReachPlatform()
 {
-  auto read = this->OpenStore()->ReadChanges(kMemberTable, 0);
-  if (!read) {
-    return tl::unexpected(read.error());
-  }
-  return {};
+  return this->RefreshDrain();
 }
 
 Result<void>
@@ -70,16 +74,18 @@
   int port = 0;
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  builder.AddListeningPort(this->Address(this->settings.peerPort),
-                           grpc::InsecureServerCredentials(),
-                           &port);
+  builder.AddListeningPort(
+    Address(this->settings.peerIp, this->settings.peerPort),
+    grpc::InsecureServerCredentials(),
+    &port);
   builder.RegisterService(&this->peerService);
   this->peerServer = builder.BuildAndStart();
   if (!this->peerServer || port == 0) {
-    return tl::unexpected(Error{ ErrorCode::Unavailable,
-                                 "listen for daemons",
-                                 this->Address(this->settings.peerPort),
-                                 "the port is taken or not allowed" });
+    return tl::unexpected(
+      Error{ ErrorCode::Unavailable,
+             "listen for daemons",
+             Address(this->settings.peerIp, this->settings.peerPort),
+             "the port is taken or not allowed" });
   }
   this->settings.peerPort = static_cast<uint16_t>(port);
   return {};
@@ -91,10 +97,14 @@
   OwnershipSettings ownership;
   ownership.name = this->settings.name;
   ownership.zone = this->settings.zone;
-  ownership.controlAddress = this->Address(this->settings.controlPort);
-  ownership.peerAddress = this->Address(this->settings.peerPort);
-  ownership.callerAddress = this->Address(this->settings.callerPort);
+  ownership.controlAddress =
+    Address(this->settings.peerIp, this->settings.controlPort);
+  ownership.peerAddress =
+    Address(this->settings.peerIp, this->settings.peerPort);
+  ownership.callerAddress =
+    Address(this->settings.listenIp, this->settings.callerPort);
   ownership.partitions = this->settings.partitions;
+  ownership.lease = this->settings.lease;
   return ownership;
 }
 
@@ -106,7 +116,7 @@
     return reached;
   }
   auto control =
-    this->socket.Open(this->settings.listenIp, this->settings.controlPort);
+    this->socket.Open(this->settings.peerIp, this->settings.controlPort);
   if (!control) {
     return tl::unexpected(control.error());
   }
@@ -118,21 +128,11 @@
   InstallCallerApi(this->callerServer.Handlers(),
                    this->router,
                    this->settings.defaultDeadline);
-  this->callerServer.Handlers().set_payload_max_length(
-    this->settings.maxBodyBytes);
   this->InstallBackendApi();
   this->InstallOperatorApi();
-  std::pair<HttpServer*, uint16_t*> servers[] = {
-    { &this->callerServer, &this->settings.callerPort },
-    { &this->backendServer, &this->settings.backendPort },
-    { &this->operatorServer, &this->settings.operatorPort },
-  };
-  for (auto [server, port] : servers) {
-    auto bound = server->Start(this->settings.listenIp, *port);
-    if (!bound) {
-      return tl::unexpected(bound.error());
-    }
-    *port = *bound;
+  auto bound = this->BindHttpServers();
+  if (!bound) {
+    return bound;
   }
   ControlParts parts{
     this->socket,  this->inbox,   this->serving,
@@ -142,9 +142,45 @@
   this->control = std::make_unique<ControlLoop>(
     this->MakeOwnershipSettings(), RendezvousPlacement, std::move(parts));
   this->control->Start();
+  // Their handlers use the control loop, so they answer only from here on.
+  for (auto* server :
+       { &this->callerServer, &this->backendServer, &this->operatorServer }) {
+    server->Listen();
+  }
+  this->monitor.Start();
   return this->WritePortsFile();
 }
 
+Result<void>
+Daemon::BindHttpServers()
+{
+  struct Listener
+  {
+    HttpServer& server;
+    std::string ip;
+    uint16_t& port;
+    size_t maxBodyBytes;
+  };
+  Settings& own = this->settings;
+  const Listener kListeners[] = {
+    { this->callerServer,
+      own.listenIp,
+      own.callerPort,
+      own.limits.maxBodyBytes },
+    { this->backendServer, own.backendIp, own.backendPort, kMaxSmallBody },
+    { this->operatorServer, own.operatorIp, own.operatorPort, kMaxSmallBody },
+  };
+  for (const auto& listener : kListeners) {
+    listener.server.Limit(own.limits, listener.maxBodyBytes);
+    auto bound = listener.server.Bind(listener.ip, listener.port);
+    if (!bound) {
+      return tl::unexpected(bound.error());
+    }
+    listener.port = *bound;
+  }
+  return {};
+}
+
 Result<void>
 Daemon::WritePortsFile() const
 {
@@ -186,6 +222,7 @@
         aResponse.set_content(text + "\n", "text/plain");
         return;
       }
+      this->backendAnnounced = true;
       this->backend.Connect(announcement.address());
       this->gate.SetSlots(announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
@@ -199,69 +236,71 @@
 void
 Daemon::InstallOperatorApi()
 {
-  auto& handlers = this->operatorServer.Handlers();
-  auto drain = [this](bool aDrain) {
-    return [this, aDrain](const httplib::Request&, httplib::Response&) {
-      this->inbox.Put(DrainRequested{ aDrain });
-    };
-  };
-  handlers.Post("/v1/drain", drain(true));
-  handlers.Post("/v1/undrain", drain(false));
-  handlers.Get("/v1/status",
-               [this](const httplib::Request&, httplib::Response& aResponse) {
-                 aResponse.set_content(this->StatusText(), "text/plain");
-               });
-  handlers.Get(
-    "/metrics", [this](const httplib::Request&, httplib::Response& aResponse) {
-      aResponse.set_content(this->MetricsText(), "text/plain; version=0.0.4");
-    });
-  handlers.Get(
-    "/healthz", [this](const httplib::Request&, httplib::Response& aResponse) {
-      ControlStatus status = this->control->Status();
-      bool leaseHeld = BootClock::now() < status.serving.leaseUntil;
-      bool healthy = leaseHeld && status.backendHealthy;
-      aResponse.status = healthy ? 200 : kStatusUnavailable;
-      aResponse.set_content(healthy ? "ok\n" : "not serving\n", "text/plain");
-    });
+  OperatorParts parts{ this->settings,
+                       this->classes,
+                       this->serving,
+                       this->metrics,
+                       this->storeCounters,
+                       this->drain,
+                       [this] { return this->control->Status(); },
+                       [this] { return this->Health(); },
+                       [this] { return this->monitor.Unavailable(); },
+                       [this] { return this->RefusedInputs(); },
+                       [this] { return this->RefreshDrain(); } };
+  fescuetiller::InstallOperatorApi(this->operatorServer.Handlers(), parts);
 }
 
-std::string
-Daemon::StatusText() const
+wire::HealthReport
+Daemon::Health() const
 {
   ControlStatus status = this->control->Status();
-  Time now = BootClock::now();
-  std::ostringstream text;
-  text << "name " << this->settings.name << "\n"
-       << "incarnation " << ToHex(status.serving.incarnation) << "\n"
-       << "lease_ms " << ToMilliseconds(status.serving.leaseUntil - now) << "\n"
-       << "partitions " << status.serving.partitions.size() << "\n"
-       << "running " << this->serving.Running() << "\n"
-       << "store " << (status.storeReachable ? "reachable" : "unreachable")
-       << "\n"
-       << "backend " << (status.backendHealthy ? "healthy" : "lost") << "\n";
-  for (const auto& member : status.members) {
-    if (member.state != MemberState::Ended) {
-      text << "member " << ToHex(member.incarnation) << " " << member.name
-           << " " << member.service << " " << member.zone << "\n";
-    }
+  HealthInputs inputs;
+  inputs.leaseLeft = status.serving.incarnation == kNoIncarnation
+                       ? Duration(0)
+                       : status.serving.leaseUntil - BootClock::now();
+  inputs.backendAnnounced = this->backendAnnounced;
+  inputs.backendHealthy = status.backendHealthy;
+  inputs.storeReachable = status.storeReachable;
+  inputs.drained = this->drain.Current().drain;
+  inputs.partitions = status.serving.partitions.size();
+  return JudgeHealth(inputs);
+}
+
+std::vector<RefusedInput>
+Daemon::RefusedInputs() const
+{
+  return { { "caller http", this->callerServer.Refused() },
+           { "backend http", this->backendServer.Refused() },
+           { "operator http", this->operatorServer.Refused() },
+           { "control datagram", this->socket.Malformed() },
+           { "peer row", this->malformedRows } };
+}
+
+Result<void>
+Daemon::RefreshDrain()
+{
+  auto read = this->OpenStore()->ReadRows({ DrainKey(this->settings.name) });
+  this->drainOutdated = !read;
+  if (!read) {
+    return tl::unexpected(read.error());
   }
-  return text.str();
+  this->drain.Apply(read->rows);
+  return {};
 }
 
-std::string
-Daemon::MetricsText() const
+void
+Daemon::LearnRows(const std::vector<Row>& aRows)
 {
-  ControlStatus status = this->control->Status();
-  std::ostringstream text;
-  text << this->metrics.Text() << "# TYPE fescuetiller_partitions gauge\n"
-       << "fescuetiller_partitions " << status.serving.partitions.size() << "\n"
-       << "# TYPE fescuetiller_takeovers_total counter\n"
-       << "fescuetiller_takeovers_total " << status.counters.takeovers << "\n"
-       << "# TYPE fescuetiller_moves_out_total counter\n"
-       << "fescuetiller_moves_out_total " << status.counters.movesOut << "\n"
-       << "# TYPE fescuetiller_claims_total counter\n"
-       << "fescuetiller_claims_total " << status.counters.claims << "\n";
-  return text.str();
+  this->classes.Apply(aRows);
+  this->drain.Apply(aRows);
+  for (const auto& row : aRows) {
+    bool malformed =
+      (row.key.table == kMemberTable && !ParseMember(row)) ||
+      (row.key.table == kAssignmentTable && !ParseAssignment(row)) ||
+      (row.key.table == kClassTable && !ParseClassTarget(row));
+    this->malformedRows += malformed && !row.deleted ? 1 : 0;
+  }
+  this->inbox.Put(RowsLearned{ aRows });
 }
 
 Result<void>
@@ -275,6 +314,7 @@
   bool handedOver = this->control->Stopped();
   this->callerServer.Stop();
   this->peerServer->Shutdown();
+  this->monitor.Stop();
   this->control->Stop();
   this->backendServer.Stop();
   this->operatorServer.Stop();
--- a/src/fescuetillerd/daemon.h
+++ b/src/fescuetillerd/daemon.h
@@ -3,7 +3,11 @@
 #include <grpcpp/grpcpp.h>
 
 #include "fescuetillerd/controlloop.h"
+#include "fescuetillerd/countingstore.h"
+#include "fescuetillerd/drainstate.h"
+#include "fescuetillerd/healthmonitor.h"
 #include "fescuetillerd/httpserver.h"
+#include "fescuetillerd/operatorapi.h"
 #include "fescuetillerd/peerservice.h"
 
 namespace fescuetiller {
@@ -25,14 +29,17 @@
 private:
   Result<void> ReachPlatform();
   Result<void> StartPeerServer();
+  Result<void> BindHttpServers();
   Result<void> WritePortsFile() const;
   void InstallBackendApi();
   void InstallOperatorApi();
-  std::string StatusText() const;
-  std::string MetricsText() const;
+  wire::HealthReport Health() const;
+  std::vector<RefusedInput> RefusedInputs() const;
+  Result<void> RefreshDrain();
+  void LearnRows(const std::vector<Row>& aRows);
   OwnershipSettings MakeOwnershipSettings() const;
-  std::unique_ptr<TableStore> OpenStore() const;
-  std::string Address(uint16_t aPort) const;
+  std::unique_ptr<TableStore> OpenStore();
+  static std::string Address(const std::string& aIp, uint16_t aPort);
 
   Settings settings;
   ControlSocket socket;
@@ -47,6 +54,12 @@
   Executor executor;
   Router router;
   PeerService peerService;
+  StoreCounters storeCounters;
+  std::atomic<uint64_t> malformedRows{ 0 };
+  std::atomic<bool> backendAnnounced{ false };
+  std::atomic<bool> drainOutdated{ false };
+  DrainState drain;
+  HealthMonitor monitor;
   HttpServer callerServer;
   HttpServer backendServer;
   HttpServer operatorServer;
--- a/src/metrics/classmetrics.h
+++ b/src/metrics/classmetrics.h
@@ -6,11 +6,13 @@
 
 #include <boost/histogram.hpp>
 
+#include "metrics/unavailabletime.h"
 #include "requests/requests.h"
 
 namespace fescuetiller {
 
-/** Outcome counters and a latency histogram for each class. Thread-safe. */
+/** Outcome counters, unavailable time and a latency histogram for each class.
+ * Thread-safe. */
 class ClassMetrics
 {
 public:
@@ -19,6 +21,13 @@
               OutcomeCode aCode,
               Duration aLatency);
 
+  /** The same at a given time. */
+  void Record(Time aNow,
+              const std::string& aService,
+              const std::string& aClass,
+              OutcomeCode aCode,
+              Duration aLatency);
+
   /** Prometheus text format. */
   std::string Text() const;
 
@@ -32,10 +41,16 @@
   {
     std::map<OutcomeCode, uint64_t> outcomes;
     Histogram latency;
+    double latencySum = 0; ///< Seconds.
+    UnavailableTime unavailable;
   };
 
+  using ClassName = std::pair<std::string, std::string>;
+
+  Entry& EntryOf(const ClassName& aName);
+
   mutable std::mutex mutex;
-  std::map<std::pair<std::string, std::string>, Entry> entries;
+  std::map<ClassName, Entry> entries;
 };
 
 } // namespace fescuetiller
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -3,3 +3,5 @@
 /** Public header of the metrics library. */
 
 #include "metrics/classmetrics.h"
+#include "metrics/prometheus.h"
+#include "metrics/unavailabletime.h"
--- /dev/null
+++ b/src/metrics/prometheus.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescuetiller {
+
+/** Label names with their values, in the order in which they are written. */
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+/** Writes metrics in the Prometheus text format. */
+class PrometheusWriter
+{
+public:
+  explicit PrometheusWriter(std::ostream& aOut);
+
+  /** @param aType "counter", "gauge" or "histogram". */
+  void Describe(const std::string& aName,
+                const std::string& aType,
+                const std::string& aHelp);
+
+  void Write(const std::string& aName, const Labels& aLabels, double aValue);
+
+private:
+  std::ostream& out;
+};
+
+/** Escapes backslashes, quotes and line breaks of a label's value. */
+std::string
+EscapeLabel(const std::string& aValue);
+
+} // namespace fescuetiller
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -4,6 +4,7 @@
 
 #include "wire/generated/backend.pb.h"
 #include "wire/generated/control.pb.h"
+#include "wire/generated/operator.pb.h"
 #include "wire/generated/peer.grpc.pb.h"
 #include "wire/generated/peer.pb.h"
 #include "wire/generated/platform.pb.h"
