--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -25,7 +25,7 @@
   Duration readTimeout = std::chrono::seconds(5);
   Duration writeTimeout = std::chrono::seconds(5);
   Duration keepAliveTimeout = std::chrono::seconds(5);
-  uint32_t requestsPerConnection = 100000;
+  uint32_t requestsPerConnection = 100;
   uint32_t callerThreads = 128;
 };
 
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -103,6 +103,8 @@
     Address(this->settings.peerIp, this->settings.peerPort);
   ownership.callerAddress =
     Address(this->settings.listenIp, this->settings.callerPort);
+  ownership.operatorAddress =
+    Address(this->settings.operatorIp, this->settings.operatorPort);
   ownership.partitions = this->settings.partitions;
   ownership.lease = this->settings.lease;
   return ownership;
--- a/tests/commandline/commandline.sh
+++ b/tests/commandline/commandline.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A user's first mistakes: each gives one clear line and a non-zero exit.
 set -u
+unset FESCUETILLER_PLATFORM
 build=$1
 folder=$(mktemp -d)
 failed=0
@@ -66,10 +67,69 @@
 expect "ctl with an unknown option" "colour" "$ctl" --colour
 expect "ctl with an unreachable daemon" "127.0.0.1:1" "$ctl" status --daemon 127.0.0.1:1
 
-# SIGTERM is a graceful stop.
+expect "ctl without a platform" "FESCUETILLER_PLATFORM" "$ctl" status
+expect "ctl with an unreachable platform" "127.0.0.1:1" "$ctl" status --platform 127.0.0.1:1
+expect "ctl check of wrong settings" "wrong.ini:10.*none.*whole number" "$ctl" check settings "$folder/wrong.ini"
+
+# holds NAME COMMAND...: the command succeeds.
+holds() {
+  local name=$1
+  shift
+  if "$@" >"$folder/out" 2>&1; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "FAILED: $name:"
+    cat "$folder/out"
+  fi
+}
+
 "$daemon" --config "$folder/good.ini" 2>"$folder/log" &
 process=$!
 until [ -f "$folder/ports" ]; do sleep 0.05; done
+bound() { sed -n "s/^$1=//p" "$folder/ports"; }
+operator=127.0.0.1:$(bound operator_port)
+
+# send PORT-KEY: sends standard input as it is, reads what comes back.
+send() {
+  exec 3<>"/dev/tcp/127.0.0.1/$(bound "$1")"
+  cat >&3 2>/dev/null
+  timeout 0.5 cat <&3 >"$folder/answer" 2>/dev/null
+  exec 3>&- 3<&-
+}
+
+# noise SEED LENGTH: bytes that are the same each time.
+noise() {
+  awk -v seed="$1" -v count="$2" 'BEGIN {
+    srand(seed); for (i = 0; i < count; ++i) printf "%c", int(rand() * 256) }'
+}
+
+# refused INPUT: how many malformed inputs of a kind were refused.
+refused() {
+  "$ctl" metrics --daemon "$operator" |
+    sed -n "s/^fescuetiller_refused_inputs_total{input=\"$1\"} //p"
+}
+
+# Whatever is sent to a port, the daemon goes on and counts it.
+for key in caller_port backend_port operator_port peer_port; do
+  noise 1 2000 | send $key
+  printf 'GET / HTTP/9.9\r\n\r\n' | send $key
+  printf 'POST /v1/announce HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n' | send $key
+  printf 'POST /v1/announce HTTP/1.1\r\nContent-Length: 5\r\n\r\n{"a":' | send $key
+  { printf 'GET /v1/%08000d HTTP/1.1\r\n\r\n' 7; } | send $key
+  { printf 'GET / HTTP/1.1\r\nX: %020000d\r\n\r\n' 7; } | send $key
+done
+for seed in 1 2 3 4 5; do
+  noise $seed 300 >"/dev/udp/127.0.0.1/$(bound control_port)"
+done
+for input in "caller http" "backend http" "operator http" "control datagram"; do
+  holds "refused $input are counted" test "$(refused "$input")" -gt 0
+done
+holds "the daemon still answers" "$ctl" status --daemon "$operator"
+holds "a daemon without a backend server says so" \
+  sh -c "'$ctl' status --daemon $operator | grep -q 'has not announced itself'"
+
+# SIGTERM is a graceful stop.
 kill -TERM $process
 wait $process
 code=$?
