--- a/src/fescuetillerctl/command.cpp
+++ b/src/fescuetillerctl/command.cpp
@@ -1,9 +1,12 @@
 #include "fescuetillerctl/command.h"
 
+#include <boost/locale/utf.hpp>
+
 namespace fescuetiller {
 
 namespace {
 
+constexpr size_t kMaxWhoBytes = 64;
 constexpr uint32_t kMaxTimeoutMs = 600000;
 constexpr const char* kExitCodes =
   "Exit codes: 0 ok, 1 failed, 2 wrong usage, 3 conflict (another change came "
@@ -96,6 +99,24 @@
        << kExitCodes;
 }
 
+/** Whether a text can be recorded: UTF-8 without control characters. */
+bool
+IsPrintable(const std::string& aText)
+{
+  namespace utf = boost::locale::utf;
+  constexpr utf::code_point kSpace = 0x20;
+  constexpr utf::code_point kDelete = 0x7f;
+  auto at = aText.begin();
+  while (at != aText.end()) {
+    auto character = utf::utf_traits<char>::decode(at, aText.end());
+    if (character == utf::illegal || character == utf::incomplete ||
+        character < kSpace || character == kDelete) {
+      return false;
+    }
+  }
+  return true;
+}
+
 /** First line of a text; errors of libraries may have several. */
 std::string
 FirstLine(const std::string& aText)
@@ -137,6 +158,11 @@
   common.platform = TextOption(values, "platform");
   common.daemon = TextOption(values, "daemon");
   common.who = TextOption(values, "who");
+  if (common.who.empty() || common.who.size() > kMaxWhoBytes ||
+      !IsPrintable(common.who)) {
+    return Fail(
+      aSession, ExitCode::Usage, "--who must be 1 to 64 bytes of UTF-8 text");
+  }
   auto timeoutMs = values["timeout-ms"].as<uint32_t>();
   if (timeoutMs == 0 || timeoutMs > kMaxTimeoutMs) {
     return Fail(aSession,
--- a/src/fescuetillerd/main.cpp
+++ b/src/fescuetillerd/main.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/program_options.hpp>
 #include <glog/logging.h>
+#include <google/protobuf/stubs/logging.h>
 
 #include "fescuetillerd/daemon.h"
 
@@ -90,6 +91,8 @@
   if (values.count("check") != 0) {
     return 0;
   }
+  // Malformed messages are counted, not logged one by one.
+  google::protobuf::SetLogHandler(nullptr);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(aArguments[0]);
   return Serve(*settings);
--- a/tests/commandline/commandline.sh
+++ b/tests/commandline/commandline.sh
@@ -129,6 +129,19 @@
 holds "a daemon without a backend server says so" \
   sh -c "'$ctl' status --daemon $operator | grep -q 'has not announced itself'"
 
+# A malformed row of the table service is passed over without a line.
+row='{"changes":[{"table":"class","key":"agenda/x","value":"CgH/"}]}'
+exec 3<>"/dev/tcp/127.0.0.1/$port"
+printf 'POST /v1/transact HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s' ${#row} "$row" >&3
+holds "the platform takes the row" grep -q -m 1 committed <&3
+exec 3>&- 3<&-
+calls() {
+  "$ctl" metrics --daemon "$operator" | sed -n 's/^fescuetiller_store_calls_total{operation="read_changes"} //p'
+}
+until_calls=$(($(calls) + 6))
+until [ "$(calls)" -ge $until_calls ]; do sleep 0.1; done
+holds "no line is logged for it" sh -c "! grep libprotobuf '$folder/log'"
+
 # SIGTERM is a graceful stop.
 kill -TERM $process
 wait $process
--- a/tests/fescuetillerctl/ctltest.cpp
+++ b/tests/fescuetillerctl/ctltest.cpp
@@ -187,6 +187,8 @@
                               "drain",
                               "check settings",
                               "metrics",
+                              "class set agenda lookup --share 0.9 --who \xff",
+                              "drain agenda-1 --who \x1b[31m",
                               "key locate agenda",
                               "status --timeout-ms 0",
                               "class" }) {
