--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kLeastPollInterval = std::chrono::milliseconds(200);
 /** Share of the store's reads that all daemons together use for polling. */
 constexpr double kPollsPerSecond = 200;
+constexpr const char* kPolledTables[] = { kMemberTable,
+                                          kAssignmentTable,
+                                          kClassTable,
+                                          kDrainTable };
 constexpr Duration kLoadInterval = std::chrono::milliseconds(200);
 constexpr Duration kGrantInterval = std::chrono::milliseconds(150);
 constexpr Duration kHealthInterval = std::chrono::milliseconds(200);
@@ -119,7 +123,7 @@
 {
   for (const auto& input : aInputs) {
     if (const auto* rows = std::get_if<RowsLearned>(&input)) {
-      this->ApplyClasses(this->gossip.Learn(rows->rows));
+      this->ApplyLearned(this->gossip.Learn(rows->rows));
     }
   }
   GossipOutput output = this->gossip.Tick(aNow, aReceived);
@@ -127,17 +131,20 @@
     this->parts.socket.Send(message);
   }
   if (!output.learned.empty()) {
-    this->ApplyClasses(output.learned);
+    this->ApplyLearned(output.learned);
     aInputs.push_back(RowsLearned{ std::move(output.learned) });
   }
 }
 
 void
-ControlLoop::ApplyClasses(const std::vector<Row>& aRows)
+ControlLoop::ApplyLearned(const std::vector<Row>& aRows)
 {
   if (this->parts.classes.Apply(aRows)) {
     this->parts.gate.SetTargets(this->parts.classes.All());
   }
+  if (!aRows.empty()) {
+    this->parts.onLearned(aRows);
+  }
 }
 
 void
@@ -277,7 +284,7 @@
 {
   thread_local std::unique_ptr<TableStore> store = this->parts.openStore();
   bool reachable = true;
-  for (const char* table : { kMemberTable, kAssignmentTable, kClassTable }) {
+  for (const char* table : kPolledTables) {
     RowVersion& since = this->readRevisions[table];
     auto read = store->ReadChanges(table, since);
     if (!read) {
--- a/src/fescuetillerd/controlsocket.h
+++ b/src/fescuetillerd/controlsocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <variant>
@@ -46,7 +47,7 @@
   bool ReceiveOne(ReceivedMessages& aReceived);
 
   int descriptor = -1;
-  uint64_t malformed = 0;
+  std::atomic<uint64_t> malformed{ 0 };
 };
 
 /** One control datagram, or nothing when it is malformed. */
--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -4,6 +4,9 @@
 # Usage: demo.sh BUILD-FOLDER [qc-east|nordvik] [SECONDS]
 set -eu
 build=$1
+here=$(cd "$(dirname "$0")" && pwd)
+examples=$here/../../docs/examples
+. "$here/deployment.sh"
 deployment=${2:-qc-east}
 seconds=${3:-20}
 folder=$(mktemp -d)
@@ -17,13 +20,6 @@
   slots=6
   connections=120
   work=lookup:4:200,booking:8:100,report:5:400,fixture-log:8:100,bundle:60:262144
-  targets=(
-    "agenda lookup 100 99 0.99 --idempotent"
-    "agenda booking 300 99 0.99"
-    "dossier report 150 99 0.98 --idempotent"
-    "dossier fixture-log 300 99 0.99"
-    "dossier bundle 2000 95 0.95 --idempotent"
-  )
   load=agenda:lookup:1:200,agenda:booking:0:80,dossier:report:1:40,dossier:fixture-log:0:40,dossier:bundle:1:20
   ;;
 nordvik)
@@ -32,13 +28,6 @@
   slots=9
   connections=75
   work=rights-lookup:4:200,licence-grant:8:100,holder-check:50:100,download:80:262144,takedown:8:100
-  targets=(
-    "clearance-desk rights-lookup 100 99 0.99 --idempotent"
-    "clearance-desk licence-grant 300 99 0.99"
-    "footage-vault holder-check 500 95 0.95 --idempotent"
-    "footage-vault download 2000 95 0.95 --idempotent"
-    "footage-vault takedown 300 99 0.99"
-  )
   load=clearance-desk:rights-lookup:1:200,clearance-desk:licence-grant:0:80,footage-vault:holder-check:1:30,footage-vault:download:1:20,footage-vault:takedown:0:40
   ;;
 *)
@@ -47,22 +36,6 @@
   ;;
 esac
 
-# wait_for FILE: until a process has written its ports.
-wait_for() {
-  local tries=0
-  until [ -f "$1" ]; do
-    sleep 0.05
-    tries=$((tries + 1))
-    if [ $tries -gt 400 ]; then
-      echo "demo.sh: $1 did not appear" >&2
-      exit 1
-    fi
-  done
-}
-
-# port FILE KEY: a bound port.
-port() { sed -n "s/^$2=//p" "$1"; }
-
 list_callers() {
   local ports
   for ports in "$folder"/*.ports; do
@@ -73,20 +46,10 @@
 
 # start_pair SERVICE NUMBER: one daemon and the backend server beside it.
 start_pair() {
-  local service=$1 name=$1-$2 entry
+  local service=$1 name=$1-$2
   local zone=${zones[$(($2 % ${#zones[@]}))]}
-  {
-    echo "[daemon]"
-    echo "name = $name"
-    echo "zone = $zone"
-    echo "ports_file = $folder/$name.ports"
-    echo "[platform]"
-    echo "address = $platform"
-    for entry in "${services[@]}"; do
-      echo "[service ${entry%:*}]"
-      echo "partitions = 64"
-    done
-  } >"$folder/$name.ini"
+  settings_from "$examples/$deployment/$service.ini" "$name" "$zone" "$platform" \
+    "$folder/$name.ports" >"$folder/$name.ini"
   "$build/src/fescuetillerd" --config "$folder/$name.ini" 2>"$folder/$name.log" &
   processes[$name]=$!
   wait_for "$folder/$name.ports"
@@ -101,12 +64,8 @@
 wait_for "$folder/platform"
 platform=127.0.0.1:$(port "$folder/platform" port)
 
-for target in "${targets[@]}"; do
-  read -r service class latency percentile share idempotent <<<"$target"
-  "$build/src/fescuetillerctl" class-set --platform "$platform" \
-    --service "$service" --class "$class" --latency-ms "$latency" \
-    --percentile "$percentile" --share "$share" $idempotent
-done
+export FESCUETILLER_PLATFORM=$platform
+"$build/src/fescuetillerctl" class set --file "$examples/$deployment/classes.ini"
 
 for entry in "${services[@]}"; do
   for number in $(seq 1 "${entry#*:}"); do
@@ -125,8 +84,7 @@
 count=${services[0]#*:}
 sleep $((seconds / 4))
 echo "draining the backend server of $first-1"
-"$build/src/fescuetillerctl" drain \
-  --daemon "127.0.0.1:$(port "$folder/$first-1.ports" operator_port)"
+"$build/src/fescuetillerctl" drain "$first-1"
 sleep $((seconds / 4))
 echo "killing the daemon and the backend server of $first-2"
 {
