--- a/src/config/inifile.cpp
+++ b/src/config/inifile.cpp
@@ -94,8 +94,9 @@
                                         "\": a key must stand in a section"));
     }
     IniSection section{ place, {} };
+    std::string prefix = "[" + name + "]";
     for (const auto& [key, value] : keys) {
-      int line = lines["[" + name + "]" + key];
+      int line = lines[prefix + key];
       section.entries.push_back({ aFile, line, name, key, value.data() });
     }
     sections.push_back(section);
@@ -158,12 +159,11 @@
 bool
 IsName(const std::string& aText)
 {
-  constexpr const char* kMarks = ".-_";
+  constexpr const char* kAllowed = "abcdefghijklmnopqrstuvwxyz"
+                                   "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                   "0123456789.-_";
   return !aText.empty() && aText.size() <= kMaxNameLength &&
-         std::all_of(aText.begin(), aText.end(), [&](unsigned char aChar) {
-           bool mark = std::string(kMarks).find(aChar) != std::string::npos;
-           return aChar < 0x80 && (std::isalnum(aChar) != 0 || mark);
-         });
+         aText.find_first_not_of(kAllowed) == std::string::npos;
 }
 
 } // namespace fescuetiller
--- a/src/fescuetillerctl/classcommands.cpp
+++ b/src/fescuetillerctl/classcommands.cpp
@@ -198,6 +198,7 @@
 ReadCurrent(TableStore& aStore, const std::vector<Wish>& aWishes)
 {
   std::vector<RowKey> keys;
+  keys.reserve(aWishes.size());
   for (const auto& wish : aWishes) {
     keys.push_back(ClassKey(wish.service, wish.name));
   }
--- a/src/fescuetillerctl/cluster.cpp
+++ b/src/fescuetillerctl/cluster.cpp
@@ -65,6 +65,7 @@
             bool aPost)
 {
   std::vector<MemberAnswer> answers;
+  answers.reserve(aMembers.size());
   for (const auto& member : aMembers) {
     answers.push_back({ member, std::string() });
   }
