--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -28,7 +28,8 @@
 ControlLoop::ControlLoop(OwnershipSettings aSettings,
                          PlacementPolicy aPlacement,
                          ControlParts aParts)
-  : system(std::move(aSettings), std::move(aPlacement), DrawIncarnation)
+  : backendGrant(aSettings.lease.backendGrant)
+  , system(std::move(aSettings), std::move(aPlacement), DrawIncarnation)
   , parts(std::move(aParts))
   , storeWrites(kStoreWriters)
   , storeReads(1)
@@ -215,20 +216,28 @@
     this->parts.inbox.Put(RowsLearned{ std::move(read->rows) });
   }
   LOG_IF(INFO, reachable && !this->storeReachable) << "table service reached";
+  if (reachable != this->storeReachable) {
+    this->parts.inbox.Put(StoreReachable{ reachable });
+  }
   this->storeReachable = reachable;
 }
 
 void
 ControlLoop::RenewGrants(Time aNow)
 {
-  if (aNow < this->nextGrant || this->grantPending) {
+  // A backend server that does not answer is granted nothing new, so that what
+  // it still has lapses.
+  bool due = aNow >= this->nextGrant && this->backendHealthy;
+  if (!due || this->grantPending) {
     return;
   }
   this->nextGrant = aNow + kGrantInterval;
   wire::Grants grants;
   grants.set_incarnation(this->published.incarnation);
   grants.set_sequence(++this->grantSequence);
-  grants.set_lease_until_boot_ns(ToBootNanoseconds(this->published.leaseUntil));
+  Time until = std::min(this->published.leaseUntil, aNow + this->backendGrant);
+  grants.set_lease_until_boot_ns(ToBootNanoseconds(until));
+  this->backendLapsesAt = std::max(this->backendLapsesAt.load(), until);
   for (const auto& owned : this->published.partitions) {
     auto* granted = grants.add_partitions();
     granted->set_partition(owned.partition.index);
@@ -255,7 +264,10 @@
       LOG(WARNING) << "backend server lost: "
                    << (health ? "reports itself unhealthy"
                               : ToString(health.error()));
-      this->parts.inbox.Put(BackendLost{});
+      this->parts.inbox.Put(BackendLost{ this->backendLapsesAt });
+    }
+    if (!this->backendHealthy && healthy) {
+      this->parts.inbox.Put(BackendReturned{});
     }
     this->backendHealthy = healthy;
     bool draining = health && health->draining();
--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -77,6 +77,7 @@
   void RunTransaction(const StartTransaction& aOutput);
   void ReadChanges();
 
+  Duration backendGrant;
   OwnershipSystem system;
   ControlParts parts;
   WorkQueue storeWrites;
@@ -95,6 +96,7 @@
   std::map<std::string, RowVersion> readRevisions; ///< Used by storeReads.
   Time nextPoll;
   Time nextGrant;
+  std::atomic<Time> backendLapsesAt{ Time() }; ///< Of the latest grants.
   Time nextHealth;
   uint64_t grantSequence = 0;
   uint64_t publishedChange = 0;
--- a/src/ownership/clustertable.cpp
+++ b/src/ownership/clustertable.cpp
@@ -27,7 +27,12 @@
     if (known.version >= assignment->version) {
       return false;
     }
+    this->owned[known.owner].erase(assignment->partition);
+    if (this->owned[known.owner].empty()) {
+      this->owned.erase(known.owner);
+    }
     known = *assignment;
+    this->owned[known.owner].insert(known.partition);
     ++this->changeCount;
     return true;
   }
@@ -63,13 +68,27 @@
 std::vector<Assignment>
 ClusterTable::OwnedBy(Incarnation aOwner) const
 {
-  std::vector<Assignment> owned;
-  for (const auto& [partition, assignment] : this->assignments) {
-    if (assignment.owner == aOwner) {
-      owned.push_back(assignment);
-    }
+  std::vector<Assignment> result;
+  auto found = this->owned.find(aOwner);
+  if (found == this->owned.end()) {
+    return result;
+  }
+  for (const auto& partition : found->second) {
+    result.push_back(this->assignments.at(partition));
+  }
+  return result;
+}
+
+Incarnation
+ClusterTable::LiveOwner(const PartitionId& aPartition) const
+{
+  const Assignment* assignment = this->FindAssignment(aPartition);
+  if (assignment == nullptr) {
+    return kNoIncarnation;
   }
-  return owned;
+  const Member* owner = this->FindMember(assignment->owner);
+  bool ended = owner != nullptr && owner->state == MemberState::Ended;
+  return ended ? kNoIncarnation : assignment->owner;
 }
 
 Incarnation
--- a/src/ownership/clustertable.h
+++ b/src/ownership/clustertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "ownership/records.h"
@@ -25,6 +26,9 @@
 
   std::vector<Assignment> OwnedBy(Incarnation aOwner) const;
 
+  /** Who serves a partition: nobody once its owner has ended. */
+  Incarnation LiveOwner(const PartitionId& aPartition) const;
+
   /**
    * Who may take a member over now: its grantor, or whoever adopted the
    * grantor's wards. kNoIncarnation: the table service grants the lease.
@@ -37,6 +41,7 @@
 private:
   std::map<Incarnation, Member> members;
   std::map<PartitionId, Assignment> assignments;
+  std::map<Incarnation, std::set<PartitionId>> owned;
   uint64_t changeCount = 0;
 };
 
--- a/src/ownership/leasegrantor.cpp
+++ b/src/ownership/leasegrantor.cpp
@@ -23,7 +23,7 @@
     bool unchanged =
       known != this->wards.end() && known->second.version == member.version;
     followed[incarnation] =
-      unchanged ? known->second : Ward{ member.version, aNow, false };
+      unchanged ? known->second : Ward{ member.version, aNow, false, false };
   }
   this->wards = std::move(followed);
 }
@@ -32,10 +32,13 @@
 LeaseGrantor::Renew(Time aNow, const Renewal& aRenewal, bool aOwnLeaseValid)
 {
   auto ward = this->wards.find(aRenewal.holder);
-  if (ward == this->wards.end() || ward->second.barred || !aOwnLeaseValid ||
+  if (ward == this->wards.end() || ward->second.barred ||
       aRenewal.grantor != this->self) {
     return false;
   }
+  if (!this->settings.rules.acknowledges(aOwnLeaseValid)) {
+    return false;
+  }
   ward->second.promisedAt = aNow;
   return true;
 }
@@ -46,7 +49,8 @@
   std::vector<Incarnation> expired;
   Duration wait = this->settings.lease + this->settings.driftMargin;
   for (const auto& [incarnation, ward] : this->wards) {
-    if (!ward.barred && aNow - ward.promisedAt > wait) {
+    bool silent = ward.barred || aNow - ward.promisedAt > wait;
+    if (silent && !ward.takingOver) {
       expired.push_back(incarnation);
     }
   }
@@ -59,6 +63,24 @@
   auto ward = this->wards.find(aWard);
   if (ward != this->wards.end()) {
     ward->second.barred = true;
+    ward->second.takingOver = true;
+  }
+}
+
+void
+LeaseGrantor::TakeOverFailed(Incarnation aWard)
+{
+  auto ward = this->wards.find(aWard);
+  if (ward != this->wards.end()) {
+    ward->second.takingOver = false;
+  }
+}
+
+void
+LeaseGrantor::Resumed(Time aNow)
+{
+  for (auto& [incarnation, ward] : this->wards) {
+    ward.promisedAt = aNow;
   }
 }
 
--- a/src/ownership/leasegrantor.h
+++ b/src/ownership/leasegrantor.h
@@ -28,18 +28,25 @@
    */
   bool Renew(Time aNow, const Renewal& aRenewal, bool aOwnLeaseValid);
 
-  /** Wards silent for the lease time and the margin, not yet barred. */
+  /** Wards silent for the lease time and the margin, not being taken over. */
   std::vector<Incarnation> Expired(Time aNow) const;
 
-  /** Acknowledges the ward no more. */
+  /** Acknowledges the ward no more; its takeover is under way. */
   void Bar(Incarnation aWard);
 
+  /** The takeover failed; the ward stays barred and is due again. */
+  void TakeOverFailed(Incarnation aWard);
+
+  /** This daemon did not run for a while; wards could not renew. */
+  void Resumed(Time aNow);
+
 private:
   struct Ward
   {
     RowVersion version = 0; ///< Of the member record that made it a ward.
     Time promisedAt;
     bool barred = false;
+    bool takingOver = false;
   };
 
   LeaseSettings settings;
--- a/src/ownership/leaseholder.cpp
+++ b/src/ownership/leaseholder.cpp
@@ -14,11 +14,24 @@
 LeaseHolder::SetGrantor(Time aNow, Incarnation aGrantor)
 {
   this->grantor = aGrantor;
+  this->proposedAt.reset();
   this->sentAt.clear();
   this->lastAck = aNow;
   this->nextRenewal = aNow;
 }
 
+void
+LeaseHolder::ProposeGrantor(Time aNow)
+{
+  this->proposedAt = aNow;
+}
+
+void
+LeaseHolder::WithdrawProposal()
+{
+  this->proposedAt.reset();
+}
+
 void
 LeaseHolder::RecordWritten(Time aSentAt)
 {
@@ -26,7 +39,7 @@
 }
 
 void
-LeaseHolder::Acknowledged(const RenewalAck& aAck)
+LeaseHolder::Acknowledged(Time aNow, const RenewalAck& aAck)
 {
   if (aAck.holder != this->self || aAck.grantor != this->grantor) {
     return;
@@ -35,8 +48,12 @@
   if (sent == this->sentAt.end()) {
     return;
   }
-  Time until = sent->second + this->settings.lease;
-  this->validUntil = std::max(this->validUntil, until);
+  bool binding = !this->proposedAt || sent->second <= *this->proposedAt ||
+                 this->settings.rules.oldGrantorCounts();
+  if (binding) {
+    Time start = this->settings.rules.leaseStart(sent->second, aNow);
+    this->validUntil = std::max(this->validUntil, start + this->settings.lease);
+  }
   this->lastAck = std::max(this->lastAck, sent->second);
   this->sentAt.erase(this->sentAt.begin(), std::next(sent));
 }
--- a/src/ownership/leaseholder.h
+++ b/src/ownership/leaseholder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "ownership/leasesettings.h"
 #include "ownership/messages.h"
@@ -10,7 +11,9 @@
 /**
  * The holder's side of the lease: sends renewals and knows until when the
  * lease lasts. Time counts from the sending of a renewal or of a write, so
- * that no assumption about delays is needed.
+ * that no assumption about delays is needed. While a write that names another
+ * grantor has no outcome, nobody knows whose promise binds: renewals sent
+ * after that write extend nothing.
  */
 class LeaseHolder
 {
@@ -20,10 +23,16 @@
   /** Names the grantor to renew from; kNoIncarnation stops renewing. */
   void SetGrantor(Time aNow, Incarnation aGrantor);
 
+  /** A write that names another grantor was started. */
+  void ProposeGrantor(Time aNow);
+
+  /** That write had no effect and never will. */
+  void WithdrawProposal();
+
   /** A write of the own member record, sent at aSentAt, committed. */
   void RecordWritten(Time aSentAt);
 
-  void Acknowledged(const RenewalAck& aAck);
+  void Acknowledged(Time aNow, const RenewalAck& aAck);
 
   /** @param aAddress The grantor's control address. */
   void Tick(Time aNow,
@@ -40,6 +49,7 @@
   LeaseSettings settings;
   Incarnation self;
   Incarnation grantor = kNoIncarnation;
+  std::optional<Time> proposedAt;
   Time validUntil;
   Time lastAck;
   Time nextRenewal;
--- a/src/ownership/messages.h
+++ b/src/ownership/messages.h
@@ -51,8 +51,21 @@
 
 /** The backend server beside this daemon no longer answers. */
 struct BackendLost
+{
+  /** When the latest grants that were sent to it lapse. */
+  Time grantsLapseAt;
+};
+
+/** The backend server answers again. */
+struct BackendReturned
 {};
 
+/** Whether the table service answered the last read. */
+struct StoreReachable
+{
+  bool reachable = true;
+};
+
 /** No request of a partition that stopped admitting is running any more. */
 struct PartitionIdle
 {
@@ -65,6 +78,12 @@
   bool drain = true;
 };
 
+/** An operator vouches that a member's process runs no more. */
+struct MemberDeclaredLost
+{
+  Incarnation member = kNoIncarnation;
+};
+
 /** Leave for good once every partition has been handed over. */
 struct StopRequested
 {};
@@ -88,8 +107,11 @@
                            RowsLearned,
                            BackendAnnounced,
                            BackendLost,
+                           BackendReturned,
+                           StoreReachable,
                            PartitionIdle,
                            DrainRequested,
+                           MemberDeclaredLost,
                            StopRequested,
                            LoadMeasured,
                            PeerLoadsLearned>;
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -40,6 +40,7 @@
   , transactions(settings.lease.retryInterval)
   , holder(settings.lease, kNoIncarnation)
   , grantor(settings.lease, kNoIncarnation)
+  , watch(settings.lease, self)
 {
   this->Restart();
 }
@@ -47,15 +48,18 @@
 std::vector<Output>
 OwnershipSystem::Tick(Time aNow, const std::vector<Input>& aInputs)
 {
+  this->NoticePause(aNow);
   for (const auto& input : aInputs) {
     std::visit([&](const auto& aMessage) { this->Accept(aNow, aMessage); },
                input);
   }
   this->grantor.Follow(aNow, this->table);
+  this->watch.Follow(aNow, this->table);
   this->Join(aNow);
   this->KeepLease(aNow);
-  this->TakeOverExpired(aNow);
+  this->TakeOverLost(aNow);
   this->Plan(aNow);
+  this->FinishLapsedMoves(aNow);
   this->EndWhenEmpty(aNow);
   this->transactions.Tick(aNow, this->outputs);
   return std::exchange(this->outputs, {});
@@ -74,13 +78,23 @@
   this->holder = LeaseHolder(this->settings.lease, this->self.incarnation);
   this->grantor = LeaseGrantor(this->settings.lease, this->self.incarnation);
   this->transactions = TransactionQueue(this->settings.lease.retryInterval);
-  this->moving.clear();
-  this->writing.clear();
+  this->watch = LostMemberWatch(this->settings.lease, this->self);
+  this->moves.Clear();
   this->selfWritePending = false;
   this->claimPending = false;
   this->phase = Phase::NoBackend;
 }
 
+void
+OwnershipSystem::NoticePause(Time aNow)
+{
+  if (aNow - this->lastTick > this->settings.lease.renewInterval) {
+    this->grantor.Resumed(aNow);
+    this->watch.Reset();
+  }
+  this->lastTick = aNow;
+}
+
 void
 OwnershipSystem::Accept(Time aNow, const Renewal& aRenewal)
 {
@@ -95,9 +109,9 @@
 }
 
 void
-OwnershipSystem::Accept(Time /*aNow*/, const RenewalAck& aAck)
+OwnershipSystem::Accept(Time aNow, const RenewalAck& aAck)
 {
-  this->holder.Acknowledged(aAck);
+  this->holder.Acknowledged(aNow, aAck);
 }
 
 void
@@ -115,31 +129,64 @@
 void
 OwnershipSystem::Accept(Time /*aNow*/, const BackendAnnounced& aBackend)
 {
-  this->backend = aBackend;
+  this->backend.Announced(aBackend);
+}
+
+void
+OwnershipSystem::Accept(Time aNow, const BackendLost& aLost)
+{
+  this->backend.Lost(aNow, aLost, this->holder.ValidUntil());
+}
+
+void
+OwnershipSystem::Accept(Time aNow, const BackendReturned& /*aReturned*/)
+{
+  this->backend.Returned(aNow);
 }
 
 void
-OwnershipSystem::Accept(Time /*aNow*/, const BackendLost& /*aLost*/)
+OwnershipSystem::Accept(Time aNow, const StoreReachable& aStore)
 {
-  this->backend.reset();
+  this->storeReachable = aStore.reachable;
+  this->watch.Reset();
+  if (aStore.reachable) {
+    return;
+  }
+  // Nothing that waits for the store may stop what is served.
+  this->moves.CancelWaiting();
+  for (const auto& writeId : this->moves.Writing()) {
+    this->transactions.Withdraw(aNow, writeId);
+  }
+  if (this->selfWritePending && this->phase != Phase::Joining) {
+    this->transactions.Withdraw(aNow, this->selfWriteId);
+  }
 }
 
 void
 OwnershipSystem::Accept(Time /*aNow*/, const PartitionIdle& aIdle)
 {
-  auto found = this->moving.find(aIdle.partition);
-  if (found != this->moving.end() &&
-      this->writing.insert(aIdle.partition).second) {
-    this->FinishMove(found->second);
+  for (const auto& move : this->moves.Waiting()) {
+    if (move.partition == aIdle.partition) {
+      this->FinishMove(move);
+    }
   }
 }
 
 void
 OwnershipSystem::Accept(Time /*aNow*/, const DrainRequested& aRequest)
 {
+  if (this->draining && !aRequest.drain) {
+    this->moves.CancelWaiting();
+  }
   this->draining = aRequest.drain;
 }
 
+void
+OwnershipSystem::Accept(Time /*aNow*/, const MemberDeclaredLost& aLost)
+{
+  this->watch.Declare(aLost.member);
+}
+
 void
 OwnershipSystem::Accept(Time /*aNow*/, const StopRequested& /*aRequest*/)
 {
@@ -173,10 +220,15 @@
   }
   const Member* known = this->table.FindMember(this->self.incarnation);
   bool ended = known != nullptr && known->state == MemberState::Ended;
-  if (ended && this->phase != Phase::Ended && this->phase != Phase::Ending) {
-    ++this->counters.incarnationsEnded;
-    this->Restart();
+  if (!ended || this->phase == Phase::Ended) {
+    return;
   }
+  if (this->phase == Phase::Ending) {
+    this->phase = Phase::Ended;
+    return;
+  }
+  ++this->counters.incarnationsEnded;
+  this->Restart();
 }
 
 bool
@@ -186,9 +238,15 @@
 }
 
 bool
-OwnershipSystem::WantsPartitions() const
+OwnershipSystem::WantsPartitions(Time aNow) const
+{
+  return this->backend.Accepts(aNow) && !this->Leaves();
+}
+
+bool
+OwnershipSystem::Leaves() const
 {
-  return this->backend.has_value() && !this->draining && !this->stopping;
+  return this->draining || this->stopping;
 }
 
 std::string
@@ -201,45 +259,48 @@
 void
 OwnershipSystem::Join(Time aNow)
 {
-  if (this->phase != Phase::NoBackend || !this->WantsPartitions()) {
+  if (this->phase != Phase::NoBackend || !this->WantsPartitions(aNow)) {
     return;
   }
-  this->self.service = this->backend->service;
-  this->self.slots = this->backend->slots;
-  this->self.connections = this->backend->connections;
-  this->self.checksGrant = this->backend->checksGrant;
+  const BackendAnnounced& announced = *this->backend.Backend();
+  this->self.service = announced.service;
+  this->self.slots = announced.slots;
+  this->self.connections = announced.connections;
+  this->self.checksGrant = announced.checksGrant;
   this->self.state = MemberState::Active;
   this->phase = Phase::Joining;
   Member joining = this->self;
-  joining.grantor = this->ChooseGrantor(aNow);
+  joining.grantor = ChooseGrantor(this->self, this->table, {});
   this->WriteSelf(aNow, joining);
 }
 
 void
 OwnershipSystem::WriteSelf(Time aNow, Member aMember)
 {
+  aMember.version = this->self.version;
   aMember.writeId = this->NextWriteId();
-  Transaction change;
-  change.conditions.push_back(
-    { MemberKey(this->self.incarnation), this->self.version });
-  change.changes.push_back(ToRow(aMember));
   this->selfWritePending = true;
+  this->selfWriteId = aMember.writeId;
+  if (aMember.grantor != this->holder.Grantor()) {
+    this->holder.ProposeGrantor(aNow);
+  }
   this->transactions.Submit(
     aMember.writeId,
-    change,
-    [this, aNow, aMember](Time /*aAt*/, const TransactionResult& aResult) {
+    WriteMemberChange(aMember),
+    [this, aNow, aMember](Time aAt, const TransactionResult& aResult) {
       this->selfWritePending = false;
-      this->SelfWritten(aNow, aMember, aResult);
+      this->SelfWritten(aAt, aNow, aMember, aResult);
     });
 }
 
 void
-OwnershipSystem::SelfWritten(Time aSentAt,
+OwnershipSystem::SelfWritten(Time aNow,
+                             Time aSentAt,
                              const Member& aMember,
                              const TransactionResult& aResult)
 {
   if (!aResult.committed) {
-    this->Learn(aResult.conflicts);
+    this->SelfNotWritten(aResult);
     return;
   }
   bool newGrantor = aMember.grantor != this->holder.Grantor();
@@ -248,7 +309,7 @@
   this->table.Apply(ToRow(this->self));
   this->holder.RecordWritten(aSentAt);
   if (newGrantor) {
-    this->holder.SetGrantor(aSentAt, aMember.grantor);
+    this->holder.SetGrantor(aNow, aMember.grantor);
     this->Push(aMember.grantor, { ToRow(this->self) });
   }
   if (this->phase == Phase::Joining) {
@@ -259,27 +320,36 @@
   }
 }
 
-Incarnation
-OwnershipSystem::ChooseGrantor(Time aNow) const
+void
+OwnershipSystem::SelfNotWritten(const TransactionResult& aResult)
 {
-  Incarnation best = kNoIncarnation;
-  std::tuple<bool, bool, uint64_t> bestScore;
-  for (const auto& [incarnation, member] : this->table.Members()) {
-    if (member.state != MemberState::Active ||
-        incarnation == this->self.incarnation) {
-      continue;
-    }
-    (void)aNow;
-    std::tuple<bool, bool, uint64_t> score(
-      this->silentGrantors.count(incarnation) == 0,
-      member.zone != this->self.zone,
-      HashKey(ToHex(incarnation), this->self.incarnation));
-    if (best == kNoIncarnation || score > bestScore) {
-      best = incarnation;
-      bestScore = score;
-    }
+  this->holder.WithdrawProposal();
+  this->Learn(aResult.conflicts);
+  if (this->phase == Phase::Ending) {
+    this->phase = Phase::Active;
+  }
+  if (this->phase == Phase::Joining) {
+    this->phase = Phase::NoBackend;
   }
-  return best;
+}
+
+bool
+OwnershipSystem::GrantorUsable(Time aNow) const
+{
+  const Member* peer = this->table.FindMember(this->holder.Grantor());
+  bool lives = peer != nullptr && peer->state != MemberState::Ended;
+  return lives && !this->holder.GrantorSilent(aNow);
+}
+
+bool
+OwnershipSystem::MayImproveGrantor(Time aNow)
+{
+  bool due = aNow >= this->nextGrantorCheck && this->storeReachable;
+  if (!due) {
+    return false;
+  }
+  this->nextGrantorCheck = aNow + this->settings.grantorCheckInterval;
+  return HasPoorGrantor(this->self, this->table);
 }
 
 void
@@ -289,89 +359,89 @@
     return;
   }
   const Member* peer = this->table.FindMember(this->holder.Grantor());
-  bool usable = peer != nullptr && peer->state != MemberState::Ended;
-  if (usable) {
+  if (peer != nullptr && peer->state != MemberState::Ended) {
     this->holder.Tick(aNow, peer->controlAddress, this->outputs);
   }
   if (this->selfWritePending || this->phase != Phase::Active) {
     return;
   }
-  if (usable && !this->holder.GrantorSilent(aNow)) {
+  if (this->GrantorUsable(aNow)) {
     this->silentGrantors.clear();
+    if (this->MayImproveGrantor(aNow)) {
+      this->NameGrantor(aNow, ChooseGrantor(this->self, this->table, {}));
+    }
+    return;
+  }
+  bool hasGrantor = this->holder.Grantor() != kNoIncarnation;
+  if (hasGrantor && !this->storeReachable) {
     return;
   }
-  if (this->holder.Grantor() != kNoIncarnation) {
+  if (hasGrantor) {
     this->silentGrantors.insert(this->holder.Grantor());
   }
-  Member renewed = this->self;
-  renewed.grantor = this->ChooseGrantor(aNow);
-  bool changed = renewed.grantor != this->self.grantor;
-  if (changed || aNow >= this->nextStoreRenewal) {
-    ++this->counters.grantorChanges;
-    this->nextStoreRenewal = aNow + this->settings.lease.lease / 3;
-    this->WriteSelf(aNow, renewed);
+  this->NameGrantor(
+    aNow, ChooseGrantor(this->self, this->table, this->silentGrantors));
+}
+
+void
+OwnershipSystem::NameGrantor(Time aNow, Incarnation aGrantor)
+{
+  bool changed = aGrantor != this->self.grantor;
+  if (!changed && aNow < this->nextStoreRenewal) {
+    return;
   }
+  this->counters.grantorChanges += changed ? 1 : 0;
+  this->nextStoreRenewal = aNow + this->settings.lease.lease / 3;
+  Member renewed = this->self;
+  renewed.grantor = aGrantor;
+  this->WriteSelf(aNow, renewed);
 }
 
 void
-OwnershipSystem::TakeOverExpired(Time aNow)
+OwnershipSystem::TakeOverLost(Time aNow)
 {
   if (this->phase != Phase::Active || !this->LeaseValid(aNow)) {
     return;
   }
   for (Incarnation ward : this->grantor.Expired(aNow)) {
-    const Member* lost = this->table.FindMember(ward);
     this->grantor.Bar(ward);
-    this->TakeOver(*lost);
+    this->TakeOver(aNow, ward);
+  }
+  if (!this->storeReachable) {
+    return;
+  }
+  for (Incarnation lost : this->watch.TakeDue(aNow, this->table)) {
+    this->TakeOver(aNow, lost);
   }
 }
 
 void
-OwnershipSystem::TakeOver(const Member& aLost)
+OwnershipSystem::TakeOver(Time aNow, Incarnation aLost)
 {
-  Member ended = aLost;
-  ended.state = MemberState::Ended;
-  ended.endedBy = this->self.incarnation;
-  ended.writeId = this->NextWriteId();
-  Transaction change;
-  change.conditions.push_back({ MemberKey(aLost.incarnation), aLost.version });
-  change.changes.push_back(ToRow(ended));
-
-  PlacementView view = this->View({}, aLost.service);
+  const Member& lost = *this->table.FindMember(aLost);
+  PlacementView view = this->View(aNow, lost.service);
   for (auto& server : view.servers) {
-    server.accepting = server.accepting && server.id != aLost.incarnation;
+    server.accepting = server.accepting && server.id != aLost;
   }
   for (auto& partition : view.partitions) {
-    bool orphaned = partition.owner == aLost.incarnation;
-    partition.owner = orphaned ? kNoIncarnation : partition.owner;
-  }
-  std::map<PartitionId, Incarnation> successors;
-  for (const auto& move : this->placement(view)) {
-    if (move.from == kNoIncarnation) {
-      successors[move.partition] = move.to;
-    }
-  }
-  for (const auto& assignment : this->table.OwnedBy(aLost.incarnation)) {
-    Assignment next = assignment;
-    auto successor = successors.find(assignment.partition);
-    next.owner =
-      successor == successors.end() ? kNoIncarnation : successor->second;
-    next.epoch = assignment.epoch + 1;
-    next.writeId = ended.writeId;
-    change.conditions.push_back(
-      { AssignmentKey(assignment.partition), assignment.version });
-    change.changes.push_back(ToRow(next));
+    bool released = partition.owner == aLost;
+    partition.owner = released ? kNoIncarnation : partition.owner;
   }
+  std::string writeId = this->NextWriteId();
+  Transaction change = TakeOverChange(
+    lost, this->self.incarnation, writeId, this->table, this->placement(view));
   this->transactions.Submit(
-    ended.writeId,
+    writeId,
     change,
-    [this, change](Time /*aAt*/, const TransactionResult& aResult) {
-      if (!aResult.committed) {
-        this->Learn(aResult.conflicts);
+    [this, change, aLost](Time aAt, const TransactionResult& aResult) {
+      if (aResult.committed) {
+        ++this->counters.takeovers;
+        this->ApplyChanges(change, aResult.revision);
         return;
       }
-      ++this->counters.takeovers;
-      this->ApplyChanges(change, aResult.revision);
+      this->grantor.TakeOverFailed(aLost);
+      this->watch.TakeOverFailed(aAt, aLost);
+      this->Learn(aResult.conflicts);
     });
 }
 
@@ -413,7 +483,7 @@
     }
     bool accepting = member.state == MemberState::Active;
     if (incarnation == this->self.incarnation) {
-      accepting = accepting && this->WantsPartitions();
+      accepting = accepting && this->WantsPartitions(aNow);
     }
     view.servers.push_back({ incarnation,
                              member.zone,
@@ -426,11 +496,8 @@
     count == this->settings.partitions.end() ? 0 : count->second;
   for (uint32_t index = 0; index < partitions; ++index) {
     PartitionId id{ aService, index };
-    const Assignment* known = this->table.FindAssignment(id);
     view.partitions.push_back(
-      { id,
-        known == nullptr ? kNoIncarnation : known->owner,
-        LoadOf(this->partitionLoads, id) });
+      { id, this->table.LiveOwner(id), LoadOf(this->partitionLoads, id) });
   }
   return view;
 }
@@ -443,6 +510,10 @@
     return;
   }
   this->nextPlan = aNow + this->settings.planInterval;
+  this->moves.CancelWithoutTarget(this->table);
+  if (!this->storeReachable) {
+    return;
+  }
   PlacementView view = this->View(aNow, this->self.service);
   bool anyAccepting =
     std::any_of(view.servers.begin(),
@@ -452,49 +523,48 @@
     this->ReleaseAll();
     return;
   }
-  std::vector<PartitionId> claims;
+  std::vector<Move> claims;
   for (const auto& move : this->placement(view)) {
     if (move.from == kNoIncarnation && move.to == this->self.incarnation) {
-      claims.push_back(move.partition);
+      claims.push_back(move);
     }
     if (move.from == this->self.incarnation) {
-      this->StartMove(move);
+      this->moves.Start(move, this->MoveLimit());
     }
   }
   this->Claim(claims);
 }
 
+size_t
+OwnershipSystem::MoveLimit() const
+{
+  return this->backend.Serves() ? this->settings.movesAtOnce : SIZE_MAX;
+}
+
 void
 OwnershipSystem::ReleaseAll()
 {
   for (const auto& owned : this->table.OwnedBy(this->self.incarnation)) {
-    this->StartMove({ owned.partition, owned.owner, kNoIncarnation });
+    this->moves.Start({ owned.partition, owned.owner, kNoIncarnation },
+                      this->MoveLimit());
   }
 }
 
 void
-OwnershipSystem::Claim(const std::vector<PartitionId>& aPartitions)
+OwnershipSystem::Claim(const std::vector<Move>& aMoves)
 {
-  if (aPartitions.empty() || this->claimPending) {
+  if (aMoves.empty() || this->claimPending) {
     return;
   }
-  std::string writeId = this->NextWriteId();
-  Transaction change;
-  change.conditions.push_back(
-    { MemberKey(this->self.incarnation), this->self.version });
-  for (const auto& partition : aPartitions) {
-    if (change.changes.size() == this->settings.claimsAtOnce) {
-      break;
+  std::vector<PartitionId> partitions;
+  for (const auto& move : aMoves) {
+    if (partitions.size() < this->settings.claimsAtOnce) {
+      partitions.push_back(move.partition);
     }
-    const Assignment* known = this->table.FindAssignment(partition);
-    Assignment next = known == nullptr ? Assignment() : *known;
-    change.conditions.push_back({ AssignmentKey(partition), next.version });
-    next.partition = partition;
-    next.owner = this->self.incarnation;
-    next.epoch += 1;
-    next.writeId = writeId;
-    change.changes.push_back(ToRow(next));
   }
+  std::string writeId = this->NextWriteId();
+  Transaction change =
+    ClaimChange(this->self, partitions, writeId, this->table);
   this->claimPending = true;
   this->transactions.Submit(
     writeId,
@@ -511,10 +581,13 @@
 }
 
 void
-OwnershipSystem::StartMove(const Move& aMove)
+OwnershipSystem::FinishLapsedMoves(Time aNow)
 {
-  if (this->moving.size() < this->settings.movesAtOnce) {
-    this->moving.emplace(aMove.partition, aMove);
+  if (!this->backend.Lapsed(aNow) || this->phase != Phase::Active) {
+    return;
+  }
+  for (const auto& move : this->moves.Waiting()) {
+    this->FinishMove(move);
   }
 }
 
@@ -526,29 +599,19 @@
   bool released = aMove.to == kNoIncarnation;
   bool ready =
     released || (target != nullptr && target->state == MemberState::Active);
-  bool stale =
-    known == nullptr || known->owner != this->self.incarnation || !ready;
-  if (stale) {
-    this->moving.erase(aMove.partition);
-    this->writing.erase(aMove.partition);
+  bool owned = known != nullptr && known->owner == this->self.incarnation;
+  if (!owned || !ready) {
+    this->moves.Finish(aMove.partition);
     return;
   }
-  Assignment next = *known;
-  next.owner = aMove.to;
-  next.epoch += 1;
-  next.writeId = this->NextWriteId();
-  Transaction change;
-  change.conditions.push_back({ AssignmentKey(aMove.partition), next.version });
-  if (!released) {
-    change.conditions.push_back({ MemberKey(aMove.to), target->version });
-  }
-  change.changes.push_back(ToRow(next));
+  std::string writeId = this->NextWriteId();
+  this->moves.BeginWrite(aMove.partition, writeId);
+  Transaction change = MoveChange(*known, released ? nullptr : target, writeId);
   this->transactions.Submit(
-    next.writeId,
+    writeId,
     change,
     [this, change, aMove](Time /*aAt*/, const TransactionResult& aResult) {
-      this->moving.erase(aMove.partition);
-      this->writing.erase(aMove.partition);
+      this->moves.Finish(aMove.partition);
       if (!aResult.committed) {
         this->Learn(aResult.conflicts);
         return;
@@ -558,23 +621,30 @@
     });
 }
 
+bool
+OwnershipSystem::Empty() const
+{
+  return this->table.OwnedBy(this->self.incarnation).empty() &&
+         !this->claimPending && this->transactions.Empty();
+}
+
 void
 OwnershipSystem::EndWhenEmpty(Time aNow)
 {
-  if (this->phase != Phase::Active || this->selfWritePending) {
+  bool ready = this->phase == Phase::Active && !this->selfWritePending &&
+               this->storeReachable;
+  if (!ready) {
     return;
   }
-  bool leaving = !this->WantsPartitions();
-  MemberState wanted = leaving ? MemberState::Leaving : MemberState::Active;
+  bool wants = this->WantsPartitions(aNow);
+  MemberState wanted = wants ? MemberState::Active : MemberState::Leaving;
   if (this->self.state != wanted) {
     Member changed = this->self;
     changed.state = wanted;
     this->WriteSelf(aNow, changed);
     return;
   }
-  bool empty = this->table.OwnedBy(this->self.incarnation).empty() &&
-               !this->claimPending && this->transactions.Empty();
-  if (this->stopping && empty) {
+  if (this->stopping && this->Empty()) {
     this->phase = Phase::Ending;
     Member ended = this->self;
     ended.state = MemberState::Ended;
@@ -593,7 +663,8 @@
     return serving;
   }
   for (const auto& owned : this->table.OwnedBy(this->self.incarnation)) {
-    bool admitting = this->moving.count(owned.partition) == 0;
+    bool admitting =
+      this->backend.Serves() && !this->moves.Contains(owned.partition);
     serving.partitions.push_back({ owned.partition, owned.epoch, admitting });
   }
   return serving;
--- a/src/ownership/ownershipsystem.h
+++ b/src/ownership/ownershipsystem.h
@@ -4,9 +4,14 @@
 #include <optional>
 #include <set>
 
+#include "ownership/backendcondition.h"
+#include "ownership/changes.h"
 #include "ownership/clustertable.h"
+#include "ownership/grantorchoice.h"
 #include "ownership/leasegrantor.h"
 #include "ownership/leaseholder.h"
+#include "ownership/lostmemberwatch.h"
+#include "ownership/movetable.h"
 #include "ownership/transactionqueue.h"
 #include "placement/placement.h"
 
@@ -28,6 +33,8 @@
   /** Partitions claimed by one transaction. */
   size_t claimsAtOnce = 64;
   Duration planInterval = std::chrono::milliseconds(200);
+  /** Time between looks for a grantor that is better placed. */
+  Duration grantorCheckInterval = std::chrono::seconds(2);
 };
 
 /** One partition that this daemon owns. */
@@ -104,35 +111,46 @@
   void Accept(Time aNow, const RowsLearned& aRows);
   void Accept(Time aNow, const BackendAnnounced& aBackend);
   void Accept(Time aNow, const BackendLost& aLost);
+  void Accept(Time aNow, const BackendReturned& aReturned);
+  void Accept(Time aNow, const StoreReachable& aStore);
   void Accept(Time aNow, const PartitionIdle& aIdle);
   void Accept(Time aNow, const DrainRequested& aRequest);
+  void Accept(Time aNow, const MemberDeclaredLost& aLost);
   void Accept(Time aNow, const StopRequested& aRequest);
   void Accept(Time aNow, const LoadMeasured& aLoad);
   void Accept(Time aNow, const PeerLoadsLearned& aLoads);
 
   void Restart();
+  void NoticePause(Time aNow);
   void Join(Time aNow);
   void KeepLease(Time aNow);
+  bool GrantorUsable(Time aNow) const;
+  bool MayImproveGrantor(Time aNow);
+  void NameGrantor(Time aNow, Incarnation aGrantor);
   void WriteSelf(Time aNow, Member aMember);
-  void SelfWritten(Time aSentAt,
+  void SelfWritten(Time aNow,
+                   Time aSentAt,
                    const Member& aMember,
                    const TransactionResult& aResult);
-  Incarnation ChooseGrantor(Time aNow) const;
-  void TakeOverExpired(Time aNow);
-  void TakeOver(const Member& aLost);
+  void SelfNotWritten(const TransactionResult& aResult);
+  void TakeOverLost(Time aNow);
+  void TakeOver(Time aNow, Incarnation aLost);
   void Plan(Time aNow);
-  void Claim(const std::vector<PartitionId>& aPartitions);
+  void Claim(const std::vector<Move>& aMoves);
   void ReleaseAll();
-  void StartMove(const Move& aMove);
+  size_t MoveLimit() const;
+  void FinishLapsedMoves(Time aNow);
   void FinishMove(const Move& aMove);
   void EndWhenEmpty(Time aNow);
+  bool Empty() const;
   void Learn(const std::vector<Row>& aRows);
   void ApplyChanges(const Transaction& aChange, RowVersion aRevision);
   void Push(Incarnation aTo, const std::vector<Row>& aRows);
   PlacementView View(Time aNow, const std::string& aService) const;
   std::string NextWriteId();
   bool LeaseValid(Time aNow) const;
-  bool WantsPartitions() const;
+  bool WantsPartitions(Time aNow) const;
+  bool Leaves() const;
 
   OwnershipSettings settings;
   PlacementPolicy placement;
@@ -140,12 +158,16 @@
 
   Phase phase = Phase::NoBackend;
   Member self;
-  std::optional<BackendAnnounced> backend;
+  BackendCondition backend;
   bool draining = false;
   bool stopping = false;
+  bool storeReachable = true;
   bool selfWritePending = false;
+  std::string selfWriteId;
   bool claimPending = false;
+  Time lastTick;
   Time nextStoreRenewal;
+  Time nextGrantorCheck;
   Time nextPlan;
   uint64_t writeCounter = 0;
 
@@ -153,9 +175,9 @@
   TransactionQueue transactions;
   LeaseHolder holder;
   LeaseGrantor grantor;
+  LostMemberWatch watch;
   std::set<Incarnation> silentGrantors;
-  std::map<PartitionId, Move> moving;
-  std::set<PartitionId> writing; ///< Moves whose transaction is under way.
+  MoveTable moves;
   std::map<PartitionId, double> partitionLoads;
   std::map<Incarnation, double> serverLoads;
   OwnershipCounters counters;
--- a/src/ownership/transactionqueue.cpp
+++ b/src/ownership/transactionqueue.cpp
@@ -1,5 +1,7 @@
 #include "ownership/transactionqueue.h"
 
+#include <algorithm>
+
 namespace fescuetiller {
 
 TransactionQueue::TransactionQueue(Duration aRetryInterval)
@@ -32,6 +34,25 @@
   return false;
 }
 
+void
+TransactionQueue::Withdraw(Time aNow, const std::string& aWriteId)
+{
+  auto found = std::find_if(
+    this->pending.begin(), this->pending.end(), [&](const auto& aEntry) {
+      return aEntry.second.writeId == aWriteId;
+    });
+  if (found == this->pending.end()) {
+    return;
+  }
+  found->second.withdrawing = true;
+  if (found->second.inFlight || found->second.mayHaveEffect) {
+    return;
+  }
+  Done done = std::move(found->second.done);
+  this->pending.erase(found);
+  done(aNow, TransactionResult());
+}
+
 void
 TransactionQueue::Answer(Time aNow, const TransactionAnswer& aAnswer)
 {
@@ -40,8 +61,14 @@
     return;
   }
   if (!aAnswer.result) {
-    found->second.inFlight = false;
-    found->second.notBefore = aNow + this->retryInterval;
+    Pending& entry = found->second;
+    entry.inFlight = false;
+    entry.notBefore = aNow + this->retryInterval;
+    bool noEffect = aAnswer.result.error().code == ErrorCode::Unavailable;
+    entry.mayHaveEffect = entry.mayHaveEffect || !noEffect;
+    if (entry.withdrawing) {
+      this->Withdraw(aNow, std::string(entry.writeId));
+    }
     return;
   }
   Pending entry = std::move(found->second);
--- a/src/ownership/transactionqueue.h
+++ b/src/ownership/transactionqueue.h
@@ -29,6 +29,12 @@
    */
   void Submit(const std::string& aWriteId, Transaction aChange, Done aDone);
 
+  /**
+   * Gives up a transaction if it is certain that it had no effect; Done is
+   * then called with an uncommitted result. Otherwise it is settled as usual.
+   */
+  void Withdraw(Time aNow, const std::string& aWriteId);
+
   void Answer(Time aNow, const TransactionAnswer& aAnswer);
 
   void Tick(Time aNow, std::vector<Output>& aOutputs);
@@ -42,6 +48,8 @@
     Transaction transaction;
     Done done;
     bool inFlight = false;
+    bool mayHaveEffect = false;
+    bool withdrawing = false;
     Time notBefore;
   };
 
