--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -87,6 +87,7 @@
   void RunTransaction(const StartTransaction& aOutput);
   void ReadChanges();
 
+  Duration backendGrant;
   OwnershipSystem system;
   GossipSystem gossip;
   LoadMeter load;
@@ -107,6 +108,7 @@
   std::map<std::string, RowVersion> readRevisions; ///< Used by storeReads.
   Time nextPoll;
   Time nextGrant;
+  std::atomic<Time> backendLapsesAt{ Time() }; ///< Of the latest grants.
   Time nextHealth;
   Time nextLoad;
   Duration pollInterval;
