Schedule the backend server's slots by the classes' targets

Now a table of classes with hooks for plan, admission, order and limit. The target policy divides the slots by share target, then latency; a class granted less than it is offered is admitted at that rate and refused at once beyond it; requests start in order of arrival until one has waited a quarter of what its class may build up; keys take turns; classes slow enough to hold up the tightest target leave one slot free. The limit follows sheds, freezes and restarts; a load report alone never lowers it. Requests of one class name in two services no longer share state.

--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -257,6 +257,13 @@
                               : ToString(health.error()));
       this->parts.inbox.Put(BackendLost{});
     }
+    if (health) {
+      this->parts.gate.ReportLoad(
+        { BootClock::now(), health->load(), healthy });
+    }
+    if (healthy && !this->backendHealthy) {
+      this->parts.gate.BackendRestarted();
+    }
     this->backendHealthy = healthy;
     bool draining = health && health->draining();
     if (draining != this->backendDraining.exchange(draining)) {
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -188,7 +188,7 @@
         return;
       }
       this->backend.Connect(announcement.address());
-      this->gate.SetSlots(announcement.slots());
+      this->gate.Announce(announcement.address(), announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
                                         announcement.slots(),
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -27,7 +27,7 @@
     outcome = this->backend.Run(aRequest, *fence);
     this->serving.End(aPartition);
   }
-  this->gate.Release(*slot);
+  this->gate.Release(*slot, outcome);
   return outcome;
 }
 
--- a/src/fescuetillerd/slotgate.h
+++ b/src/fescuetillerd/slotgate.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <condition_variable>
-#include <map>
 #include <mutex>
 #include <optional>
+#include <string>
+#include <unordered_map>
 
 #include "requests/requests.h"
 #include "scheduling/scheduling.h"
@@ -16,7 +17,13 @@
 public:
   explicit SlotGate(uint32_t aSlots);
 
-  void SetSlots(uint32_t aSlots);
+  /** A backend server announced itself; a new address starts cold. */
+  void Announce(const std::string& aAddress, uint32_t aSlots);
+
+  /** The backend server came back after it was lost. */
+  void BackendRestarted();
+
+  void ReportLoad(const LoadReport& aReport);
   void SetTargets(const std::vector<ClassTarget>& aTargets);
 
   /**
@@ -25,19 +32,27 @@
    */
   tl::expected<uint64_t, Outcome> Acquire(const Request& aRequest);
 
-  void Release(uint64_t aId);
+  /** aOutcome tells the scheduler how the backend server did. */
+  void Release(uint64_t aId, const Outcome& aOutcome);
 
   /** Lets the scheduler refuse what is overdue. */
   void Tick(Time aNow);
 
 private:
-  void Publish(const std::vector<ScheduleDecision>& aDecisions);
+  /** A traffic thread waiting for its decision. */
+  struct Waiter
+  {
+    std::condition_variable decided;
+    std::optional<ScheduleDecision> decision;
+  };
+
+  void Publish(const ScheduleDecisions& aDecisions);
 
   std::mutex mutex;
-  std::condition_variable decided;
   Scheduler scheduler;
+  std::string address;
   uint64_t nextId = 1;
-  std::map<uint64_t, ScheduleDecision> decisions;
+  std::unordered_map<uint64_t, Waiter*> waiters;
 };
 
 } // namespace fescuetiller
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -3,3 +3,4 @@
 /** Public header of the scheduling library: who gets the next slot. */
 
 #include "scheduling/scheduler.h"
+#include "scheduling/targetpolicy.h"
