--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -353,6 +353,13 @@
     if (!this->backendHealthy && healthy) {
       this->parts.inbox.Put(BackendReturned{});
     }
+    if (health) {
+      this->parts.gate.ReportLoad(
+        { BootClock::now(), health->load(), healthy });
+    }
+    if (healthy && !this->backendHealthy) {
+      this->parts.gate.BackendRestarted();
+    }
     this->backendHealthy = healthy;
     bool draining = health && health->draining();
     if (draining != this->backendDraining.exchange(draining)) {
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -233,7 +233,7 @@
       }
       this->backendAnnounced = true;
       this->backend.Connect(announcement.address());
-      this->gate.SetSlots(announcement.slots());
+      this->gate.Announce(announcement.address(), announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
                                         announcement.slots(),
