--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -2,4 +2,7 @@
 
 /** Public header of the placement library: which server should own what. */
 
+#include "placement/balancedplacement.h"
+#include "placement/fleetsummary.h"
 #include "placement/placementpolicy.h"
+#include "placement/placementsettings.h"
