Run requests at most once through the whole daemon

An ingress whose call to an owner breaks asks that owner by request id over a new connection; the owner tells the outcome, waits for a running one, or bars the id. Ids of non-idempotent classes carry an issue stamp, so an owner without memory of an id refuses it instead of running it again.

The link to the backend server counts its connections against the announced limit, closes those idle for a second, checks that an answer carries the id that was asked for, and can cancel. Keys go percent-encoded into headers: a line break in a key split the header before. Channels between daemons ping while a call is open, do not resend by themselves, and take answers of up to 64 MiB (4 MiB before).

--- a/src/fescuetillerd/backendlink.cpp
+++ b/src/fescuetillerd/backendlink.cpp
@@ -10,7 +10,15 @@
 
 constexpr Duration kControlTimeout = std::chrono::milliseconds(500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kMaxIdle = std::chrono::milliseconds(1000);
+constexpr Duration kShedRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(20);
+constexpr Duration kLostRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kGaveUpRetryAfter = std::chrono::milliseconds(10);
+constexpr uint32_t kControlConnections = 4;
+constexpr size_t kMaxAnswerBytes = size_t(64) * 1024 * 1024;
 constexpr int kStatusOk = 200;
+constexpr int kStatusGaveUp = 408;
 constexpr int kStatusFenced = 409;
 constexpr int kStatusUnavailable = 503;
 
@@ -21,47 +29,99 @@
 }
 
 Outcome
-ReadAnswer(const httplib::Result& aResponse, const std::string& aPeer)
+ReadFailure(httplib::Error aError, const std::string& aPeer)
 {
-  if (!aResponse) {
-    bool notSent = aResponse.error() == httplib::Error::Connection;
-    std::string reason =
-      "backend server " + aPeer + ": " + httplib::to_string(aResponse.error());
-    return notSent ? NotRun(reason, Duration(0)) : UnknownOutcome(reason);
+  std::string reason =
+    "backend server " + aPeer + ": " + httplib::to_string(aError);
+  // The only failure before the first byte of a request.
+  if (aError == httplib::Error::Connection) {
+    return NotRun(reason, kLostRetryAfter);
   }
-  if (aResponse->status == kStatusFenced) {
-    return NotOwner();
+  return UnknownOutcome(reason);
+}
+
+Outcome
+ReadStatus(int aStatus, const std::string& aPeer)
+{
+  switch (aStatus) {
+    case kStatusFenced:
+      return NotOwner();
+    case kStatusUnavailable:
+      return NotRun("backend server sheds load", kShedRetryAfter);
+    case kStatusGaveUp:
+      return NotRun("backend server gave it up", kGaveUpRetryAfter);
+    default:
+      return UnknownOutcome("backend server " + aPeer + ": HTTP status " +
+                            std::to_string(aStatus));
   }
-  if (aResponse->status == kStatusUnavailable) {
-    return NotRun("backend server sheds load", std::chrono::milliseconds(100));
+}
+
+/** Whether an answer belongs to a request; an answer without an id does. */
+bool
+Belongs(const httplib::Response& aResponse, const std::string& aRequestId)
+{
+  return !aResponse.has_header("X-Request-Id") ||
+         aResponse.get_header_value("X-Request-Id") == aRequestId;
+}
+
+Outcome
+ReadAnswer(const httplib::Response& aResponse, const std::string& aPeer)
+{
+  if (aResponse.status != kStatusOk) {
+    return ReadStatus(aResponse.status, aPeer);
   }
-  if (aResponse->status != kStatusOk) {
-    return UnknownOutcome("backend server " + aPeer + ": HTTP status " +
-                          std::to_string(aResponse->status));
+  if (aResponse.body.size() > kMaxAnswerBytes) {
+    return UnknownOutcome("it ran, but its answer of " +
+                          std::to_string(aResponse.body.size()) +
+                          " bytes is too large");
   }
   Outcome outcome;
   outcome.code = OutcomeCode::Done;
-  outcome.body = aResponse->body;
-  outcome.contentType = aResponse->get_header_value("Content-Type");
+  outcome.body = aResponse.body;
+  outcome.contentType = aResponse.get_header_value("Content-Type");
   return outcome;
 }
 
+httplib::Headers
+RunHeaders(const Request& aRequest, const Fence& aFence)
+{
+  return {
+    { "X-Request-Id", aRequest.requestId },
+    { "X-Class", aRequest.requestClass },
+    { "X-Key", PercentEncode(aRequest.key) },
+    { "X-Attempt", std::to_string(aRequest.attempt) },
+    { "X-Partition", std::to_string(aFence.partition.index) },
+    { "X-Epoch", std::to_string(aFence.epoch) },
+    { "X-Incarnation", ToHex(aFence.incarnation) },
+    { "X-Deadline-Boot-Ns",
+      std::to_string(ToBootNanoseconds(aRequest.deadline)) },
+  };
+}
+
 } // namespace
 
+BackendLink::BackendLink() = default;
+
+BackendLink::~BackendLink() = default;
+
 void
-BackendLink::Connect(const std::string& aAddress)
+BackendLink::Connect(const std::string& aAddress, uint32_t aConnections)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->address != aAddress) {
-    this->idle.clear();
+  this->limit = std::max(aConnections, kControlConnections + 1);
+  if (this->address == aAddress) {
+    return;
   }
   this->address = aAddress;
+  this->idle.clear();
+  this->open = 0;
+  ++this->generation;
 }
 
 void
 BackendLink::Disconnect()
 {
-  this->Connect("");
+  this->Connect("", 0);
 }
 
 std::string
@@ -71,105 +131,166 @@
   return this->address;
 }
 
-BackendLink::Connection
-BackendLink::Take(const std::string& aAddress)
+uint32_t
+BackendLink::OpenConnections() const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->open;
+}
+
+void
+BackendLink::DropStale(Time aNow)
+{
+  while (!this->idle.empty() && aNow - this->idle.front().since > kMaxIdle) {
+    this->idle.pop_front();
+    --this->open;
+  }
+}
+
+std::optional<BackendLink::Connection>
+BackendLink::Take(Use aUse)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
-  if (!this->idle.empty() && this->address == aAddress) {
-    Connection connection = std::move(this->idle.back());
+  this->DropStale(BootClock::now());
+  if (!this->idle.empty()) {
+    Connection connection = std::move(this->idle.back().connection);
     this->idle.pop_back();
     return connection;
   }
-  auto connection = std::make_unique<httplib::Client>("http://" + aAddress);
-  connection->set_keep_alive(true);
-  connection->set_tcp_nodelay(true);
-  connection->set_connection_timeout(kConnectTimeout);
-  return connection;
+  uint32_t kept = aUse == Use::Request ? kControlConnections : 0;
+  if (this->open + kept >= this->limit) {
+    return std::nullopt;
+  }
+  ++this->open;
+  auto client = std::make_unique<httplib::Client>("http://" + this->address);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  client->set_connection_timeout(kConnectTimeout);
+  return Connection{ this->address, this->generation, std::move(client) };
 }
 
 void
-BackendLink::Return(const std::string& aAddress, Connection aConnection)
+BackendLink::Return(Connection aConnection)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->address == aAddress) {
-    this->idle.push_back(std::move(aConnection));
+  if (this->generation == aConnection.generation) {
+    this->idle.push_back({ std::move(aConnection), BootClock::now() });
+  }
+}
+
+void
+BackendLink::Close(Connection aConnection)
+{
+  aConnection.client.reset();
+  std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->generation == aConnection.generation) {
+    --this->open;
   }
 }
 
 Outcome
 BackendLink::Run(const Request& aRequest, const Fence& aFence)
 {
-  std::string peer = this->Address();
-  if (peer.empty()) {
-    return NotRun("no backend server", std::chrono::milliseconds(200));
+  if (this->Address().empty()) {
+    return NotRun("no backend server", kLostRetryAfter);
   }
   Time now = BootClock::now();
   if (now >= aRequest.deadline) {
-    return NotRun("deadline passed", Duration(0));
+    return NotRun("deadline passed", kGaveUpRetryAfter);
   }
-  Connection connection = this->Take(peer);
-  connection->set_read_timeout(aRequest.deadline - now);
-  httplib::Headers headers = {
-    { "X-Request-Id", aRequest.requestId },
-    { "X-Class", aRequest.requestClass },
-    { "X-Key", aRequest.key },
-    { "X-Partition", std::to_string(aFence.partition.index) },
-    { "X-Epoch", std::to_string(aFence.epoch) },
-    { "X-Incarnation", ToHex(aFence.incarnation) },
-    { "X-Deadline-Boot-Ns",
-      std::to_string(ToBootNanoseconds(aRequest.deadline)) },
-  };
-  auto response = connection->Post(
-    "/v1/run", headers, aRequest.body, "application/octet-stream");
-  Outcome outcome = ReadAnswer(response, peer);
-  if (response) {
-    this->Return(peer, std::move(connection));
+  // The thread may have been stopped since it got its fence.
+  if (now >= aFence.leaseUntil) {
+    return NotOwner();
   }
-  return outcome;
+  auto connection = this->Take(Use::Request);
+  if (!connection) {
+    return NotRun("every connection is in use", kBusyRetryAfter);
+  }
+  connection->client->set_read_timeout(aRequest.deadline - now);
+  connection->client->set_write_timeout(aRequest.deadline - now);
+  auto response = connection->client->Post("/v1/run",
+                                           RunHeaders(aRequest, aFence),
+                                           aRequest.body,
+                                           "application/octet-stream");
+  std::string peer = connection->peer;
+  if (!response) {
+    this->Close(std::move(*connection));
+    return ReadFailure(response.error(), peer);
+  }
+  if (!Belongs(*response, aRequest.requestId)) {
+    this->Close(std::move(*connection));
+    return UnknownOutcome("backend server " + peer +
+                          ": answer to another request");
+  }
+  this->Return(std::move(*connection));
+  return ReadAnswer(*response, peer);
+}
+
+Result<std::string>
+BackendLink::Control(const std::string& aStep, const ControlCall& aCall)
+{
+  if (this->Address().empty()) {
+    return tl::unexpected(NoBackend(aStep));
+  }
+  auto connection = this->Take(Use::Control);
+  if (!connection) {
+    return tl::unexpected(Error{ ErrorCode::Unavailable,
+                                 aStep,
+                                 "backend server",
+                                 "every connection is in use" });
+  }
+  connection->client->set_read_timeout(kControlTimeout);
+  auto response = aCall(*connection->client);
+  std::string peer = connection->peer;
+  if (!response) {
+    this->Close(std::move(*connection));
+    return tl::unexpected(Error{
+      ErrorCode::Unknown, aStep, peer, httplib::to_string(response.error()) });
+  }
+  this->Return(std::move(*connection));
+  if (response->status != kStatusOk) {
+    return tl::unexpected(
+      Error{ ErrorCode::Refused,
+             aStep,
+             peer,
+             "HTTP status " + std::to_string(response->status) });
+  }
+  return response->body;
+}
+
+void
+BackendLink::Cancel(const std::string& aRequestId)
+{
+  this->Control("cancel", [&aRequestId](httplib::Client& aClient) {
+    httplib::Headers headers = { { "X-Request-Id", aRequestId } };
+    return aClient.Post("/v1/cancel", headers, "", "text/plain");
+  });
 }
 
 Result<void>
 BackendLink::SendGrants(const wire::Grants& aGrants)
 {
-  std::string peer = this->Address();
-  if (peer.empty()) {
-    return tl::unexpected(NoBackend("send grants"));
-  }
-  Connection connection = this->Take(peer);
-  connection->set_read_timeout(kControlTimeout);
-  auto response =
-    connection->Post("/v1/grants", ToJson(aGrants), "application/json");
-  if (!response || response->status != kStatusOk) {
-    std::string text = response
-                         ? "HTTP status " + std::to_string(response->status)
-                         : httplib::to_string(response.error());
-    return tl::unexpected(
-      Error{ ErrorCode::Unknown, "send grants", peer, text });
+  auto sent =
+    this->Control("send grants", [&aGrants](httplib::Client& aClient) {
+      return aClient.Post("/v1/grants", ToJson(aGrants), "application/json");
+    });
+  if (!sent) {
+    return tl::unexpected(sent.error());
   }
-  this->Return(peer, std::move(connection));
   return {};
 }
 
 Result<wire::Health>
 BackendLink::ReadHealth()
 {
-  std::string peer = this->Address();
-  if (peer.empty()) {
-    return tl::unexpected(NoBackend("read health"));
-  }
-  Connection connection = this->Take(peer);
-  connection->set_read_timeout(kControlTimeout);
-  auto response = connection->Get("/v1/health");
-  if (!response || response->status != kStatusOk) {
-    std::string text = response
-                         ? "HTTP status " + std::to_string(response->status)
-                         : httplib::to_string(response.error());
-    return tl::unexpected(
-      Error{ ErrorCode::Unavailable, "read health", peer, text });
+  auto body = this->Control("read health", [](httplib::Client& aClient) {
+    return aClient.Get("/v1/health");
+  });
+  if (!body) {
+    return tl::unexpected(body.error());
   }
-  this->Return(peer, std::move(connection));
   wire::Health health;
-  auto parsed = FromJson(response->body, health, peer);
+  auto parsed = FromJson(*body, health, this->Address());
   if (!parsed) {
     return tl::unexpected(parsed.error());
   }
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -25,10 +25,19 @@
 Daemon::Daemon(Settings aSettings)
   : settings(std::move(aSettings))
   , gate(1)
-  , peers(kMaxPeerChannels)
-  , executor(serving, gate, backend)
-  , router(settings.partitions, routes, classes, executor, peers, metrics)
+  , memory(RequestTableLimits())
+  , peers(kMaxPeerChannels, memory)
+  , executor(serving, gate, backend, routes, memory)
+  , router(settings.partitions,
+           routes,
+           classes,
+           executor,
+           memory,
+           peers,
+           metrics)
   , peerService(router,
+                memory,
+                backend,
                 [this](const std::vector<Row>& aRows) {
                   this->classes.Apply(aRows);
                   this->inbox.Put(RowsLearned{ aRows });
@@ -70,6 +79,9 @@
   int port = 0;
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  // Other daemons ping while a call is open.
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
   builder.AddListeningPort(this->Address(this->settings.peerPort),
                            grpc::InsecureServerCredentials(),
                            &port);
@@ -187,7 +199,7 @@
         aResponse.set_content(text + "\n", "text/plain");
         return;
       }
-      this->backend.Connect(announcement.address());
+      this->backend.Connect(announcement.address(), announcement.connections());
       this->gate.SetSlots(announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
--- a/src/fescuetillerd/daemon.h
+++ b/src/fescuetillerd/daemon.h
@@ -42,6 +42,7 @@
   Classes classes;
   SlotGate gate;
   BackendLink backend;
+  RequestMemory memory;
   PeerClient peers;
   ClassMetrics metrics;
   Executor executor;
--- a/src/fescuetillerd/peerclient.h
+++ b/src/fescuetillerd/peerclient.h
@@ -5,11 +5,22 @@
 #include <memory>
 #include <mutex>
 
+#include "fescuetillerd/requestmemory.h"
 #include "requests/requests.h"
 #include "wire/wire.h"
 
 namespace fescuetiller {
 
+/** Largest message between daemons: an answer and what goes with it. */
+constexpr int kMaxPeerMessageBytes = 65 * 1024 * 1024;
+
+/** How a call to another daemon ended. */
+struct CallResult
+{
+  CallEnd end = CallEnd::Lost;
+  Outcome outcome;
+};
+
 /**
  * Calls other daemons over gRPC. Keeps the channels that were used last, up to
  * a bound, so that memory does not grow with the number of daemons.
@@ -17,25 +28,43 @@
 class PeerClient
 {
 public:
-  explicit PeerClient(size_t aMaxChannels);
+  PeerClient(size_t aMaxChannels, RequestMemory& aMemory);
 
   /** Sends a request to the owner's daemon, once. */
-  Outcome Forward(const std::string& aAddress, const Request& aRequest);
+  CallResult Forward(const Owner& aOwner,
+                     const Request& aRequest,
+                     bool aIdempotent);
+
+  /** Asks the owner's daemon what became of a request. */
+  CallResult Settle(const Owner& aOwner, const Request& aRequest);
 
   /** Sends rows to a daemon; returns rows that it has newer. */
   Result<wire::Deltas> Exchange(const std::string& aAddress,
                                 const wire::Deltas& aDeltas);
 
 private:
-  using Stub = std::shared_ptr<wire::Peer::Stub>;
-  using Channel = std::pair<std::string, Stub>;
+  /** One connection to one daemon. */
+  struct Link
+  {
+    std::string address;
+    std::shared_ptr<grpc::Channel> channel;
+    std::unique_ptr<wire::Peer::Stub> stub;
+  };
+
+  using LinkPointer = std::shared_ptr<Link>;
 
-  Stub Find(const std::string& aAddress);
+  LinkPointer Find(const std::string& aAddress);
+  LinkPointer FindConnected(const std::string& aAddress, Duration aRemaining);
+  void Drop(const LinkPointer& aLink);
+  CallResult Finish(const LinkPointer& aLink,
+                    const grpc::Status& aStatus,
+                    const wire::ForwardReply& aReply);
 
   size_t maxChannels;
   std::mutex mutex;
-  std::list<Channel> recent; ///< Most recently used first.
-  std::map<std::string, std::list<Channel>::iterator> byAddress;
+  RequestMemory& memory;
+  std::list<LinkPointer> recent; ///< Most recently used first.
+  std::map<std::string, std::list<LinkPointer>::iterator> byAddress;
 };
 
 /** Outcome as it crosses daemons. */
@@ -45,4 +74,10 @@
 Outcome
 FromWire(const wire::ForwardReply& aReply);
 
+IssueStamp
+FromWire(const wire::IssueStamp& aStamp);
+
+wire::IssueStamp
+ToWire(const IssueStamp& aStamp);
+
 } // namespace fescuetiller
--- a/src/fescuetillerd/peerservice.cpp
+++ b/src/fescuetillerd/peerservice.cpp
@@ -2,14 +2,19 @@
 
 namespace fescuetiller {
 
-PeerService::PeerService(Router& aRouter, OnRows aOnRows)
+PeerService::PeerService(Router& aRouter,
+                         RequestMemory& aMemory,
+                         BackendLink& aBackend,
+                         OnRows aOnRows)
   : router(aRouter)
+  , memory(aMemory)
+  , cancels([&aBackend](const std::string& aId) { aBackend.Cancel(aId); })
   , onRows(std::move(aOnRows))
 {
 }
 
 grpc::Status
-PeerService::Forward(grpc::ServerContext* /*aContext*/,
+PeerService::Forward(grpc::ServerContext* aContext,
                      const wire::ForwardRequest* aRequest,
                      wire::ForwardReply* aReply)
 {
@@ -21,7 +26,39 @@
   request.body = aRequest->body();
   request.deadline =
     BootClock::now() + std::chrono::milliseconds(aRequest->remaining_ms());
-  *aReply = ToWire(this->router.HandleForwarded(request));
+  request.stamp = FromWire(aRequest->stamp());
+  request.attempt = aRequest->attempt();
+  Outcome outcome;
+  if (aRequest->idempotent()) {
+    auto watched = this->cancels.Watch(
+      request.requestId, [aContext] { return aContext->IsCancelled(); });
+    outcome = this->router.HandleForwarded(request, aRequest->owner(), true);
+    this->cancels.Unwatch(watched);
+  } else {
+    // Its sender asks for the outcome when the call breaks.
+    outcome = this->router.HandleForwarded(request, aRequest->owner(), false);
+  }
+  *aReply = ToWire(outcome);
+  *aReply->mutable_stamp() = ToWire(this->memory.Stamp());
+  return grpc::Status::OK;
+}
+
+grpc::Status
+PeerService::Settle(grpc::ServerContext* /*aContext*/,
+                    const wire::SettleRequest* aRequest,
+                    wire::ForwardReply* aReply)
+{
+  SettleQuestion question;
+  question.identity = { aRequest->request_id(),
+                        aRequest->content(),
+                        FromWire(aRequest->stamp()) };
+  question.owner = aRequest->owner();
+  question.ownedSince = aRequest->owned_since();
+  question.deadline =
+    BootClock::now() + std::chrono::milliseconds(aRequest->remaining_ms());
+  *aReply =
+    ToWire(this->router.Settle(aRequest->service(), aRequest->key(), question));
+  *aReply->mutable_stamp() = ToWire(this->memory.Stamp());
   return grpc::Status::OK;
 }
 
--- a/src/fescuetillerd/routes.h
+++ b/src/fescuetillerd/routes.h
@@ -13,6 +13,8 @@
 struct Route
 {
   Incarnation owner = kNoIncarnation;
+  Epoch epoch = 0;
+  RowVersion ownedSince = 0; ///< Version of the assignment.
   std::string peerAddress;
   std::string callerAddress;
 };
@@ -23,12 +25,16 @@
 public:
   void Publish(const ClusterTable& aTable);
 
+  /** A revision that the table service has reached. */
+  RowVersion Revision() const;
+
   std::optional<Route> Find(const PartitionId& aPartition) const;
 
 private:
   using Map = std::map<PartitionId, Route>;
 
   mutable std::mutex mutex;
+  RowVersion revision = 0;
   std::shared_ptr<const Map> current = std::make_shared<Map>();
 };
 
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -5,6 +5,7 @@
 #include "requests/backoff.h"
 #include "requests/forwarding.h"
 #include "requests/issuestamp.h"
+#include "requests/percentcoding.h"
 #include "requests/request.h"
 #include "requests/requesttable.h"
 #include "requests/retrybudget.h"
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -39,6 +39,7 @@
   uint32_t slots = 6;
   uint32_t connections = 120;
   bool checksGrant = true;
+  bool crossAnswers = false;
   Duration cold = Duration(0);
   double coldFactor = 4;
   double reportedLoad = -1; ///< Below 0: the true load.
@@ -198,6 +199,23 @@
     return true;
   }
 
+  /** Key as the caller gave it. */
+  static std::string DecodeKey(const httplib::Request& aRequest)
+  {
+    return httplib::detail::decode_url(aRequest.get_header_value("X-Key"),
+                                       false);
+  }
+
+  /** Id that an answer carries; with crossed answers every tenth carries the
+   * one of the request before it. */
+  std::string AnswerId(const std::string& aRequestId)
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    std::string before = std::exchange(this->lastId, aRequestId);
+    bool cross = this->settings.crossAnswers && ++this->answers % 10 == 0;
+    return cross ? before : aRequestId;
+  }
+
   void Run(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
     if (this->running.fetch_add(1) >= this->settings.slots) {
@@ -212,7 +230,8 @@
   void RunInSlot(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
     std::string requestId = aRequest.get_header_value("X-Request-Id");
-    std::string key = aRequest.get_header_value("X-Key");
+    std::string key = DecodeKey(aRequest);
+    aResponse.set_header("X-Request-Id", this->AnswerId(requestId));
     if (!this->Granted(aRequest)) {
       aResponse.status = kStatusFenced;
       return;
@@ -247,6 +266,8 @@
   std::mutex mutex;
   wire::Grants grants;
   std::set<std::string> cancelled;
+  std::string lastId;
+  uint64_t answers = 0;
   std::mutex logMutex;
   std::ofstream log;
 };
@@ -290,6 +311,9 @@
   add("slots", options::value(&settings.slots), "requests at once");
   add("connections", options::value(&settings.connections), "connections");
   add("checks-grant", options::value(&checksGrant), "0: runs whatever comes");
+  add("cross-answers",
+      options::bool_switch(&settings.crossAnswers),
+      "every tenth answer is marked as another request's");
   add("cold-ms", options::value(&coldMs), "how long it is slow after start");
   add("report-load", options::value(&settings.reportedLoad), "a false load");
   add("work", options::value(&work), "class:ms:bytes,...");
--- a/tests/standins/loadgenerator.cpp
+++ b/tests/standins/loadgenerator.cpp
@@ -22,8 +22,8 @@
 constexpr Duration kReload = std::chrono::milliseconds(100);
 constexpr Duration kClientGrace = std::chrono::seconds(1);
 constexpr int kStatusDone = 200;
-constexpr int kStatusNotRun = 503;
-constexpr int kMaxAttempts = 8;
+constexpr int kMaxAttempts = 16;
+constexpr Duration kSoon = std::chrono::milliseconds(50);
 
 /** One class of the load. */
 struct LoadClass
@@ -48,7 +48,11 @@
 struct Sample
 {
   size_t classIndex = 0;
-  std::string requestId;
+  std::string requestId;               ///< The last one.
+  std::vector<std::string> requestIds; ///< Every id that it was sent under.
+  std::vector<std::string> refusedIds; ///< Told as not run.
+  std::string stamp;
+  int sendings = 0; ///< Of the last id.
   PartitionId partition;
   Time sentAt;
   Time endedAt;
@@ -131,14 +135,13 @@
     std::string key = "key-" + std::to_string(anyKey(this->random));
     Sample sample;
     sample.classIndex = aClassIndex;
-    sample.requestId = "w" + std::to_string(this->index) + "-" +
-                       std::to_string(this->samples.size());
     sample.partition =
       PartitionOf(loadClass.service, key, this->settings.partitions);
     sample.sentAt = BootClock::now();
+    this->DrawId(sample);
     Time deadline = sample.sentAt + this->settings.deadline;
     for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-      auto ending = this->Attempt(loadClass, key, sample.requestId, deadline);
+      auto ending = this->Attempt(loadClass, key, sample, deadline);
       if (ending) {
         sample.ending = *ending;
         break;
@@ -148,10 +151,29 @@
     return sample;
   }
 
-  /** @return Nothing when the request may be sent again elsewhere. */
+  /** A new id, issued now: nothing was sent under it yet. */
+  void DrawId(Sample& aSample)
+  {
+    aSample.requestId =
+      "w" + std::to_string(this->index) + "-" + std::to_string(this->ids++);
+    aSample.requestIds.push_back(aSample.requestId);
+    aSample.stamp = this->stamp;
+    aSample.sendings = 0;
+  }
+
+  void Connect()
+  {
+    this->address = this->list.Pick(this->random, this->address);
+    this->client = std::make_unique<httplib::Client>("http://" + this->address);
+    this->client->set_keep_alive(true);
+    this->client->set_tcp_nodelay(true);
+    this->client->set_connection_timeout(std::chrono::milliseconds(500));
+  }
+
+  /** @return Nothing when the request may be sent again. */
   std::optional<Ending> Attempt(const LoadClass& aClass,
                                 const std::string& aKey,
-                                const std::string& aRequestId,
+                                Sample& aSample,
                                 Time aDeadline)
   {
     Duration left = aDeadline - BootClock::now();
@@ -159,12 +181,7 @@
       return Ending::Unknown;
     }
     if (!this->client) {
-      this->address = this->list.Pick(this->random, this->address);
-      this->client =
-        std::make_unique<httplib::Client>("http://" + this->address);
-      this->client->set_keep_alive(true);
-      this->client->set_tcp_nodelay(true);
-      this->client->set_connection_timeout(std::chrono::milliseconds(500));
+      this->Connect();
     }
     this->client->set_read_timeout(left + kClientGrace);
     bool answerBegan = false;
@@ -172,28 +189,48 @@
     request.method = "POST";
     request.path =
       "/v1/request/" + aClass.service + "/" + aClass.name + "?key=" + aKey;
-    request.headers = { { "X-Request-Id", aRequestId },
+    request.headers = { { "X-Request-Id", aSample.requestId },
+                        { "X-Issue-Stamp", aSample.stamp },
+                        { "X-Attempt", std::to_string(++aSample.sendings) },
                         { "X-Deadline-Ms",
                           std::to_string(ToMilliseconds(left)) } };
-    request.body = "body of " + aRequestId;
+    request.body = "body of " + aSample.requestId;
     request.response_handler = [&](const httplib::Response&) {
       answerBegan = true;
       return true;
     };
     auto response = this->client->send(request);
     if (response) {
-      return Judge(*response, aRequestId, aKey);
+      this->stamp = response->get_header_value("X-Issue-Stamp");
+      return this->Answered(*response, aSample, aKey);
     }
     this->client.reset();
     if (answerBegan) {
       return Ending::CutOff;
     }
-    bool notSent = response.error() == httplib::Error::Connection;
-    if (notSent || aClass.idempotent) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-      return std::nullopt;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    return std::nullopt;
+  }
+
+  /** @return Nothing when a new id may be tried at once. */
+  std::optional<Ending> Answered(const httplib::Response& aResponse,
+                                 Sample& aSample,
+                                 const std::string& aKey)
+  {
+    Ending ending = Judge(aResponse, aSample.requestId, aKey);
+    if (ending != Ending::ToldNotRun) {
+      return ending;
+    }
+    aSample.refusedIds.push_back(aSample.requestId);
+    std::string wait = aResponse.get_header_value("X-Retry-After-Ms");
+    Duration pause =
+      std::chrono::milliseconds(wait.empty() ? 0 : std::stoll(wait));
+    if (pause > kSoon) {
+      return ending;
     }
-    return Ending::Unknown;
+    std::this_thread::sleep_for(pause);
+    this->DrawId(aSample);
+    return std::nullopt;
   }
 
   static Ending Judge(const httplib::Response& aResponse,
@@ -212,8 +249,7 @@
         aResponse.body.compare(size - tail.size(), tail.size(), tail) == 0;
       return whole ? Ending::Answered : Ending::CutOff;
     }
-    bool notRun = aResponse.status == kStatusNotRun &&
-                  aResponse.get_header_value("X-Outcome") == "not-run";
+    bool notRun = aResponse.get_header_value("X-Outcome") == "not-run";
     return notRun ? Ending::ToldNotRun : Ending::Unknown;
   }
 
@@ -222,6 +258,8 @@
   size_t index;
   std::mt19937 random;
   std::string address;
+  std::string stamp;
+  uint64_t ids = 0;
   std::unique_ptr<httplib::Client> client;
   std::vector<Sample> samples;
 };
@@ -249,6 +287,20 @@
   return aValues[std::max<size_t>(rank, 1) - 1];
 }
 
+RunCount
+CountRuns(const RunLogs& aLogs, const std::vector<std::string>& aRequestIds)
+{
+  RunCount total;
+  for (const auto& requestId : aRequestIds) {
+    auto found = aLogs.byRequest.find(requestId);
+    if (found != aLogs.byRequest.end()) {
+      total.started += found->second.started;
+      total.committed += found->second.committed;
+    }
+  }
+  return total;
+}
+
 std::vector<ClassTotals>
 Total(const LoadOptions& aOptions,
       const std::vector<Sample>& aSamples,
@@ -258,18 +310,19 @@
   for (const auto& sample : aSamples) {
     ClassTotals& total = totals[sample.classIndex];
     bool idempotent = aOptions.classes[sample.classIndex].idempotent;
-    auto found = aLogs.byRequest.find(sample.requestId);
-    RunCount runs = found == aLogs.byRequest.end() ? RunCount() : found->second;
+    RunCount runs = CountRuns(aLogs, sample.requestIds);
     ++total.sent;
     ++total.endings[sample.ending];
     if (sample.ending == Ending::Answered) {
       total.latenciesMs.push_back(std::chrono::duration<double, std::milli>(
                                     sample.endedAt - sample.sentAt)
                                     .count());
-      total.lost += runs.committed == 0 ? 1 : 0;
+      int committed = CountRuns(aLogs, { sample.requestId }).committed;
+      total.lost += committed == 0 ? 1 : 0;
     }
-    if (sample.ending == Ending::ToldNotRun && !idempotent) {
-      total.ranThoughNotRun += runs.committed > 0 ? 1 : 0;
+    if (!idempotent) {
+      int committed = CountRuns(aLogs, sample.refusedIds).committed;
+      total.ranThoughNotRun += committed > 0 ? 1 : 0;
     }
     total.doubled += !idempotent && runs.committed > 1 ? 1 : 0;
   }
