--- a/bench/schedulingpolicies.cpp
+++ b/bench/schedulingpolicies.cpp
@@ -32,7 +32,7 @@
   policy.name = aName;
   policy.plan = [](const ClassRows&, const BackendState&, Time) {};
   policy.admit = [](ClassState&, const BackendState&, Time) {
-    return Admission{};
+    return QueueAdmission{};
   };
   policy.order = [aOrder](const ClassState& aClass,
                           const BackendState&,
