--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -30,7 +30,6 @@
   , router(settings.partitions, routes, classes, executor, peers, metrics)
   , peerService(router,
                 [this](const std::vector<Row>& aRows) {
-                  this->classes.Apply(aRows);
                   this->inbox.Put(RowsLearned{ aRows });
                 })
   , callerServer(kCallerThreads)
@@ -94,6 +93,7 @@
   ownership.controlAddress = this->Address(this->settings.controlPort);
   ownership.peerAddress = this->Address(this->settings.peerPort);
   ownership.callerAddress = this->Address(this->settings.callerPort);
+  ownership.operatorAddress = this->Address(this->settings.operatorPort);
   ownership.partitions = this->settings.partitions;
   return ownership;
 }
@@ -259,6 +259,9 @@
        << "fescuetiller_takeovers_total " << status.counters.takeovers << "\n"
        << "# TYPE fescuetiller_moves_out_total counter\n"
        << "fescuetiller_moves_out_total " << status.counters.movesOut << "\n"
+       << "# TYPE fescuetiller_gossip_bytes_sent_total counter\n"
+       << "fescuetiller_gossip_bytes_sent_total " << status.gossip.bytesSent
+       << "\n"
        << "# TYPE fescuetiller_claims_total counter\n"
        << "fescuetiller_claims_total " << status.counters.claims << "\n";
   return text.str();
