--- a/tests/ownership/faultycluster.h
+++ b/tests/ownership/faultycluster.h
@@ -187,6 +187,7 @@
   std::mt19937 random;
   Time now = FromBootNanoseconds(0) + std::chrono::seconds(100);
   uint64_t tick = 0;
+  uint64_t starts = 0;
   MemoryTableStore store;
   uint64_t storeWrites = 0;
   Time storeDownUntil;
