--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -293,7 +293,6 @@
 void
 Daemon::LearnRows(const std::vector<Row>& aRows)
 {
-  this->classes.Apply(aRows);
   this->drain.Apply(aRows);
   for (const auto& row : aRows) {
     bool malformed =
--- a/src/fescuetillerd/operatorapi.cpp
+++ b/src/fescuetillerd/operatorapi.cpp
@@ -190,6 +190,35 @@
   }
 }
 
+void
+WriteGossip(const GossipCounters& aCounters, PrometheusWriter& aWriter)
+{
+  struct Counter
+  {
+    const char* name;
+    const char* help;
+    uint64_t value;
+  };
+  const Counter kCounters[] = {
+    { "rows_learned",
+      "Rows learned from other daemons.",
+      aCounters.rowsLearned },
+    { "rows_outdated",
+      "Rows received that were known already.",
+      aCounters.rowsOutdated },
+    { "bytes_sent", "Bytes sent to other daemons.", aCounters.bytesSent },
+    { "digests_differed",
+      "Comparisons that found a difference.",
+      aCounters.digestsDiffered },
+  };
+  for (const auto& counter : kCounters) {
+    std::string name =
+      std::string("fescuetiller_gossip_") + counter.name + "_total";
+    aWriter.Describe(name, "counter", counter.help);
+    aWriter.Write(name, {}, static_cast<double>(counter.value));
+  }
+}
+
 void
 WriteRefused(const OperatorParts& aParts, PrometheusWriter& aWriter)
 {
@@ -211,6 +240,7 @@
   text << aParts.metrics.Text();
   WriteServing(aParts, status, writer);
   WriteOwnership(aParts, status, writer);
+  WriteGossip(status.gossip, writer);
   aParts.storeCounters.Write(writer);
   WriteRefused(aParts, writer);
   return text.str();
