--- a/src/fescuetillerctl/draincommands.cpp
+++ b/src/fescuetillerctl/draincommands.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/** Daemons asked to pass a drain on when its member isn't reached. */
+constexpr size_t kPassOnTries = 3;
+
 Result<std::optional<Drain>>
 ReadDrain(TableStore& aStore, const std::string& aName)
 {
@@ -71,13 +74,12 @@
     if (!view) {
       return this->Report(ExitCode::Failed, "not made", ToString(view.error()));
     }
-    auto members = MembersNamed(*view, this->wish.name);
-    if (members.empty() && !*current) {
+    if (MembersNamed(*view, this->wish.name).empty() && !*current) {
       return this->Report(
         ExitCode::Failed, "not made", "no member is named " + this->wish.name);
     }
     ExitCode code = this->Write(aBasedOn, *current);
-    return code == ExitCode::Ok ? this->Notify(members) : code;
+    return code == ExitCode::Ok ? this->Notify(*view) : code;
   }
 
 private:
@@ -146,24 +148,48 @@
     return this->Report(code, outcome, message);
   }
 
-  /** Lets the member read the wish again; it carries no state itself. */
-  ExitCode Notify(const std::vector<Member>& aMembers)
+  /** Lets the member read the wish again; the call carries no state. */
+  ExitCode Notify(const ClusterView& aView)
   {
     std::string text = this->wish.name + ": " + Describe(this->wish) +
                        ", revision " + std::to_string(this->wish.revision);
-    auto answers =
-      CallMembers(this->session, this->common, aMembers, "/v1/refresh", true);
+    auto answers = CallMembers(this->session,
+                               this->common,
+                               MembersNamed(aView, this->wish.name),
+                               "/v1/refresh",
+                               true);
     for (const auto& answer : answers) {
       if (!answer.body) {
-        return this->Report(ExitCode::NotInForce,
-                            "accepted",
-                            text + "; recorded, but not in force yet: " +
-                              ToString(answer.body.error()));
+        text +=
+          "; recorded, but not in force yet: " + ToString(answer.body.error()) +
+          this->PassOn(aView);
+        return this->Report(ExitCode::NotInForce, "accepted", text);
       }
     }
     return this->Report(ExitCode::Ok, "accepted", text);
   }
 
+  /** Lets another daemon read the wish and pass it on. @return Who does. */
+  std::string PassOn(const ClusterView& aView)
+  {
+    std::string path = "/v1/refresh?member=" + this->wish.name;
+    size_t tried = 0;
+    for (const auto& member : LiveMembers(aView)) {
+      if (member.name == this->wish.name) {
+        continue;
+      }
+      auto answers =
+        CallMembers(this->session, this->common, { member }, path, true);
+      if (answers[0].body) {
+        return "; " + member.name + " passes it on";
+      }
+      if (++tried == kPassOnTries) {
+        break;
+      }
+    }
+    return "";
+  }
+
   Session& session;
   const CommonOptions& common;
   TableStore& store;
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -37,7 +37,7 @@
       [this] { return this->Health(); },
       [this] {
         if (this->drainOutdated) {
-          this->RefreshDrain();
+          this->RefreshDrain(this->settings.name);
         }
       })
   , callerServer(settings.limits.callerThreads)
@@ -65,7 +65,7 @@
 Result<void>
 Daemon::ReachPlatform()
 {
-  return this->RefreshDrain();
+  return this->RefreshDrain(this->settings.name);
 }
 
 Result<void>
@@ -136,11 +136,18 @@
   if (!bound) {
     return bound;
   }
-  ControlParts parts{
-    this->socket,  this->inbox,   this->serving,
-    this->routes,  this->classes, this->gate,
-    this->backend, this->peers,   [this] { return this->OpenStore(); }
-  };
+  ControlParts parts{ this->socket,
+                      this->inbox,
+                      this->serving,
+                      this->routes,
+                      this->classes,
+                      this->gate,
+                      this->backend,
+                      this->peers,
+                      [this] { return this->OpenStore(); },
+                      [this](const std::vector<Row>& aRows) {
+                        this->drain.Apply(aRows);
+                      } };
   this->control = std::make_unique<ControlLoop>(
     this->MakeOwnershipSettings(), RendezvousPlacement, std::move(parts));
   this->control->Start();
@@ -226,7 +233,7 @@
       }
       this->backendAnnounced = true;
       this->backend.Connect(announcement.address());
-      this->gate.SetSlots(announcement.slots());
+      this->gate.Announce(announcement.address(), announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
                                         announcement.slots(),
@@ -248,7 +255,9 @@
                        [this] { return this->Health(); },
                        [this] { return this->monitor.Unavailable(); },
                        [this] { return this->RefusedInputs(); },
-                       [this] { return this->RefreshDrain(); } };
+                       [this](const std::string& aMember) {
+                         return this->RefreshDrain(aMember);
+                       } };
   fescuetiller::InstallOperatorApi(this->operatorServer.Handlers(), parts);
 }
 
@@ -279,21 +288,23 @@
 }
 
 Result<void>
-Daemon::RefreshDrain()
+Daemon::RefreshDrain(const std::string& aMember)
 {
-  auto read = this->OpenStore()->ReadRows({ DrainKey(this->settings.name) });
-  this->drainOutdated = !read;
+  auto read = this->OpenStore()->ReadRows({ DrainKey(aMember) });
+  if (aMember == this->settings.name) {
+    this->drainOutdated = !read;
+  }
   if (!read) {
     return tl::unexpected(read.error());
   }
   this->drain.Apply(read->rows);
+  this->inbox.Put(RowsLearned{ read->rows });
   return {};
 }
 
 void
 Daemon::LearnRows(const std::vector<Row>& aRows)
 {
-  this->drain.Apply(aRows);
   for (const auto& row : aRows) {
     bool malformed =
       (row.key.table == kMemberTable && !ParseMember(row)) ||
--- a/src/fescuetillerd/operatorapi.cpp
+++ b/src/fescuetillerd/operatorapi.cpp
@@ -97,9 +97,19 @@
 }
 
 void
-Refresh(const OperatorParts& aParts, httplib::Response& aResponse)
+Refresh(const OperatorParts& aParts,
+        const httplib::Request& aRequest,
+        httplib::Response& aResponse)
 {
-  auto refreshed = aParts.refresh();
+  std::string member = aRequest.has_param("member")
+                         ? aRequest.get_param_value("member")
+                         : aParts.settings.name;
+  if (!IsName(member)) {
+    aResponse.status = kStatusBadRequest;
+    aResponse.set_content(std::string("member ") + kNameRule + "\n", kPlain);
+    return;
+  }
+  auto refreshed = aParts.refresh(member);
   if (!refreshed) {
     aResponse.status = kStatusUnavailable;
     aResponse.set_content(ToString(refreshed.error()) + "\n", kPlain);
@@ -263,9 +273,10 @@
               [aParts](const Request& aRequest, Response& aResponse) {
                 Locate(aParts, aRequest, aResponse);
               });
-  aServer.Post("/v1/refresh", [aParts](const Request&, Response& aResponse) {
-    Refresh(aParts, aResponse);
-  });
+  aServer.Post("/v1/refresh",
+               [aParts](const Request& aRequest, Response& aResponse) {
+                 Refresh(aParts, aRequest, aResponse);
+               });
   aServer.Get("/metrics", [aParts](const Request&, Response& aResponse) {
     aResponse.set_content(MakeMetrics(aParts), kPrometheus);
   });
