--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -9,6 +9,7 @@
 
 namespace fescuetiller {
 
+/** As written in settings. */
 const char*
 ToString(PlacementGoal aGoal);
 
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -46,7 +46,7 @@
       [this] { return this->Health(); },
       [this] {
         if (this->drainOutdated) {
-          this->RefreshDrain();
+          this->RefreshDrain(this->settings.name);
         }
       })
   , callerServer(settings.limits.callerThreads)
@@ -74,7 +74,7 @@
 Result<void>
 Daemon::ReachPlatform()
 {
-  return this->RefreshDrain();
+  return this->RefreshDrain(this->settings.name);
 }
 
 Result<void>
@@ -269,7 +269,9 @@
                        [this] { return this->Health(); },
                        [this] { return this->monitor.Unavailable(); },
                        [this] { return this->RefusedInputs(); },
-                       [this] { return this->RefreshDrain(); } };
+                       [this](const std::string& aMember) {
+                         return this->RefreshDrain(aMember);
+                       } };
   fescuetiller::InstallOperatorApi(this->operatorServer.Handlers(), parts);
 }
 
@@ -300,14 +302,17 @@
 }
 
 Result<void>
-Daemon::RefreshDrain()
+Daemon::RefreshDrain(const std::string& aMember)
 {
-  auto read = this->OpenStore()->ReadRows({ DrainKey(this->settings.name) });
-  this->drainOutdated = !read;
+  auto read = this->OpenStore()->ReadRows({ DrainKey(aMember) });
+  if (aMember == this->settings.name) {
+    this->drainOutdated = !read;
+  }
   if (!read) {
     return tl::unexpected(read.error());
   }
   this->drain.Apply(read->rows);
+  this->inbox.Put(RowsLearned{ read->rows });
   return {};
 }
 
