--- a/src/fescuetillerd/callerapi.cpp
+++ b/src/fescuetillerd/callerapi.cpp
@@ -90,13 +90,14 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
-/** Visible ASCII without spaces, so that it fits into any header. */
+/** Visible ASCII without spaces or percent signs: the same in any header,
+ * also where a library decodes header values. */
 bool
 IsRequestId(const std::string& aText)
 {
   return !aText.empty() && aText.size() <= kMaxIdBytes &&
          std::all_of(aText.begin(), aText.end(), [](char aCharacter) {
-           return aCharacter > ' ' && aCharacter <= '~';
+           return aCharacter > ' ' && aCharacter <= '~' && aCharacter != '%';
          });
 }
 
@@ -105,7 +106,8 @@
 FindMistake(const Request& aRequest)
 {
   if (!IsRequestId(aRequest.requestId)) {
-    return "header X-Request-Id must be 1 to 128 visible ASCII characters";
+    return "header X-Request-Id must be 1 to 128 visible ASCII characters, "
+           "without %";
   }
   if (aRequest.key.empty() || aRequest.key.size() > kMaxKeyBytes) {
     return "query parameter key must be 1 to 2048 bytes";
--- a/src/fescuetillerd/requestmemory.cpp
+++ b/src/fescuetillerd/requestmemory.cpp
@@ -82,13 +82,22 @@
 {
   std::shared_ptr<Pending> entry = this->pending.at(aRequestId);
   Duration left = aDeadline - BootClock::now();
+  ++this->waiting;
   this->changed.wait_for(aLock, left, [&entry] { return entry->ended; });
+  --this->waiting;
   if (!entry->ended) {
     return UnknownOutcome("still running at the deadline");
   }
   return entry->outcome;
 }
 
+size_t
+RequestMemory::Waiting() const
+{
+  Lock lock(this->mutex);
+  return this->waiting;
+}
+
 IssueStamp
 RequestMemory::Stamp() const
 {
--- a/src/fescuetillerd/requestmemory.h
+++ b/src/fescuetillerd/requestmemory.h
@@ -36,6 +36,9 @@
                  RowVersion aOwnedSince,
                  Time aDeadline);
 
+  /** How many threads wait for the outcome of a running request. */
+  size_t Waiting() const;
+
   /** Stamp for an id issued now. */
   IssueStamp Stamp() const;
 
@@ -64,6 +67,7 @@
   std::condition_variable changed;
   RequestTable table;
   IssueClock clock;
+  size_t waiting = 0;
   std::unordered_map<std::string, std::shared_ptr<Pending>> pending;
 };
 
