--- a/src/placement/balancedplacement.cpp
+++ b/src/placement/balancedplacement.cpp
@@ -13,7 +13,7 @@
 constexpr size_t kMaxGives = 4;         ///< Moves of one owner in one decision.
 constexpr double kMinCountRatio = 0.25; ///< Partitions kept, to the share.
 
-constexpr double kFull = 0.95; ///< Load a slot that no move may exceed.
+constexpr double kFull = 0.9; ///< Load a slot that no move may exceed.
 constexpr double kMaxFillingRatio =
   2; ///< Partition given to fill, to the mean.
 
@@ -174,7 +174,9 @@
         Gain(this->summary, this->self, this->load, receiver, before, weight);
       auto bound =
         LevelsOf(this->limits, this->summary.meanLoad, receiver.ramped);
-      double eased = std::min(this->load - weight, kFull * receiver.ramped);
+      double eased = this->load > this->self.capacity
+                       ? std::min(this->load - weight, kFull * receiver.ramped)
+                       : 0;
       bool allowed = receiver.id != this->self.id &&
                      before + weight <= std::max(bound.from, eased);
       if (allowed && gain > aCost) {
--- a/src/placement/fleetsummary.cpp
+++ b/src/placement/fleetsummary.cpp
@@ -21,7 +21,8 @@
 constexpr double kIdleUtilisation = 0.1;
 constexpr double kSpreadLevel = 1.25; ///< To which successors are filled.
 
-constexpr double kSlack = 1.05; ///< Least load to the mean that is given.
+constexpr double kSlack = 1.15;      ///< Least load to the mean that is given.
+constexpr double kEasedSlack = 1.05; ///< Least load to the mean that is kept.
 constexpr double kMinRoom = 1e-6;
 
 double
@@ -298,7 +299,7 @@
 {
   double mean = aMeanLoad * aCapacity;
   double saturated = std::max(aLimits.saturated * aCapacity, kSlack * mean);
-  double eased = std::max(aLimits.eased * aCapacity, mean);
+  double eased = std::max(aLimits.eased * aCapacity, kEasedSlack * mean);
   return { std::min(aLimits.overload * mean, saturated),
            std::min(aLimits.relieved * mean, eased) };
 }
--- a/src/placement/fleetsummary.h
+++ b/src/placement/fleetsummary.h
@@ -50,9 +50,9 @@
   uint32_t ownedPartitions = 0; ///< By servers of the summary.
   Duration youngest = std::chrono::hours(1);
 
-  WeightedChoice relief; ///< Servers below the mean.
-  double reliefWanted = 0;
-  WeightedChoice filling; ///< Servers below the underload threshold.
+  WeightedChoice relief;   ///< Servers below the mean.
+  double reliefWanted = 0; ///< What servers above their level want to give.
+  WeightedChoice filling;  ///< Servers below the underload threshold.
   double fillingOffered = 0;
   std::vector<WeightedChoice> spread; ///< Accepting servers of each zone.
 
