Detect hot keys in bounded memory and decide which to place apart

A counter for every key doesn't fit a daemon. HotKeys holds the heaviest keys of a stream by Space-Saving with decay.

DecideApart names the keys to place in a partition of their own and those to take back. Nothing carries the decision out yet; ownership comes later.

--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -4,5 +4,6 @@
 
 #include "placement/balancedplacement.h"
 #include "placement/fleetsummary.h"
+#include "placement/hotkeys.h"
 #include "placement/placementpolicy.h"
 #include "placement/placementsettings.h"
