Keep a drain until whoever asked for it takes it back

Cause: one flag held the drains of the operator and of the backend server, so a backend server that ended its own drain ended the operator's too. Each asker has its own now.

--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -364,7 +364,8 @@
     bool draining = health && health->draining();
     if (draining != this->backendDraining.exchange(draining)) {
       LOG(INFO) << "backend server " << (draining ? "drains" : "is back");
-      this->parts.inbox.Put(DrainRequested{ draining });
+      this->parts.inbox.Put(
+        DrainRequested{ draining, DrainSource::BackendServer });
     }
     this->healthPending = false;
   });
--- a/src/ownership/messages.h
+++ b/src/ownership/messages.h
@@ -72,10 +72,18 @@
   PartitionId partition;
 };
 
-/** Give up every partition and take none; undo with aDrain false. */
+/** Who can ask for a drain; each takes back only its own. */
+enum class DrainSource
+{
+  Operator,
+  BackendServer,
+};
+
+/** Give up every partition and take none; undo with drain false. */
 struct DrainRequested
 {
   bool drain = true;
+  DrainSource source = DrainSource::Operator;
 };
 
 /** An operator vouches that a member's process runs no more. */
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -177,10 +177,21 @@
 void
 OwnershipSystem::Accept(Time /*aNow*/, const DrainRequested& aRequest)
 {
-  if (this->draining && !aRequest.drain) {
+  bool wasDraining = this->Draining();
+  if (aRequest.drain) {
+    this->drainSources.insert(aRequest.source);
+  } else {
+    this->drainSources.erase(aRequest.source);
+  }
+  if (wasDraining && !this->Draining()) {
     this->moves.CancelWaiting();
   }
-  this->draining = aRequest.drain;
+}
+
+bool
+OwnershipSystem::Draining() const
+{
+  return !this->drainSources.empty();
 }
 
 void
@@ -248,7 +259,7 @@
 bool
 OwnershipSystem::Leaves() const
 {
-  return this->draining || this->stopping;
+  return this->Draining() || this->stopping;
 }
 
 std::string
--- a/src/ownership/ownershipsystem.h
+++ b/src/ownership/ownershipsystem.h
@@ -148,6 +148,7 @@
   void Learn(const std::vector<Row>& aRows);
   void ApplyChanges(const Transaction& aChange, RowVersion aRevision);
   void Push(Incarnation aTo, const std::vector<Row>& aRows);
+  bool Draining() const;
   PlacementView View(Time aNow, const std::string& aService) const;
   std::string NextWriteId();
   bool LeaseValid(Time aNow) const;
@@ -161,7 +162,7 @@
   Phase phase = Phase::NoBackend;
   Member self;
   BackendCondition backend;
-  bool draining = false;
+  std::set<DrainSource> drainSources;
   bool stopping = false;
   bool storeReachable = true;
   bool selfWritePending = false;
--- a/tests/requests/pause.sh
+++ b/tests/requests/pause.sh
@@ -52,9 +52,9 @@
 "$build/tests/platformstandin" --ports-file "$folder/platform" &
 wait_for "$folder/platform"
 platform=127.0.0.1:$(port "$folder/platform" port)
-"$build/src/fescuetillerctl" class-set --platform "$platform" --service agenda \
+"$build/src/fescuetillerctl" class set --platform "$platform" --service agenda \
   --class lookup --latency-ms 100 --percentile 99 --share 0.99 --idempotent
-"$build/src/fescuetillerctl" class-set --platform "$platform" --service agenda \
+"$build/src/fescuetillerctl" class set --platform "$platform" --service agenda \
   --class booking --latency-ms 300 --percentile 99 --share 0.99
 pair agenda-1
 pair agenda-2
