Count a refused request before its answer is sent

The counter was raised by the HTTP library's logger, which runs after the answer; a client could read the counter before. The test that compares them failed once under load and held ten times in a row afterwards.

--- a/src/fescuetillerd/httpserver.cpp
+++ b/src/fescuetillerd/httpserver.cpp
@@ -26,10 +26,13 @@
     return new httplib::ThreadPool(aThreads);
   };
   this->server->set_tcp_nodelay(true);
-  this->server->set_logger(
-    [this](const httplib::Request&, const httplib::Response& aResponse) {
+  // Runs before the answer is sent, unlike the library's logger.
+  httplib::Server::HandlerWithResponse count =
+    [this](const httplib::Request&, httplib::Response& aResponse) {
       this->refused += IsRefusal(aResponse.status) ? 1 : 0;
-    });
+      return httplib::Server::HandlerResponse::Unhandled;
+    };
+  this->server->set_error_handler(count);
   // The library's default sets SO_REUSEPORT, which would hide a taken port.
   this->server->set_socket_options([](socket_t aSocket) {
     int yes = 1;
