--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -24,11 +24,20 @@
 Daemon::Daemon(Settings aSettings)
   : settings(std::move(aSettings))
   , gate(1)
-  , peers(kMaxPeerChannels)
-  , executor(serving, gate, backend)
-  , router(settings.partitions, routes, classes, executor, peers, metrics)
+  , memory(RequestTableLimits())
+  , peers(kMaxPeerChannels, memory)
+  , executor(serving, gate, backend, routes, memory)
+  , router(settings.partitions,
+           routes,
+           classes,
+           executor,
+           memory,
+           peers,
+           metrics)
   , peerService(
       router,
+      memory,
+      backend,
       [this](const std::vector<Row>& aRows) { this->LearnRows(aRows); })
   , drain(settings.name,
           [this](bool aDrain) { this->inbox.Put(DrainRequested{ aDrain }); })
@@ -74,6 +83,9 @@
   int port = 0;
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  // Other daemons ping while a call is open.
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
   builder.AddListeningPort(
     Address(this->settings.peerIp, this->settings.peerPort),
     grpc::InsecureServerCredentials(),
@@ -148,8 +160,10 @@
                       [this](const std::vector<Row>& aRows) {
                         this->drain.Apply(aRows);
                       } };
+  PlacementSettings placement;
+  placement.goal = this->settings.weighMost;
   this->control = std::make_unique<ControlLoop>(
-    this->MakeOwnershipSettings(), RendezvousPlacement, std::move(parts));
+    this->MakeOwnershipSettings(), MakePlacement(placement), std::move(parts));
   this->control->Start();
   // Their handlers use the control loop, so they answer only from here on.
   for (auto* server :
@@ -232,7 +246,7 @@
         return;
       }
       this->backendAnnounced = true;
-      this->backend.Connect(announcement.address());
+      this->backend.Connect(announcement.address(), announcement.connections());
       this->gate.Announce(announcement.address(), announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -57,6 +57,7 @@
   this->watch.Follow(aNow, this->table);
   this->Join(aNow);
   this->KeepLease(aNow);
+  this->history.Follow(aNow, this->table);
   this->TakeOverLost(aNow);
   this->Plan(aNow);
   this->FinishLapsedMoves(aNow);
@@ -421,6 +422,7 @@
 {
   const Member& lost = *this->table.FindMember(aLost);
   PlacementView view = this->View(aNow, lost.service);
+  view.soleDecider = true;
   for (auto& server : view.servers) {
     server.accepting = server.accepting && server.id != aLost;
   }
@@ -500,6 +502,8 @@
     view.partitions.push_back(
       { id, this->table.LiveOwner(id), LoadOf(this->partitionLoads, id) });
   }
+  view.self = this->self.incarnation;
+  this->history.Complete(view);
   return view;
 }
 
--- a/src/scheduling/schedulingpolicy.h
+++ b/src/scheduling/schedulingpolicy.h
@@ -39,7 +39,7 @@
 using ClassRows = std::vector<ClassState*>;
 
 /** Whether a request may wait or start. */
-struct Admission
+struct QueueAdmission
 {
   bool admitted = true;
   Duration retryAfter = Duration(0);
@@ -59,7 +59,7 @@
   std::function<void(const ClassRows&, const BackendState&, Time)> plan;
 
   /** Asked for each offered request; may spend the class's tokens. */
-  std::function<Admission(ClassState&, const BackendState&, Time)> admit;
+  std::function<QueueAdmission(ClassState&, const BackendState&, Time)> admit;
 
   /** Order of a class's front request: the lowest starts next, infinity may
    * not start now. */
