--- a/tests/fuzz/parsertest.cpp
+++ b/tests/fuzz/parsertest.cpp
@@ -8,6 +8,7 @@
 #include "config/config.h"
 #include "fescuetillerctl/command.h"
 #include "fescuetillerd/controlsocket.h"
+#include "requests/requests.h"
 #include "standins/memorytablestore.h"
 #include "wire/wire.h"
 
@@ -186,19 +187,49 @@
 
 TEST_CASE("Damaged datagrams are dropped or understood", "[fuzz]")
 {
-  wire::Datagram datagram;
-  datagram.mutable_renewal()->set_holder(1);
-  datagram.mutable_renewal()->set_grantor(2);
-  datagram.mutable_renewal()->set_sequence(3);
-  std::string bytes = datagram.SerializeAsString();
-  REQUIRE(ParseDatagram(bytes));
+  wire::Datagram renewal;
+  renewal.mutable_renewal()->set_holder(1);
+  renewal.mutable_renewal()->set_grantor(2);
+  renewal.mutable_renewal()->set_sequence(3);
+  wire::Datagram gossip;
+  auto* row = gossip.mutable_gossip()->add_rows();
+  row->set_table("class");
+  row->set_key("agenda/lookup");
+  row->set_version(7);
+  gossip.mutable_gossip()->add_loads()->set_incarnation(5);
+  auto* digest = gossip.mutable_gossip()->add_digests();
+  for (size_t bucket = 0; bucket < kBucketFanout; ++bucket) {
+    digest->add_hashes(9);
+  }
+  *gossip.mutable_gossip()->add_buckets()->add_rows() = *row;
   Mutator mutator(3);
+  for (const auto& datagram : { renewal, gossip }) {
+    std::string bytes = datagram.SerializeAsString();
+    REQUIRE(ParseDatagram(bytes));
+    int refused = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      refused += ParseDatagram(mutator.Mutate(bytes)) ? 0 : 1;
+      ParseDatagram(mutator.Noise());
+    }
+    CHECK(refused > 0);
+  }
+}
+
+TEST_CASE("Damaged issue stamps are refused or read back the same", "[fuzz]")
+{
+  const std::string kText = ToString(IssueStamp{ 12345, 67890 });
+  REQUIRE(ParseIssueStamp(kText));
+  Mutator mutator(7);
   int refused = 0;
   for (int round = 0; round < kRounds; ++round) {
-    refused += ParseDatagram(mutator.Mutate(bytes)) ? 0 : 1;
-    ParseDatagram(mutator.Noise());
+    auto stamp = ParseIssueStamp(mutator.Mutate(kText));
+    if (!stamp) {
+      ++refused;
+      continue;
+    }
+    CHECK(ParseIssueStamp(ToString(*stamp)) == stamp);
   }
-  CHECK(refused > 0);
+  CHECK(refused > kRounds / 4);
 }
 
 TEST_CASE("Damaged JSON of every message is refused or read back the same",
