--- a/src/fescuetillerd/httpserver.cpp
+++ b/src/fescuetillerd/httpserver.cpp
@@ -26,8 +26,7 @@
     return new httplib::ThreadPool(aThreads);
   };
   this->server->set_tcp_nodelay(true);
-  // Called before the answer is written, unlike the library's logger: whoever
-  // has read a refusal finds it counted.
+  // Runs before the answer is sent, unlike the library's logger.
   httplib::Server::HandlerWithResponse count =
     [this](const httplib::Request&, httplib::Response& aResponse) {
       this->refused += IsRefusal(aResponse.status) ? 1 : 0;
