--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr size_t kMaxPeerChannels = 64;
+constexpr int kPeerIdleThreads = 16;
 constexpr size_t kCallerThreads = 128;
 constexpr size_t kBackendThreads = 2;
 constexpr size_t kOperatorThreads = 4;
@@ -81,6 +82,9 @@
   // Other daemons ping while a call is open.
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
   builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
+  // The default keeps two idle threads and starts one for most requests.
+  builder.SetSyncServerOption(
+    grpc::ServerBuilder::SyncServerOption::MAX_POLLERS, kPeerIdleThreads);
   builder.AddListeningPort(this->Address(this->settings.peerPort),
                            grpc::InsecureServerCredentials(),
                            &port);
--- a/tests/requests/transporttest.cpp
+++ b/tests/requests/transporttest.cpp
@@ -39,7 +39,7 @@
 class ScriptedBackend
 {
 public:
-  explicit ScriptedBackend(httplib::Server::Handler aHandler)
+  explicit ScriptedBackend(const httplib::Server::Handler& aHandler)
     : server(kThreads)
   {
     this->server.Handlers().Post(
