--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -15,6 +15,7 @@
 
 constexpr size_t kMaxPeerChannels = 64;
 constexpr size_t kMaxSmallBody = 65536;
+constexpr int kPeerIdleThreads = 16;
 constexpr size_t kBackendThreads = 2;
 constexpr size_t kOperatorThreads = 4;
 constexpr int kStatusBadRequest = 400;
@@ -86,6 +87,9 @@
   // Other daemons ping while a call is open.
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
   builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
+  // The default keeps two idle threads and starts one for most requests.
+  builder.SetSyncServerOption(
+    grpc::ServerBuilder::SyncServerOption::MAX_POLLERS, kPeerIdleThreads);
   builder.AddListeningPort(
     Address(this->settings.peerIp, this->settings.peerPort),
     grpc::InsecureServerCredentials(),
