--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -8,6 +8,7 @@
 #include "fescuetillerd/classes.h"
 #include "fescuetillerd/controlsocket.h"
 #include "fescuetillerd/inbox.h"
+#include "fescuetillerd/loadmeter.h"
 #include "fescuetillerd/peerclient.h"
 #include "fescuetillerd/routes.h"
 #include "fescuetillerd/slotgate.h"
@@ -27,6 +28,8 @@
   BackendLink& backend;
   PeerClient& peers;
   std::function<std::unique_ptr<TableStore>()> openStore;
+  /** Called with every row that is newer than what was known. */
+  std::function<void(const std::vector<Row>&)> onLearned;
 };
 
 /** State of the control thread as others may read it. */
@@ -36,6 +39,7 @@
   std::vector<Member> members;
   std::vector<Assignment> assignments;
   OwnershipCounters counters;
+  GossipCounters gossip;
   bool storeReachable = false;
   bool backendHealthy = false;
 };
@@ -64,7 +68,13 @@
 
 private:
   void Run();
-  void TickOnce(Time aNow, std::vector<Input> aInputs);
+  void TickOnce(Time aNow, ReceivedMessages aReceived);
+  void TickGossip(Time aNow,
+                  const std::vector<GossipReceived>& aReceived,
+                  std::vector<Input>& aInputs);
+  void ApplyLearned(const std::vector<Row>& aRows);
+  void UpdatePeers();
+  void MeasureLoad(Time aNow, std::vector<Input>& aInputs);
   void Perform(const SendRenewal& aOutput);
   void Perform(const SendAck& aOutput);
   void Perform(const StartTransaction& aOutput);
@@ -77,7 +87,10 @@
   void RunTransaction(const StartTransaction& aOutput);
   void ReadChanges();
 
+  Duration backendGrant;
   OwnershipSystem system;
+  GossipSystem gossip;
+  LoadMeter load;
   ControlParts parts;
   WorkQueue storeWrites;
   WorkQueue storeReads;
@@ -95,7 +108,10 @@
   std::map<std::string, RowVersion> readRevisions; ///< Used by storeReads.
   Time nextPoll;
   Time nextGrant;
+  std::atomic<Time> backendLapsesAt{ Time() }; ///< Of the latest grants.
   Time nextHealth;
+  Time nextLoad;
+  Duration pollInterval;
   uint64_t grantSequence = 0;
   uint64_t publishedChange = 0;
   Serving published;
