Let a newcomer learn from seeds while the platform is down

Replies to a digest are packed into one datagram, so that an empty daemon catches up within seconds instead of minutes. Not yet shown with processes.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 
+#include <boost/algorithm/string.hpp>
+
 namespace fescuetiller {
 
 namespace {
@@ -92,6 +94,25 @@
   return ParseNumber(port, 1, kMaxPort).has_value();
 }
 
+/** Reads addresses that commas separate. */
+Setter
+Addresses(std::vector<std::string> Settings::*aField)
+{
+  return [=](const IniEntry& aEntry, Settings& aSettings) -> Result<void> {
+    std::vector<std::string> addresses;
+    boost::split(addresses, aEntry.value, boost::is_any_of(","));
+    for (auto& address : addresses) {
+      boost::trim(address);
+      if (!IsAddress(address)) {
+        return tl::unexpected(aEntry.Wrong(
+          "must be IPv4 addresses and ports with commas between them"));
+      }
+    }
+    aSettings.*aField = addresses;
+    return {};
+  };
+}
+
 bool
 IsPath(const std::string& aText)
 {
@@ -168,6 +189,7 @@
         { "default_deadline_ms", Milliseconds(&Settings::defaultDeadline) },
         { "stop_timeout_ms", Milliseconds(&Settings::stopTimeout) },
       } },
+    { "gossip", { { "seeds", Addresses(&Settings::seeds) } } },
     { "platform",
       {
         { "address",
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "config/inifile.h"
 #include "ownership/leasesettings.h"
@@ -47,6 +48,8 @@
   LeaseSettings lease;
   PlacementGoal weighMost = PlacementGoal::UnavailableTime;
   Limits limits;
+  /** Control addresses of daemons to learn from when none is known yet. */
+  std::vector<std::string> seeds;
 };
 
 /** Reads settings; an error names file, line, key, value and what is allowed.
--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -55,6 +55,7 @@
 void
 ControlLoop::Start()
 {
+  this->UpdatePeers();
   this->thread = std::thread([this] { this->Run(); });
 }
 
@@ -158,6 +159,9 @@
       addresses.push_back(member.controlAddress);
     }
   }
+  if (addresses.empty()) {
+    addresses = this->parts.seeds;
+  }
   auto members = static_cast<double>(addresses.size() + 1);
   std::chrono::duration<double> fair(members / kPollsPerSecond);
   this->pollInterval = std::max<Duration>(
--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -28,6 +28,8 @@
   BackendLink& backend;
   PeerClient& peers;
   std::function<std::unique_ptr<TableStore>()> openStore;
+  /** Control addresses to gossip with while no other member is known. */
+  std::vector<std::string> seeds;
   /** Called with every row that is newer than what was known. */
   std::function<void(const std::vector<Row>&)> onLearned;
 };
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -130,9 +130,11 @@
 Daemon::Start()
 {
   auto reached = this->ReachPlatform();
-  if (!reached) {
+  if (!reached && this->settings.seeds.empty()) {
     return reached;
   }
+  LOG_IF(WARNING, !reached) << (reached ? Error() : reached.error())
+                            << "; learning from the seeds until it answers";
   auto control =
     this->socket.Open(this->settings.peerIp, this->settings.controlPort);
   if (!control) {
@@ -161,6 +163,7 @@
                       this->backend,
                       this->peers,
                       [this] { return this->OpenStore(); },
+                      this->settings.seeds,
                       [this](const std::vector<Row>& aRows) {
                         this->drain.Apply(aRows);
                       } };
--- a/src/gossip/gossipsystem.cpp
+++ b/src/gossip/gossipsystem.cpp
@@ -10,7 +10,6 @@
 constexpr size_t kLoadBytes = 20;
 constexpr size_t kDigestBytes = 4 * kBucketFanout + 8;
 constexpr size_t kHeaderBytes = 34; ///< IP, UDP and the message's own.
-constexpr uint32_t kBucketsPerReply = 2;
 
 size_t
 WireBytesOf(const GossipMessage& aMessage)
@@ -177,17 +176,19 @@
   ++this->counters.digestsDiffered;
   this->differed = true;
   std::shuffle(differing.begin(), differing.end(), this->random);
-  differing.resize(std::min<size_t>(differing.size(), kBucketsPerReply));
+  GossipMessage reply;
   for (uint32_t index : differing) {
-    GossipMessage reply;
+    if (WireBytesOf(reply) + kDigestBytes > this->settings.messageBytes) {
+      break;
+    }
     if (top) {
       reply.digests.push_back({ index + 1, this->rows.HashesBelow(index) });
     } else {
       uint32_t bucket = (aDigest.parent - 1) * kBucketFanout + index;
       reply.buckets.push_back({ bucket, this->rows.RowsOf(bucket) });
     }
-    this->Send(aFrom, std::move(reply), aOutput);
   }
+  this->Send(aFrom, std::move(reply), aOutput);
 }
 
 void
