--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES = cmake g++ make ninja-build clang-format clang-tidy libgrpc++-dev \
   libprotobuf-dev libcpp-httplib-dev libgoogle-glog-dev \
   libboost-dev libboost-program-options-dev libexpected-dev \
-  libtrompeloeil-cpp-dev catch2 libbenchmark-dev libxxhash-dev
+  libtrompeloeil-cpp-dev catch2 libbenchmark-dev libxxhash-dev curl
 
 .PHONY: all setup configure test demo bench lint format
 
--- a/src/fescuetillerd/healthmonitor.cpp
+++ b/src/fescuetillerd/healthmonitor.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration kInterval = std::chrono::milliseconds(100);
+constexpr Duration kInterval = std::chrono::milliseconds(250);
 
 /** The report on one line. */
 std::string
