--- a/tests/commandline/docs.sh
+++ b/tests/commandline/docs.sh
@@ -7,7 +7,7 @@
 root=$(cd "$here/../.." && pwd)
 . "$here/../demo/deployment.sh"
 folder=$(mktemp -d)
-trap 'kill $(jobs -p) 2>/dev/null; wait 2>/dev/null; rm -rf "$folder"' EXIT
+trap 'kill -KILL $(jobs -p) 2>/dev/null; wait 2>/dev/null; rm -rf "$folder"' EXIT
 
 "$build/tests/platformstandin" --ports-file "$folder/platform" &
 wait_for "$folder/platform"
