Shed on evidence, place hot keys later, hold the limit that a shed showed

Cause of three shortfalls: the policy limited classes on the rate estimate alone, so that bursts within capacity were shed; keys in strict turns let a hot key's own requests miss their target below overload; the limit climbed into the next shed within a few answers.

Now a class is limited only while enough is queued ahead of it; the wait that a queue may build up is longer while no overload is seen; a hot key's request takes a later place, bounded; after a shed the limit stays for 200 ms, doubled up to 5 s while sheds show the same limit.

--- a/src/scheduling/backendestimate.cpp
+++ b/src/scheduling/backendestimate.cpp
@@ -16,11 +16,18 @@
 /** Requests that may be held by a frozen backend server, times its slots. */
 constexpr uint32_t kMostWhileFrozen = 2;
 constexpr double kRampStart = 1.0 / 3;
+/** Slots added by each answer after a cold start. */
+constexpr double kRampStep = 0.5;
+/** Time at the limit that a shed showed; doubles while sheds show it again. */
+constexpr Duration kShortestHold = std::chrono::milliseconds(200);
+constexpr Duration kLongestHold = std::chrono::seconds(5);
 
 } // namespace
 
 BackendEstimate::BackendEstimate(uint32_t aSlots)
   : learned(aSlots)
+  , ceiling(aSlots)
+  , hold(kShortestHold)
 {
   this->SetSlots(aSlots);
 }
@@ -39,6 +46,9 @@
 BackendEstimate::Restart()
 {
   this->learned = std::max(1.0, this->state.slots * kRampStart);
+  this->ramping = true;
+  this->ceiling = this->state.slots;
+  this->hold = kShortestHold;
   this->slowness = 1;
   this->state.frozen = false;
   this->Publish(this->lastAnswer);
@@ -79,7 +89,7 @@
     this->lastAnswer = aNow;
   }
   if (aEnd == RunEnd::Shed) {
-    this->Lower();
+    this->Lower(aNow);
   }
   if (aEnd == RunEnd::Done) {
     if (this->state.frozen) {
@@ -88,7 +98,7 @@
     double expected = std::max(1.0, static_cast<double>(aExpected.count()));
     double ratio = static_cast<double>(took.count()) / expected;
     this->slowness += kSlownessWeight * (ratio - this->slowness);
-    this->Raise();
+    this->Raise(aNow);
   }
   this->Publish(aNow);
 }
@@ -120,17 +130,24 @@
 }
 
 void
-BackendEstimate::Lower()
+BackendEstimate::Lower(Time aNow)
 {
-  double beside = this->state.running;
-  this->learned = std::max(1.0, std::min(this->learned, beside));
+  double beside = std::max<double>(1, this->state.running);
+  bool again = beside >= this->ceiling;
+  this->hold = again ? std::min(this->hold * 2, kLongestHold) : kShortestHold;
+  this->learned = std::min(this->learned, beside);
+  this->ceiling = this->learned;
+  this->holdUntil = aNow + this->hold;
+  this->ramping = false;
 }
 
 void
-BackendEstimate::Raise()
+BackendEstimate::Raise(Time aNow)
 {
-  double grown = this->learned + 1 / this->learned;
-  this->learned = std::min<double>(this->state.slots, grown);
+  double most = aNow < this->holdUntil ? this->ceiling : this->state.slots;
+  double step = this->ramping ? kRampStep : 1 / this->learned;
+  this->learned = std::max(this->learned, std::min(most, this->learned + step));
+  this->ramping = this->ramping && this->learned < this->state.slots;
 }
 
 bool
--- a/src/scheduling/backendestimate.h
+++ b/src/scheduling/backendestimate.h
@@ -38,8 +38,9 @@
 
 /**
  * Limit on running requests, learned from what comes back. When the backend
- * server sheds a request it drops to what ran beside that one; it grows by one
- * slot for each full round of answers, and starts low after a cold start. A
+ * server sheds a request it drops to what ran beside that one and stays there
+ * for a while; it grows by one slot for each full round of answers, and starts
+ * low after a cold start. A
  * load report lowers it by at most a slot, and only while the answers are slow
  * as well. Each call takes at most logarithmic time.
  */
@@ -67,15 +68,19 @@
   void SetWaiting(size_t aWaiting, uint32_t aRunningLengthy);
 
 private:
-  void Lower();
-  void Raise();
+  void Lower(Time aNow);
+  void Raise(Time aNow);
   void Freeze(Time aNow);
   void Publish(Time aNow);
   bool ReportedFull(Time aNow) const;
 
   BackendState state;
-  double learned;      ///< Slots, may be a fraction.
-  double slowness = 1; ///< Recent time over the usual time.
+  double learned; ///< Slots, may be a fraction.
+  double ceiling; ///< Slots that the last shed showed.
+  Duration hold;  ///< Time to stay at the ceiling.
+  Time holdUntil;
+  bool ramping = false; ///< Since a cold start, until full or shed.
+  double slowness = 1;  ///< Recent time over the usual time.
   std::map<uint64_t, Time> runningSince;
   std::multimap<Time, uint64_t> overdueAt;
   std::map<uint64_t, std::multimap<Time, uint64_t>::iterator> overdue;
--- a/src/scheduling/classqueue.cpp
+++ b/src/scheduling/classqueue.cpp
@@ -5,37 +5,38 @@
 namespace fescuetiller {
 
 void
-ClassQueue::Push(uint64_t aKeyHash, uint64_t aId, Time aArrivedAt)
+ClassQueue::Push(uint64_t aKeyHash,
+                 uint64_t aId,
+                 Time aArrivedAt,
+                 Duration aDelay)
 {
-  KeyQueue& queue = this->keys[aKeyHash];
-  if (queue.entries.empty()) {
-    queue.turn = this->turns.insert(this->turns.end(), aKeyHash);
+  auto& queue = this->keys[aKeyHash];
+  Time place = aArrivedAt + aDelay;
+  if (!queue.empty()) {
+    place = std::max(place, queue.back().place);
   }
-  queue.entries.push_back({ aId, aArrivedAt });
-  this->Resize(aKeyHash, queue.entries.size() - 1, queue.entries.size());
+  Entry entry{ place, aId, aKeyHash, aArrivedAt };
+  queue.push_back(entry);
+  this->order.insert(entry);
+  this->Resize(aKeyHash, queue.size() - 1, queue.size());
 }
 
 uint64_t
 ClassQueue::Front() const
 {
-  return this->keys.at(this->turns.front()).entries.front().id;
+  return this->order.begin()->id;
 }
 
 Time
 ClassQueue::FrontArrivedAt() const
 {
-  return this->keys.at(this->turns.front()).entries.front().arrivedAt;
+  return this->order.begin()->arrivedAt;
 }
 
 void
 ClassQueue::PopFront()
 {
-  uint64_t key = this->turns.front();
-  KeyQueue& queue = this->keys.at(key);
-  queue.entries.pop_front();
-  this->turns.splice(this->turns.end(), this->turns, queue.turn);
-  this->Resize(key, queue.entries.size() + 1, queue.entries.size());
-  this->EraseIfEmpty(key);
+  this->Remove(this->order.begin()->keyHash, this->order.begin()->id);
 }
 
 std::optional<uint64_t>
@@ -45,16 +46,15 @@
     return std::nullopt;
   }
   auto [longest, victim] = *this->lengths.rbegin();
-  auto own = this->keys.find(aKeyHash);
-  size_t ownLength = own == this->keys.end() ? 0 : own->second.entries.size();
-  if (ownLength + 1 >= longest) {
+  if (this->SizeOf(aKeyHash) + 1 >= longest) {
     return std::nullopt;
   }
-  KeyQueue& queue = this->keys.at(victim);
-  uint64_t id = queue.entries.back().id;
-  queue.entries.pop_back();
+  auto& queue = this->keys.at(victim);
+  Entry newest = queue.back();
+  queue.pop_back();
+  this->order.erase(newest);
   this->Resize(victim, longest, longest - 1);
-  return id;
+  return newest.id;
 }
 
 bool
@@ -64,15 +64,15 @@
   if (found == this->keys.end()) {
     return false;
   }
-  auto& entries = found->second.entries;
+  auto& queue = found->second;
   auto same = [aId](const Entry& aEntry) { return aEntry.id == aId; };
-  auto entry = std::find_if(entries.begin(), entries.end(), same);
-  if (entry == entries.end()) {
+  auto entry = std::find_if(queue.begin(), queue.end(), same);
+  if (entry == queue.end()) {
     return false;
   }
-  entries.erase(entry);
-  this->Resize(aKeyHash, entries.size() + 1, entries.size());
-  this->EraseIfEmpty(aKeyHash);
+  this->order.erase(*entry);
+  queue.erase(entry);
+  this->Resize(aKeyHash, queue.size() + 1, queue.size());
   return true;
 }
 
@@ -80,32 +80,24 @@
 ClassQueue::Resize(uint64_t aKeyHash, size_t aBefore, size_t aAfter)
 {
   this->lengths.erase({ aBefore, aKeyHash });
-  if (aAfter != 0) {
+  if (aAfter == 0) {
+    this->keys.erase(aKeyHash);
+  } else {
     this->lengths.insert({ aAfter, aKeyHash });
   }
-  this->size = this->size + aAfter - aBefore;
-}
-
-void
-ClassQueue::EraseIfEmpty(uint64_t aKeyHash)
-{
-  auto found = this->keys.find(aKeyHash);
-  if (found->second.entries.empty()) {
-    this->turns.erase(found->second.turn);
-    this->keys.erase(found);
-  }
 }
 
 size_t
 ClassQueue::Size() const
 {
-  return this->size;
+  return this->order.size();
 }
 
 size_t
-ClassQueue::Keys() const
+ClassQueue::SizeOf(uint64_t aKeyHash) const
 {
-  return this->keys.size();
+  auto found = this->keys.find(aKeyHash);
+  return found == this->keys.end() ? 0 : found->second.size();
 }
 
 } // namespace fescuetiller
--- a/src/scheduling/classqueue.h
+++ b/src/scheduling/classqueue.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <deque>
-#include <list>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 
 #include "scheduling/queuedrequest.h"
@@ -11,16 +11,18 @@
 namespace fescuetiller {
 
 /**
- * Waiting requests of one class. Keys take turns, each key's own requests stay
- * in order, so a hot key delays only itself. Each call takes at most
- * logarithmic time.
+ * Waiting requests of one class in the order of arrival. A request of a key
+ * that already has requests waiting is placed later, so that a hot key delays
+ * itself more than its neighbours; each key's own requests stay in order.
+ * Each call but Remove takes logarithmic time.
  */
 class ClassQueue
 {
 public:
-  void Push(uint64_t aKeyHash, uint64_t aId, Time aArrivedAt);
+  /** @param aDelay How much later than its arrival it takes its place. */
+  void Push(uint64_t aKeyHash, uint64_t aId, Time aArrivedAt, Duration aDelay);
 
-  /** Request of the key whose turn it is. The queue must not be empty. */
+  /** The queue must not be empty. */
   uint64_t Front() const;
   Time FrontArrivedAt() const;
   void PopFront();
@@ -33,27 +35,28 @@
   bool Remove(uint64_t aKeyHash, uint64_t aId);
 
   size_t Size() const;
-  size_t Keys() const;
+  size_t SizeOf(uint64_t aKeyHash) const;
 
 private:
   struct Entry
   {
+    Time place;
     uint64_t id = 0;
+    uint64_t keyHash = 0;
     Time arrivedAt;
-  };
-  struct KeyQueue
-  {
-    std::deque<Entry> entries;
-    std::list<uint64_t>::iterator turn;
+
+    friend bool operator<(const Entry& aLeft, const Entry& aRight)
+    {
+      return std::tie(aLeft.place, aLeft.id) <
+             std::tie(aRight.place, aRight.id);
+    }
   };
 
   void Resize(uint64_t aKeyHash, size_t aBefore, size_t aAfter);
-  void EraseIfEmpty(uint64_t aKeyHash);
 
-  std::unordered_map<uint64_t, KeyQueue> keys;
-  std::list<uint64_t> turns;
+  std::set<Entry> order;
+  std::unordered_map<uint64_t, std::deque<Entry>> keys;
   std::set<std::pair<size_t, uint64_t>> lengths;
-  size_t size = 0;
 };
 
 } // namespace fescuetiller
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -234,7 +234,7 @@
     admission.retryAfter = RetryAfter(row, this->backend.State());
   }
   if (!admission.admitted) {
-    uint64_t keyHash = this->policy.fairKeys ? HashKey(aRequest.key) : 0;
+    uint64_t keyHash = this->KeyHash(aRequest);
     auto pushedOut = row.queue.PushOut(keyHash);
     uint64_t refused = pushedOut.value_or(aRequest.id);
     decisions.push_back({ refused,
@@ -253,16 +253,26 @@
   return decisions;
 }
 
+uint64_t
+Scheduler::KeyHash(const QueuedRequest& aRequest) const
+{
+  return this->policy.keyDelay ? HashKey(aRequest.key) : 0;
+}
+
 void
 Scheduler::Enqueue(const QueuedRequest& aRequest, ClassState& aRow)
 {
   Entry& entry = this->requests[aRequest.id];
   entry.row = &aRow;
-  entry.keyHash = this->policy.fairKeys ? HashKey(aRequest.key) : 0;
+  entry.keyHash = this->KeyHash(aRequest);
   entry.arrivedAt = aRequest.arrivedAt;
   entry.deadline = aRequest.deadline;
   entry.giveUpAt = Time::max();
-  aRow.queue.Push(entry.keyHash, aRequest.id, aRequest.arrivedAt);
+  Duration delay(0);
+  if (this->policy.keyDelay) {
+    delay = this->policy.keyDelay(aRow, aRow.queue.SizeOf(entry.keyHash));
+  }
+  aRow.queue.Push(entry.keyHash, aRequest.id, aRequest.arrivedAt, delay);
   this->SetGiveUp(aRequest.id, entry);
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -92,6 +92,7 @@
   void Summarise();
   void CountArrival(Time aNow, ClassState& aRow);
   void Plan(Time aNow);
+  uint64_t KeyHash(const QueuedRequest& aRequest) const;
   void Enqueue(const QueuedRequest& aRequest, ClassState& aRow);
   void SetGiveUp(uint64_t aId, Entry& aEntry);
   void Expire(Time aNow, ScheduleDecisions& aDecisions);
--- a/src/scheduling/schedulingpolicy.h
+++ b/src/scheduling/schedulingpolicy.h
@@ -27,6 +27,7 @@
   double allotted = 0;  ///< Slots of work that the plan grants.
   bool limited = false; ///< Whether the plan grants less than is offered.
   bool covered = true;  ///< Whether the plan grants the share of the target.
+  double patience = 1;  ///< Factor on the wait that its queue may build up.
   double tokens = 0;    ///< Requests that may be admitted above the plan.
   Time tokensAt;
   Duration queuedFaster = Duration(0); ///< Work queued here and at faster ones.
@@ -71,8 +72,9 @@
   /** How long a request may wait before it is refused. */
   std::function<Duration(const ClassState&)> longestWait;
 
-  /** Whether keys take turns within a class. */
-  bool fairKeys = true;
+  /** How much later a request takes its place in its class's queue when its
+   * key has so many waiting already; none: all keys are one. */
+  std::function<Duration(const ClassState&, size_t)> keyDelay;
 };
 
 } // namespace fescuetiller
--- a/src/scheduling/targetpolicy.cpp
+++ b/src/scheduling/targetpolicy.cpp
@@ -75,8 +75,25 @@
 Duration
 IntendedWait(const ClassState& aClass, const TargetPolicySettings& aSettings)
 {
-  Duration share = FromSeconds(Seconds(aClass.target.latency) * aSettings.wait);
-  return std::min(share, aSettings.longestWait);
+  double share = Seconds(aClass.target.latency) * aSettings.wait;
+  double longest = Seconds(aSettings.longestWait);
+  return FromSeconds(std::min(share, longest) * aClass.patience);
+}
+
+/** Queues may grow longer while hardly more is offered than can be done. */
+void
+SetPatience(const ClassRows& aRows,
+            double aLimit,
+            const TargetPolicySettings& aSettings)
+{
+  double offered = 0;
+  for (const ClassState* row : aRows) {
+    offered += row->offered;
+  }
+  bool overloaded = offered > aLimit * aSettings.overload;
+  for (ClassState* row : aRows) {
+    row->patience = overloaded ? 1 : aSettings.patience;
+  }
 }
 
 /** Slots to keep free of new work, so that queues longer than intended
@@ -172,7 +189,8 @@
   double intended = Seconds(IntendedWait(aClass, aSettings));
   double urgentAfter = aClass.covered ? intended * aSettings.urgent : intended;
   if (wait >= urgentAfter) {
-    return -kBeforeAnyArrival - wait / intended;
+    double lead = aClass.covered ? 0 : aSettings.coveredLead;
+    return -kBeforeAnyArrival - (wait / intended - lead);
   }
   return -wait;
 }
@@ -216,6 +234,7 @@
   policy.plan =
     [aSettings](const ClassRows& aRows, const BackendState& aBackend, Time) {
       double limit = aBackend.limit;
+      SetPatience(aRows, limit, aSettings);
       auto active =
         std::count_if(aRows.begin(), aRows.end(), [](const ClassState* aRow) {
           return aRow->offered > kActive;
@@ -227,7 +246,7 @@
       for (ClassState* row : aRows) {
         double behind = Seconds(row->queuedFaster) / limit;
         double evidence =
-          Seconds(IntendedWait(*row, aSettings)) * aSettings.urgent;
+          Seconds(IntendedWait(*row, aSettings)) * aSettings.evidence;
         row->limited =
           behind > evidence && row->allotted < row->offered * kWorthLimiting;
       }
@@ -243,6 +262,12 @@
   };
   policy.limit = [](const BackendState& aBackend) { return aBackend.limit; };
   policy.longestWait = LongestWait;
+  policy.keyDelay = [aSettings](const ClassState& aClass, size_t aWaiting) {
+    Duration delay = aClass.service * static_cast<int64_t>(aWaiting);
+    Duration most = FromSeconds(Seconds(IntendedWait(aClass, aSettings)) *
+                                aSettings.keyDelay);
+    return std::min(delay, most);
+  };
   return policy;
 }
 
--- a/src/scheduling/targetpolicy.h
+++ b/src/scheduling/targetpolicy.h
@@ -8,13 +8,24 @@
 struct TargetPolicySettings
 {
   /** Share of the limit that the plan hands out. */
-  double usable = 1;
+  double usable = 1.05;
   /** Wait, as a share of the target latency, that a queue may build up. */
   double wait = 0.5;
   /** Longest wait that a queue may build up, however loose the target. */
   Duration longestWait = std::chrono::milliseconds(250);
   /** Share of that wait from which a request goes before older ones. */
-  double urgent = 0.25;
+  double urgent = 0.5;
+  /** Share of that wait that must be queued before a class is limited. */
+  double evidence = 0.5;
+  /** Factor on that wait while no overload is seen. */
+  double patience = 1.2;
+  /** Offered work over the limit from which an overload is seen. */
+  double overload = 1.15;
+  /** Lead of a covered class over others, in intended waits. */
+  double coveredLead = 0.5;
+  /** Most by which a hot key's request is placed later, as a share of the
+   * intended wait. */
+  double keyDelay = 0.5;
   /** Slots that the slower targets leave to the faster ones. */
   uint32_t reserved = 1;
 };
