--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -5,16 +5,11 @@
 
 #include "config/inifile.h"
 #include "ownership/leasesettings.h"
+#include "placement/placementsettings.h"
 
 namespace fescuetiller {
 
-/** What the deployment weighs most when partitions are placed. */
-enum class PlacementGoal
-{
-  UnavailableTime, ///< Move early, so that no key waits.
-  Churn,           ///< Move rarely, so that no request waits behind a move.
-};
-
+/** As written in settings. */
 const char*
 ToString(PlacementGoal aGoal);
 
--- a/src/fescuetillerd/daemon.h
+++ b/src/fescuetillerd/daemon.h
@@ -35,7 +35,7 @@
   void InstallOperatorApi();
   wire::HealthReport Health() const;
   std::vector<RefusedInput> RefusedInputs() const;
-  Result<void> RefreshDrain();
+  Result<void> RefreshDrain(const std::string& aMember);
   void LearnRows(const std::vector<Row>& aRows);
   OwnershipSettings MakeOwnershipSettings() const;
   std::unique_ptr<TableStore> OpenStore();
@@ -49,6 +49,7 @@
   Classes classes;
   SlotGate gate;
   BackendLink backend;
+  RequestMemory memory;
   PeerClient peers;
   ClassMetrics metrics;
   Executor executor;
--- a/src/fescuetillerd/operatorapi.h
+++ b/src/fescuetillerd/operatorapi.h
@@ -35,8 +35,8 @@
   std::function<wire::HealthReport()> health;
   std::function<Duration()> unavailable;
   std::function<std::vector<RefusedInput>()> refused;
-  /** Reads this daemon's drain row again. */
-  std::function<Result<void>()> refresh;
+  /** Reads a member's drain row again and passes it on to other daemons. */
+  std::function<Result<void>(const std::string&)> refresh;
 };
 
 /** Reads of the daemon's state, and the notice that a drain was recorded. No
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -57,6 +57,7 @@
   this->watch.Follow(aNow, this->table);
   this->Join(aNow);
   this->KeepLease(aNow);
+  this->history.Follow(aNow, this->table);
   this->TakeOverLost(aNow);
   this->Plan(aNow);
   this->FinishLapsedMoves(aNow);
@@ -176,10 +177,21 @@
 void
 OwnershipSystem::Accept(Time /*aNow*/, const DrainRequested& aRequest)
 {
-  if (this->draining && !aRequest.drain) {
+  bool wasDraining = this->Draining();
+  if (aRequest.drain) {
+    this->drainSources.insert(aRequest.source);
+  } else {
+    this->drainSources.erase(aRequest.source);
+  }
+  if (wasDraining && !this->Draining()) {
     this->moves.CancelWaiting();
   }
-  this->draining = aRequest.drain;
+}
+
+bool
+OwnershipSystem::Draining() const
+{
+  return !this->drainSources.empty();
 }
 
 void
@@ -247,7 +259,7 @@
 bool
 OwnershipSystem::Leaves() const
 {
-  return this->draining || this->stopping;
+  return this->Draining() || this->stopping;
 }
 
 std::string
@@ -421,6 +433,7 @@
 {
   const Member& lost = *this->table.FindMember(aLost);
   PlacementView view = this->View(aNow, lost.service);
+  view.soleDecider = true;
   for (auto& server : view.servers) {
     server.accepting = server.accepting && server.id != aLost;
   }
@@ -500,6 +513,8 @@
     view.partitions.push_back(
       { id, this->table.LiveOwner(id), LoadOf(this->partitionLoads, id) });
   }
+  view.self = this->self.incarnation;
+  this->history.Complete(view);
   return view;
 }
 
--- a/src/ownership/ownershipsystem.h
+++ b/src/ownership/ownershipsystem.h
@@ -12,6 +12,7 @@
 #include "ownership/leaseholder.h"
 #include "ownership/lostmemberwatch.h"
 #include "ownership/movetable.h"
+#include "ownership/placementhistory.h"
 #include "ownership/transactionqueue.h"
 #include "placement/placement.h"
 
@@ -147,6 +148,7 @@
   void Learn(const std::vector<Row>& aRows);
   void ApplyChanges(const Transaction& aChange, RowVersion aRevision);
   void Push(Incarnation aTo, const std::vector<Row>& aRows);
+  bool Draining() const;
   PlacementView View(Time aNow, const std::string& aService) const;
   std::string NextWriteId();
   bool LeaseValid(Time aNow) const;
@@ -160,7 +162,7 @@
   Phase phase = Phase::NoBackend;
   Member self;
   BackendCondition backend;
-  bool draining = false;
+  std::set<DrainSource> drainSources;
   bool stopping = false;
   bool storeReachable = true;
   bool selfWritePending = false;
@@ -173,6 +175,7 @@
   uint64_t writeCounter = 0;
 
   ClusterTable table;
+  PlacementHistory history;
   TransactionQueue transactions;
   LeaseHolder holder;
   LeaseGrantor grantor;
--- a/src/placement/placementsettings.h
+++ b/src/placement/placementsettings.h
@@ -7,8 +7,8 @@
 /** The measure that a deployment weighs most. */
 enum class PlacementGoal
 {
-  UnavailableTime,
-  Churn,
+  UnavailableTime, ///< Move early, so that no key waits.
+  Churn,           ///< Move rarely, so that no request waits behind a move.
 };
 
 /** Settings of the placement policy; every daemon has the same. */
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -227,7 +227,7 @@
   ClassState& row = this->RowOf(aRequest);
   this->CountArrival(aNow, row);
   this->Summarise();
-  Admission admission{ false, Duration(0), "queue full" };
+  QueueAdmission admission{ false, Duration(0), "queue full" };
   if (this->Waiting() < kMaxWaiting) {
     admission = this->policy.admit(row, this->backend.State(), aNow);
   } else {
--- a/tests/fescuetillerctl/ctltest.cpp
+++ b/tests/fescuetillerctl/ctltest.cpp
@@ -264,6 +264,21 @@
     CHECK(ana.Run("drain agenda-1") == 0);
     CHECK(ReadAuditTrail(store, 10)->size() == 1);
   }
+  SECTION("another daemon passes on what the member was not told")
+  {
+    AddMember(store, 2, "agenda-2");
+    ana.answer = [&](const DaemonCall& aCall) -> Result<std::string> {
+      if (aCall.address == "agenda-2") {
+        path = aCall.path;
+        return std::string("ok");
+      }
+      return tl::unexpected(
+        Error{ ErrorCode::Unavailable, "call", aCall.address, "refused" });
+    };
+    CHECK(ana.Run("drain agenda-1") == 5);
+    CHECK(ana.Said("agenda-2 passes it on"));
+    CHECK(path == "/v1/refresh?member=agenda-1");
+  }
   SECTION("an unknown member is refused")
   {
     CHECK(ana.Run("drain agenda-9") == 1);
