--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kLeastPollInterval = std::chrono::milliseconds(200);
 /** Share of the store's reads that all daemons together use for polling. */
 constexpr double kPollsPerSecond = 200;
+constexpr const char* kPolledTables[] = { kMemberTable,
+                                          kAssignmentTable,
+                                          kClassTable,
+                                          kDrainTable };
 constexpr Duration kLoadInterval = std::chrono::milliseconds(200);
 constexpr Duration kGrantInterval = std::chrono::milliseconds(150);
 constexpr Duration kHealthInterval = std::chrono::milliseconds(200);
@@ -31,7 +35,8 @@
 ControlLoop::ControlLoop(OwnershipSettings aSettings,
                          PlacementPolicy aPlacement,
                          ControlParts aParts)
-  : system(std::move(aSettings), std::move(aPlacement), DrawIncarnation)
+  : backendGrant(aSettings.lease.backendGrant)
+  , system(std::move(aSettings), std::move(aPlacement), DrawIncarnation)
   , gossip(GossipSettings(), static_cast<uint32_t>(DrawIncarnation()))
   , parts(std::move(aParts))
   , storeWrites(kStoreWriters)
@@ -119,7 +124,7 @@
 {
   for (const auto& input : aInputs) {
     if (const auto* rows = std::get_if<RowsLearned>(&input)) {
-      this->ApplyClasses(this->gossip.Learn(rows->rows));
+      this->ApplyLearned(this->gossip.Learn(rows->rows));
     }
   }
   GossipOutput output = this->gossip.Tick(aNow, aReceived);
@@ -127,17 +132,20 @@
     this->parts.socket.Send(message);
   }
   if (!output.learned.empty()) {
-    this->ApplyClasses(output.learned);
+    this->ApplyLearned(output.learned);
     aInputs.push_back(RowsLearned{ std::move(output.learned) });
   }
 }
 
 void
-ControlLoop::ApplyClasses(const std::vector<Row>& aRows)
+ControlLoop::ApplyLearned(const std::vector<Row>& aRows)
 {
   if (this->parts.classes.Apply(aRows)) {
     this->parts.gate.SetTargets(this->parts.classes.All());
   }
+  if (!aRows.empty()) {
+    this->parts.onLearned(aRows);
+  }
 }
 
 void
@@ -277,7 +285,7 @@
 {
   thread_local std::unique_ptr<TableStore> store = this->parts.openStore();
   bool reachable = true;
-  for (const char* table : { kMemberTable, kAssignmentTable, kClassTable }) {
+  for (const char* table : kPolledTables) {
     RowVersion& since = this->readRevisions[table];
     auto read = store->ReadChanges(table, since);
     if (!read) {
@@ -292,20 +300,28 @@
     this->parts.inbox.Put(RowsLearned{ std::move(read->rows) });
   }
   LOG_IF(INFO, reachable && !this->storeReachable) << "table service reached";
+  if (reachable != this->storeReachable) {
+    this->parts.inbox.Put(StoreReachable{ reachable });
+  }
   this->storeReachable = reachable;
 }
 
 void
 ControlLoop::RenewGrants(Time aNow)
 {
-  if (aNow < this->nextGrant || this->grantPending) {
+  // A backend server that does not answer is granted nothing new, so that what
+  // it still has lapses.
+  bool due = aNow >= this->nextGrant && this->backendHealthy;
+  if (!due || this->grantPending) {
     return;
   }
   this->nextGrant = aNow + kGrantInterval;
   wire::Grants grants;
   grants.set_incarnation(this->published.incarnation);
   grants.set_sequence(++this->grantSequence);
-  grants.set_lease_until_boot_ns(ToBootNanoseconds(this->published.leaseUntil));
+  Time until = std::min(this->published.leaseUntil, aNow + this->backendGrant);
+  grants.set_lease_until_boot_ns(ToBootNanoseconds(until));
+  this->backendLapsesAt = std::max(this->backendLapsesAt.load(), until);
   for (const auto& owned : this->published.partitions) {
     auto* granted = grants.add_partitions();
     granted->set_partition(owned.partition.index);
@@ -332,7 +348,17 @@
       LOG(WARNING) << "backend server lost: "
                    << (health ? "reports itself unhealthy"
                               : ToString(health.error()));
-      this->parts.inbox.Put(BackendLost{});
+      this->parts.inbox.Put(BackendLost{ this->backendLapsesAt });
+    }
+    if (!this->backendHealthy && healthy) {
+      this->parts.inbox.Put(BackendReturned{});
+    }
+    if (health) {
+      this->parts.gate.ReportLoad(
+        { BootClock::now(), health->load(), healthy });
+    }
+    if (healthy && !this->backendHealthy) {
+      this->parts.gate.BackendRestarted();
     }
     this->backendHealthy = healthy;
     bool draining = health && health->draining();
--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -28,6 +28,8 @@
   BackendLink& backend;
   PeerClient& peers;
   std::function<std::unique_ptr<TableStore>()> openStore;
+  /** Called with every row that is newer than what was known. */
+  std::function<void(const std::vector<Row>&)> onLearned;
 };
 
 /** State of the control thread as others may read it. */
@@ -70,7 +72,7 @@
   void TickGossip(Time aNow,
                   const std::vector<GossipReceived>& aReceived,
                   std::vector<Input>& aInputs);
-  void ApplyClasses(const std::vector<Row>& aRows);
+  void ApplyLearned(const std::vector<Row>& aRows);
   void UpdatePeers();
   void MeasureLoad(Time aNow, std::vector<Input>& aInputs);
   void Perform(const SendRenewal& aOutput);
@@ -85,6 +87,7 @@
   void RunTransaction(const StartTransaction& aOutput);
   void ReadChanges();
 
+  Duration backendGrant;
   OwnershipSystem system;
   GossipSystem gossip;
   LoadMeter load;
@@ -105,6 +108,7 @@
   std::map<std::string, RowVersion> readRevisions; ///< Used by storeReads.
   Time nextPoll;
   Time nextGrant;
+  std::atomic<Time> backendLapsesAt{ Time() }; ///< Of the latest grants.
   Time nextHealth;
   Time nextLoad;
   Duration pollInterval;
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -84,7 +84,7 @@
     }
     this->serving.End(aPartition);
   }
-  this->gate.Release(*slot);
+  this->gate.Release(*slot, outcome);
   return outcome;
 }
 
