--- a/bench/requestpath.sh
+++ b/bench/requestpath.sh
@@ -45,12 +45,8 @@
 "$build/tests/platformstandin" --ports-file "$folder/platform" &
 wait_for "$folder/platform"
 platform=127.0.0.1:$(port "$folder/platform" port)
-for class in "lookup --idempotent" booking; do
-  # shellcheck disable=SC2086
-  "$build/src/fescuetillerctl" class-set --platform "$platform" \
-    --service agenda --latency-ms 100 --percentile 99 --share 0.99 \
-    --class $class >/dev/null
-done
+FESCUETILLER_PLATFORM=$platform "$build/src/fescuetillerctl" class set --file \
+  "$(dirname "$0")/../docs/examples/qc-east/classes.ini" >/dev/null
 pair owner agenda
 pair other dossier
 sleep 3
--- a/tests/requests/pause.sh
+++ b/tests/requests/pause.sh
@@ -28,7 +28,7 @@
   shift
   printf '%s\n' "[daemon]" "name = $name" "zone = qc-east-a" \
     "ports_file = $folder/$name.ports" "[platform]" "address = $platform" \
-    "[service agenda]" "partitions = 64" >"$folder/$name.ini"
+    "[service agenda]" "partitions = 64" "[service dossier]" "partitions = 64" >"$folder/$name.ini"
   "$build/src/fescuetillerd" --config "$folder/$name.ini" 2>"$folder/$name.log" &
   processes[$name]=$!
   wait_for "$folder/$name.ports"
@@ -52,10 +52,8 @@
 "$build/tests/platformstandin" --ports-file "$folder/platform" &
 wait_for "$folder/platform"
 platform=127.0.0.1:$(port "$folder/platform" port)
-"$build/src/fescuetillerctl" class-set --platform "$platform" --service agenda \
-  --class lookup --latency-ms 100 --percentile 99 --share 0.99 --idempotent
-"$build/src/fescuetillerctl" class-set --platform "$platform" --service agenda \
-  --class booking --latency-ms 300 --percentile 99 --share 0.99
+FESCUETILLER_PLATFORM=$platform "$build/src/fescuetillerctl" class set --file \
+  "$(dirname "$0")/../../docs/examples/qc-east/classes.ini" >/dev/null
 pair agenda-1
 pair agenda-2
 pair agenda-3 --cross-answers
