--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -24,11 +24,20 @@
 Daemon::Daemon(Settings aSettings)
   : settings(std::move(aSettings))
   , gate(1)
-  , peers(kMaxPeerChannels)
-  , executor(serving, gate, backend)
-  , router(settings.partitions, routes, classes, executor, peers, metrics)
+  , memory(RequestTableLimits())
+  , peers(kMaxPeerChannels, memory)
+  , executor(serving, gate, backend, routes, memory)
+  , router(settings.partitions,
+           routes,
+           classes,
+           executor,
+           memory,
+           peers,
+           metrics)
   , peerService(
       router,
+      memory,
+      backend,
       [this](const std::vector<Row>& aRows) { this->LearnRows(aRows); })
   , drain(settings.name,
           [this](bool aDrain) { this->inbox.Put(DrainRequested{ aDrain }); })
@@ -37,7 +46,7 @@
       [this] { return this->Health(); },
       [this] {
         if (this->drainOutdated) {
-          this->RefreshDrain();
+          this->RefreshDrain(this->settings.name);
         }
       })
   , callerServer(settings.limits.callerThreads)
@@ -65,7 +74,7 @@
 Result<void>
 Daemon::ReachPlatform()
 {
-  return this->RefreshDrain();
+  return this->RefreshDrain(this->settings.name);
 }
 
 Result<void>
@@ -74,6 +83,9 @@
   int port = 0;
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  // Other daemons ping while a call is open.
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
   builder.AddListeningPort(
     Address(this->settings.peerIp, this->settings.peerPort),
     grpc::InsecureServerCredentials(),
@@ -148,8 +160,10 @@
                       [this](const std::vector<Row>& aRows) {
                         this->drain.Apply(aRows);
                       } };
+  PlacementSettings placement;
+  placement.goal = this->settings.weighMost;
   this->control = std::make_unique<ControlLoop>(
-    this->MakeOwnershipSettings(), RendezvousPlacement, std::move(parts));
+    this->MakeOwnershipSettings(), MakePlacement(placement), std::move(parts));
   this->control->Start();
   // Their handlers use the control loop, so they answer only from here on.
   for (auto* server :
@@ -232,7 +246,7 @@
         return;
       }
       this->backendAnnounced = true;
-      this->backend.Connect(announcement.address());
+      this->backend.Connect(announcement.address(), announcement.connections());
       this->gate.Announce(announcement.address(), announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
@@ -255,7 +269,9 @@
                        [this] { return this->Health(); },
                        [this] { return this->monitor.Unavailable(); },
                        [this] { return this->RefusedInputs(); },
-                       [this] { return this->RefreshDrain(); } };
+                       [this](const std::string& aMember) {
+                         return this->RefreshDrain(aMember);
+                       } };
   fescuetiller::InstallOperatorApi(this->operatorServer.Handlers(), parts);
 }
 
@@ -286,14 +302,17 @@
 }
 
 Result<void>
-Daemon::RefreshDrain()
+Daemon::RefreshDrain(const std::string& aMember)
 {
-  auto read = this->OpenStore()->ReadRows({ DrainKey(this->settings.name) });
-  this->drainOutdated = !read;
+  auto read = this->OpenStore()->ReadRows({ DrainKey(aMember) });
+  if (aMember == this->settings.name) {
+    this->drainOutdated = !read;
+  }
   if (!read) {
     return tl::unexpected(read.error());
   }
   this->drain.Apply(read->rows);
+  this->inbox.Put(RowsLearned{ read->rows });
   return {};
 }
 
--- a/src/fescuetillerd/operatorapi.cpp
+++ b/src/fescuetillerd/operatorapi.cpp
@@ -97,9 +97,19 @@
 }
 
 void
-Refresh(const OperatorParts& aParts, httplib::Response& aResponse)
+Refresh(const OperatorParts& aParts,
+        const httplib::Request& aRequest,
+        httplib::Response& aResponse)
 {
-  auto refreshed = aParts.refresh();
+  std::string member = aRequest.has_param("member")
+                         ? aRequest.get_param_value("member")
+                         : aParts.settings.name;
+  if (!IsName(member)) {
+    aResponse.status = kStatusBadRequest;
+    aResponse.set_content(std::string("member ") + kNameRule + "\n", kPlain);
+    return;
+  }
+  auto refreshed = aParts.refresh(member);
   if (!refreshed) {
     aResponse.status = kStatusUnavailable;
     aResponse.set_content(ToString(refreshed.error()) + "\n", kPlain);
@@ -171,10 +181,6 @@
     aWriter.Describe(name, "counter", "Changes of the lease's holder.");
     aWriter.Write(name, {}, static_cast<double>(count));
   }
-  const std::string kGossipBytes = "fescuetiller_gossip_bytes_sent_total";
-  aWriter.Describe(kGossipBytes, "counter", "Bytes of gossip sent to peers.");
-  aWriter.Write(
-    kGossipBytes, {}, static_cast<double>(aStatus.gossip.bytesSent));
   wire::StatusReport report;
   AddCluster(ViewOf(aStatus), aParts.settings.partitions, report);
   const std::string kImbalance = "fescuetiller_imbalance";
@@ -194,6 +200,35 @@
   }
 }
 
+void
+WriteGossip(const GossipCounters& aCounters, PrometheusWriter& aWriter)
+{
+  struct Counter
+  {
+    const char* name;
+    const char* help;
+    uint64_t value;
+  };
+  const Counter kCounters[] = {
+    { "rows_learned",
+      "Rows learned from other daemons.",
+      aCounters.rowsLearned },
+    { "rows_outdated",
+      "Rows received that were known already.",
+      aCounters.rowsOutdated },
+    { "bytes_sent", "Bytes sent to other daemons.", aCounters.bytesSent },
+    { "digests_differed",
+      "Comparisons that found a difference.",
+      aCounters.digestsDiffered },
+  };
+  for (const auto& counter : kCounters) {
+    std::string name =
+      std::string("fescuetiller_gossip_") + counter.name + "_total";
+    aWriter.Describe(name, "counter", counter.help);
+    aWriter.Write(name, {}, static_cast<double>(counter.value));
+  }
+}
+
 void
 WriteRefused(const OperatorParts& aParts, PrometheusWriter& aWriter)
 {
@@ -215,6 +250,7 @@
   text << aParts.metrics.Text();
   WriteServing(aParts, status, writer);
   WriteOwnership(aParts, status, writer);
+  WriteGossip(status.gossip, writer);
   aParts.storeCounters.Write(writer);
   WriteRefused(aParts, writer);
   return text.str();
@@ -237,9 +273,10 @@
               [aParts](const Request& aRequest, Response& aResponse) {
                 Locate(aParts, aRequest, aResponse);
               });
-  aServer.Post("/v1/refresh", [aParts](const Request&, Response& aResponse) {
-    Refresh(aParts, aResponse);
-  });
+  aServer.Post("/v1/refresh",
+               [aParts](const Request& aRequest, Response& aResponse) {
+                 Refresh(aParts, aRequest, aResponse);
+               });
   aServer.Get("/metrics", [aParts](const Request&, Response& aResponse) {
     aResponse.set_content(MakeMetrics(aParts), kPrometheus);
   });
--- a/src/ownership/ownershipsystem.h
+++ b/src/ownership/ownershipsystem.h
@@ -12,6 +12,7 @@
 #include "ownership/leaseholder.h"
 #include "ownership/lostmemberwatch.h"
 #include "ownership/movetable.h"
+#include "ownership/placementhistory.h"
 #include "ownership/transactionqueue.h"
 #include "placement/placement.h"
 
@@ -173,6 +174,7 @@
   uint64_t writeCounter = 0;
 
   ClusterTable table;
+  PlacementHistory history;
   TransactionQueue transactions;
   LeaseHolder holder;
   LeaseGrantor grantor;
--- a/src/scheduling/targetpolicy.cpp
+++ b/src/scheduling/targetpolicy.cpp
@@ -125,7 +125,7 @@
   return std::max(aClass.target.latency - service, aClass.target.latency / 2);
 }
 
-Admission
+QueueAdmission
 Admit(ClassState& aClass,
       const BackendState& aBackend,
       Time aNow,
