Show with processes that a newcomer learns from seeds

The first version of the test had one member alone, whose lease the platform grants and which therefore stops with it: it needs two.

--- a/tests/processes/newcomer.sh
+++ b/tests/processes/newcomer.sh
@@ -39,13 +39,17 @@
 platform=127.0.0.1:$(port "$folder/platform" port)
 FESCUETILLER_PLATFORM=$platform "$build/src/fescuetillerctl" class set agenda \
   lookup --latency-ms 100 --idempotent >/dev/null
-start_daemon agenda-1 ""
-"$build/tests/backendstandin" --service agenda \
-  --daemon "127.0.0.1:$(port "$folder/agenda-1.ports" backend_port)" \
-  --run-log "$folder/agenda-1.runs" --ports-file "$folder/agenda-1.backend" \
-  --work lookup:2:20 &
+# Two, since a daemon that knows no other has its lease from the platform.
+for name in agenda-1 agenda-2; do
+  start_daemon $name ""
+  "$build/tests/backendstandin" --service agenda \
+    --daemon "127.0.0.1:$(port "$folder/$name.ports" backend_port)" \
+    --run-log "$folder/$name.runs" --ports-file "$folder/$name.backend" \
+    --work lookup:2:20 &
+done
 tries=0
-until ask agenda-1 first-$tries | grep -q 200; do
+until ask agenda-1 first-$tries | grep -q 200 &&
+  ask agenda-2 again-$tries | grep -q 200; do
   tries=$((tries + 1))
   [ $tries -lt 100 ]
   sleep 0.1
