Give servers that check no grants a deadline within the lease

Cause: exclusivity for a backend server that checks no grants rests on each dispatch ending within the daemon's lease, which the fault matrix assumed, but the dispatch carried the caller's deadline.

An owner also chooses no further partitions to give while its earlier choices are under way, since their load still counts as its own.

--- a/src/fescuetillerd/backendlink.cpp
+++ b/src/fescuetillerd/backendlink.cpp
@@ -83,7 +83,7 @@
 }
 
 httplib::Headers
-RunHeaders(const Request& aRequest, const Fence& aFence)
+RunHeaders(const Request& aRequest, const Fence& aFence, Time aDeadline)
 {
   return {
     { "X-Request-Id", aRequest.requestId },
@@ -93,8 +93,7 @@
     { "X-Partition", std::to_string(aFence.partition.index) },
     { "X-Epoch", std::to_string(aFence.epoch) },
     { "X-Incarnation", ToHex(aFence.incarnation) },
-    { "X-Deadline-Boot-Ns",
-      std::to_string(ToBootNanoseconds(aRequest.deadline)) },
+    { "X-Deadline-Boot-Ns", std::to_string(ToBootNanoseconds(aDeadline)) },
   };
 }
 
@@ -105,9 +104,12 @@
 BackendLink::~BackendLink() = default;
 
 void
-BackendLink::Connect(const std::string& aAddress, uint32_t aConnections)
+BackendLink::Connect(const std::string& aAddress,
+                     uint32_t aConnections,
+                     bool aChecksGrant)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
+  this->checksGrant = aChecksGrant;
   this->limit = std::max(aConnections, kControlConnections + 1);
   if (this->address == aAddress) {
     return;
@@ -121,7 +123,7 @@
 void
 BackendLink::Disconnect()
 {
-  this->Connect("", 0);
+  this->Connect("", 0, true);
 }
 
 std::string
@@ -188,6 +190,15 @@
   }
 }
 
+Time
+BackendLink::DispatchDeadline(const Request& aRequest,
+                              const Fence& aFence) const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->checksGrant ? aRequest.deadline
+                           : std::min(aRequest.deadline, aFence.leaseUntil);
+}
+
 Outcome
 BackendLink::Run(const Request& aRequest, const Fence& aFence)
 {
@@ -202,16 +213,18 @@
   if (now >= aFence.leaseUntil) {
     return NotOwner();
   }
+  Time deadline = this->DispatchDeadline(aRequest, aFence);
   auto connection = this->Take(Use::Request);
   if (!connection) {
     return NotRun("every connection is in use", kBusyRetryAfter);
   }
   connection->client->set_read_timeout(aRequest.deadline - now);
   connection->client->set_write_timeout(aRequest.deadline - now);
-  auto response = connection->client->Post("/v1/run",
-                                           RunHeaders(aRequest, aFence),
-                                           aRequest.body,
-                                           "application/octet-stream");
+  auto response =
+    connection->client->Post("/v1/run",
+                             RunHeaders(aRequest, aFence, deadline),
+                             aRequest.body,
+                             "application/octet-stream");
   std::string peer = connection->peer;
   if (!response) {
     this->Close(std::move(*connection));
--- a/src/fescuetillerd/backendlink.h
+++ b/src/fescuetillerd/backendlink.h
@@ -29,8 +29,14 @@
   BackendLink();
   ~BackendLink();
 
-  /** Points the link at a backend server; closes connections to another. */
-  void Connect(const std::string& aAddress, uint32_t aConnections);
+  /**
+   * Points the link at a backend server; closes connections to another.
+   * @param aChecksGrant Whether it checks grants by itself; one that does not
+   * is given deadlines within the lease.
+   */
+  void Connect(const std::string& aAddress,
+               uint32_t aConnections,
+               bool aChecksGrant);
   void Disconnect();
 
   /** Runs one request; never sends it twice. */
@@ -47,6 +53,8 @@
   uint32_t OpenConnections() const;
 
 private:
+  Time DispatchDeadline(const Request& aRequest, const Fence& aFence) const;
+
   /** What a connection is wanted for; a few are kept for control. */
   enum class Use
   {
@@ -79,6 +87,7 @@
   void DropStale(Time aNow);
 
   mutable std::mutex mutex;
+  bool checksGrant = true;
   std::string address;
   uint32_t limit = 0;
   uint64_t generation = 0;
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -253,7 +253,9 @@
         return;
       }
       this->backendAnnounced = true;
-      this->backend.Connect(announcement.address(), announcement.connections());
+      this->backend.Connect(announcement.address(),
+                            announcement.connections(),
+                            announcement.checks_grant());
       this->gate.Announce(announcement.address(), announcement.slots());
       this->inbox.Put(BackendAnnounced{ announcement.service(),
                                         announcement.address(),
--- a/src/ownership/movetable.cpp
+++ b/src/ownership/movetable.cpp
@@ -18,6 +18,12 @@
   return this->entries.count(aPartition) != 0;
 }
 
+bool
+MoveTable::Empty() const
+{
+  return this->entries.empty();
+}
+
 std::vector<Move>
 MoveTable::Waiting() const
 {
--- a/src/ownership/movetable.h
+++ b/src/ownership/movetable.h
@@ -23,6 +23,8 @@
 
   bool Contains(const PartitionId& aPartition) const;
 
+  bool Empty() const;
+
   /** Moves that wait for their requests to end. */
   std::vector<Move> Waiting() const;
 
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -539,12 +539,15 @@
     this->ReleaseAll();
     return;
   }
+  // The load of partitions under way still counts as this server's own, so a
+  // further choice would give too much.
+  bool mayGive = this->moves.Empty() || !this->WantsPartitions(aNow);
   std::vector<Move> claims;
   for (const auto& move : this->placement(view)) {
     if (move.from == kNoIncarnation && move.to == this->self.incarnation) {
       claims.push_back(move);
     }
-    if (move.from == this->self.incarnation) {
+    if (mayGive && move.from == this->self.incarnation) {
       this->moves.Start(move, this->MoveLimit());
     }
   }
--- a/tests/requests/transporttest.cpp
+++ b/tests/requests/transporttest.cpp
@@ -77,7 +77,7 @@
     int status = 200;
     ScriptedBackend backend(
       [&status](const auto&, auto& aResponse) { aResponse.status = status; });
-    link.Connect(backend.Start(), 10);
+    link.Connect(backend.Start(), 10, true);
     auto run = [&] { return link.Run(MakeRequest("r"), MakeFence()); };
     CHECK(run().code == OutcomeCode::Done);
     status = 409;
@@ -91,13 +91,31 @@
     CHECK(run().code == OutcomeCode::Unknown);
     CHECK(link.OpenConnections() == 1);
   }
+  SECTION("a backend server that checks no grants gets a deadline in the lease")
+  {
+    std::string given;
+    ScriptedBackend backend([&given](const auto& aRequest, auto&) {
+      given = aRequest.get_header_value("X-Deadline-Boot-Ns");
+    });
+    std::string address = backend.Start();
+    Request request = MakeRequest("r");
+    Fence fence = MakeFence();
+    fence.leaseUntil = BootClock::now() + std::chrono::seconds(10);
+    link.Connect(address, 10, false);
+    link.Run(request, fence);
+    CHECK(given == std::to_string(ToBootNanoseconds(fence.leaseUntil)));
+
+    link.Connect(address, 10, true);
+    link.Run(request, fence);
+    CHECK(given == std::to_string(ToBootNanoseconds(request.deadline)));
+  }
   SECTION("an answer to another request is not passed on, nor its connection")
   {
     ScriptedBackend backend([](const auto&, auto& aResponse) {
       aResponse.set_header("X-Request-Id", "other");
       aResponse.set_content("other's", "text/plain");
     });
-    link.Connect(backend.Start(), 10);
+    link.Connect(backend.Start(), 10, true);
     Outcome outcome = link.Run(MakeRequest("r"), MakeFence());
     CHECK(outcome.code == OutcomeCode::Unknown);
     CHECK(outcome.body.empty());
@@ -112,7 +130,7 @@
           return false;
         });
     });
-    link.Connect(backend.Start(), 10);
+    link.Connect(backend.Start(), 10, true);
     CHECK(link.Run(MakeRequest("r"), MakeFence()).code == OutcomeCode::Unknown);
     CHECK(backend.Runs() == 1);
     CHECK(link.OpenConnections() == 0);
@@ -121,7 +139,7 @@
   {
     ScriptedBackend backend([](const auto&, auto&) {});
     backend.Handlers().set_keep_alive_max_count(1);
-    link.Connect(backend.Start(), 10);
+    link.Connect(backend.Start(), 10, true);
     for (int count = 1; count <= 3; ++count) {
       CHECK(link.Run(MakeRequest("r"), MakeFence()).code == OutcomeCode::Done);
       CHECK(backend.Runs() == count);
@@ -134,14 +152,14 @@
       ScriptedBackend gone([](const auto&, auto&) {});
       address = gone.Start();
     }
-    link.Connect(address, 10);
+    link.Connect(address, 10, true);
     CHECK(link.Run(MakeRequest("r"), MakeFence()).code == OutcomeCode::NotRun);
     CHECK(link.OpenConnections() == 0);
   }
   SECTION("a fence whose lease is over sends nothing")
   {
     ScriptedBackend backend([](const auto&, auto&) {});
-    link.Connect(backend.Start(), 10);
+    link.Connect(backend.Start(), 10, true);
     Fence fence;
     fence.leaseUntil = BootClock::now();
     CHECK(link.Run(MakeRequest("r"), fence).notOwner);
@@ -161,7 +179,7 @@
       received = aRequest.headers.find("X-Key")->second;
       epochs = aRequest.get_header_value_count("X-Epoch");
     });
-    link.Connect(backend.Start(), 10);
+    link.Connect(backend.Start(), 10, true);
     Request request = MakeRequest("r");
     request.key = key;
     CHECK(link.Run(request, MakeFence()).code == OutcomeCode::Done);
@@ -180,7 +198,7 @@
     backend.Handlers().Get("/v1/health", [](const auto&, auto& aResponse) {
       aResponse.set_content("{\"healthy\":true}", "application/json");
     });
-    link.Connect(backend.Start(), 5);
+    link.Connect(backend.Start(), 5, true);
     auto first = std::async(std::launch::async, [&link] {
       return link.Run(MakeRequest("first"), MakeFence());
     });
