--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -100,7 +100,8 @@
 {
   return [=](const IniEntry& aEntry, Settings& aSettings) -> Result<void> {
     std::vector<std::string> addresses;
-    boost::split(addresses, aEntry.value, boost::is_any_of(","));
+    boost::split(
+      addresses, aEntry.value, [](char aSign) { return aSign == ','; });
     for (auto& address : addresses) {
       boost::trim(address);
       if (!IsAddress(address)) {
--- a/src/fescuetillerd/controlloop.cpp
+++ b/src/fescuetillerd/controlloop.cpp
@@ -79,15 +79,28 @@
 }
 
 ControlStatus
-ControlLoop::Status() const
+ControlLoop::Summary() const
 {
   std::lock_guard<std::mutex> lock(this->statusMutex);
-  ControlStatus copy = this->status;
+  ControlStatus copy;
+  copy.serving = this->status.serving;
+  copy.counters = this->status.counters;
+  copy.gossip = this->status.gossip;
   copy.storeReachable = this->storeReachable;
   copy.backendHealthy = this->backendHealthy;
   return copy;
 }
 
+ControlStatus
+ControlLoop::Status() const
+{
+  ControlStatus copy = this->Summary();
+  std::lock_guard<std::mutex> lock(this->statusMutex);
+  copy.members = this->status.members;
+  copy.assignments = this->status.assignments;
+  return copy;
+}
+
 void
 ControlLoop::Run()
 {
--- a/src/fescuetillerd/controlloop.h
+++ b/src/fescuetillerd/controlloop.h
@@ -68,6 +68,9 @@
 
   ControlStatus Status() const;
 
+  /** The status without members and assignments, cheap at any size. */
+  ControlStatus Summary() const;
+
 private:
   void Run();
   void TickOnce(Time aNow, ReceivedMessages aReceived);
--- a/src/fescuetillerd/daemon.cpp
+++ b/src/fescuetillerd/daemon.cpp
@@ -287,7 +287,7 @@
 wire::HealthReport
 Daemon::Health() const
 {
-  ControlStatus status = this->control->Status();
+  ControlStatus status = this->control->Summary();
   HealthInputs inputs;
   inputs.leaseLeft = status.serving.incarnation == kNoIncarnation
                        ? Duration(0)
