Share what the scripts and the tool's commands had twice

Ports, waits and callers' lists of the scripts stand in one file, and reading the cluster from the platform in one function.

--- a/bench/losses.sh
+++ b/bench/losses.sh
@@ -10,12 +10,7 @@
 . "$(dirname "$0")/../tests/processes/cluster.sh"
 trap end_all EXIT
 
-start_platform
-for number in 1 2 3 4 5 6; do
-  start_pair $number
-done
-list_callers
-sleep 3
+start_deployment
 next=7
 times=()
 for loss in $(seq 1 "$losses"); do
--- a/src/fescuetillerctl/cluster.cpp
+++ b/src/fescuetillerctl/cluster.cpp
@@ -57,6 +57,16 @@
   return ParseClusterView(rows);
 }
 
+Result<ClusterView>
+ReadCluster(Session& aSession, const CommonOptions& aOptions)
+{
+  auto store = OpenStore(aSession, aOptions);
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  return ReadCluster(**store);
+}
+
 std::vector<MemberAnswer>
 CallMembers(Session& aSession,
             const CommonOptions& aOptions,
@@ -96,11 +106,7 @@
     return aSession.callDaemon(
       { aOptions.daemon, aPath, false, aOptions.timeout });
   }
-  auto store = OpenStore(aSession, aOptions);
-  if (!store) {
-    return tl::unexpected(store.error());
-  }
-  auto view = ReadCluster(**store);
+  auto view = ReadCluster(aSession, aOptions);
   if (!view) {
     return tl::unexpected(view.error());
   }
--- a/src/fescuetillerctl/cluster.h
+++ b/src/fescuetillerctl/cluster.h
@@ -13,6 +13,10 @@
 Result<ClusterView>
 ReadCluster(TableStore& aStore);
 
+/** The same from the platform that the options name. */
+Result<ClusterView>
+ReadCluster(Session& aSession, const CommonOptions& aOptions);
+
 /** One member's answer on its operator port. */
 struct MemberAnswer
 {
--- a/src/fescuetillerctl/metricscommand.cpp
+++ b/src/fescuetillerctl/metricscommand.cpp
@@ -9,11 +9,7 @@
             const CommonOptions& aOptions,
             const std::string& aName)
 {
-  auto store = OpenStore(aSession, aOptions);
-  if (!store) {
-    return tl::unexpected(store.error());
-  }
-  auto view = ReadCluster(**store);
+  auto view = ReadCluster(aSession, aOptions);
   if (!view) {
     return tl::unexpected(view.error());
   }
--- a/src/fescuetillerctl/statuscommand.cpp
+++ b/src/fescuetillerctl/statuscommand.cpp
@@ -54,11 +54,7 @@
 Result<wire::StatusReport>
 StatusFromPlatform(Session& aSession, const CommonOptions& aOptions)
 {
-  auto store = OpenStore(aSession, aOptions);
-  if (!store) {
-    return tl::unexpected(store.error());
-  }
-  auto view = ReadCluster(**store);
+  auto view = ReadCluster(aSession, aOptions);
   if (!view) {
     return tl::unexpected(view.error());
   }
--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -36,14 +36,6 @@
   ;;
 esac
 
-list_callers() {
-  local ports
-  for ports in "$folder"/*.ports; do
-    [ -f "$ports" ] && echo "127.0.0.1:$(port "$ports" caller_port)"
-  done >"$folder/callers.new"
-  mv "$folder/callers.new" "$folder/callers"
-}
-
 # start_pair SERVICE NUMBER: one daemon and the backend server beside it.
 start_pair() {
   local service=$1 name=$1-$2
--- a/tests/demo/deployment.sh
+++ b/tests/demo/deployment.sh
@@ -16,6 +16,15 @@
 # port FILE KEY: a bound port.
 port() { sed -n "s/^$2=//p" "$1"; }
 
+# list_callers: writes the callers' addresses of all daemons into the folder.
+list_callers() {
+  local ports
+  for ports in "$folder"/*.ports; do
+    [ -f "$ports" ] && echo "127.0.0.1:$(port "$ports" caller_port)"
+  done >"$folder/callers.new"
+  mv "$folder/callers.new" "$folder/callers"
+}
+
 # settings_from EXAMPLE NAME ZONE PLATFORM PORTS-FILE: the example's settings
 # with a name of its own, on loopback and on free ports.
 settings_from() {
--- a/tests/processes/cluster.sh
+++ b/tests/processes/cluster.sh
@@ -1,31 +1,8 @@
 # Functions that run daemons with their backend servers on loopback. The caller
 # sets build and folder; sourced by processes.sh and bench/losses.sh.
+. "$(dirname "${BASH_SOURCE[0]}")/../demo/deployment.sh"
 declare -A processes
 
-# wait_for FILE: until a process has written its ports.
-wait_for() {
-  local tries=0
-  until [ -f "$1" ]; do
-    sleep 0.05
-    tries=$((tries + 1))
-    if [ $tries -gt 400 ]; then
-      echo "$1 did not appear" >&2
-      exit 1
-    fi
-  done
-}
-
-# port FILE KEY: a bound port.
-port() { sed -n "s/^$2=//p" "$1"; }
-
-list_callers() {
-  local ports
-  for ports in "$folder"/*.ports; do
-    [ -f "$ports" ] && echo "127.0.0.1:$(port "$ports" caller_port)"
-  done >"$folder/callers.new"
-  mv "$folder/callers.new" "$folder/callers"
-}
-
 # start_platform: the stand-in and the classes of work.
 start_platform() {
   "$build/tests/platformstandin" --ports-file "$folder/platform" &
@@ -71,6 +48,17 @@
   processes[$name-backend]=$!
 }
 
+# start_deployment: the platform and six pairs, until they own partitions.
+start_deployment() {
+  local number
+  start_platform
+  for number in 1 2 3 4 5 6; do
+    start_pair $number
+  done
+  list_callers
+  sleep 3
+}
+
 # signal SIGNAL PROCESS...: to processes of this run, by name.
 signal() {
   local kind=$1 name
--- a/tests/processes/processes.sh
+++ b/tests/processes/processes.sh
@@ -52,12 +52,7 @@
   set_faults '{}'
 }
 
-start_platform
-for number in 1 2 3 4 5 6; do
-  start_pair $number
-done
-list_callers
-sleep 3
+start_deployment
 
 under_load "daemon and backend server killed" lose agenda-6 agenda-6-backend
 under_load "daemon frozen past its lease" freeze agenda-1
