--- /dev/null
+++ b/src/admission/slotqueue.cpp
@@ -0,0 +1,270 @@
+#include "admission/slotqueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace fescuetiller {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Share of the target latency that an unseen class is expected to take. */
+constexpr double kUnseenShare = 0.3;
+/** Half-life of the offered load: reacts within seconds, spans several
+ * requests of each class. */
+constexpr Duration kOfferedHalfLife = milliseconds(1500);
+/** Shortest time after which a refused client may come back. */
+constexpr Duration kShortestRetry = milliseconds(40);
+/** Spread of the return of refused clients, as a share of the wait. */
+constexpr double kRetrySpread = 0.5;
+/** Part of the time left that a late request's wait may take: its estimate is
+ * less certain, since every timely request passes it. */
+constexpr double kLateShare = 0.6;
+
+} // namespace
+
+bool
+operator==(const SlotRefusal& aLeft, const SlotRefusal& aRight)
+{
+  return aLeft.id == aRight.id && aLeft.reason == aRight.reason &&
+         aLeft.retryAfter == aRight.retryAfter;
+}
+
+SlotQueue::SlotQueue(Eligible aEligible)
+  : eligible(std::move(aEligible))
+{
+}
+
+void
+SlotQueue::SetSlots(uint32_t aSlots)
+{
+  this->slots = std::max<uint32_t>(1, aSlots);
+}
+
+Duration
+SlotQueue::TimeOf(const SlotRequest& aRequest) const
+{
+  return this->times.Of(
+    aRequest.requestClass,
+    std::chrono::duration_cast<Duration>(
+      (aRequest.wantedBy - aRequest.arrivedAt) * kUnseenShare));
+}
+
+bool
+SlotQueue::CanBeInTime(Time aNow, const SlotRequest& aRequest) const
+{
+  return aNow + this->TimeOf(aRequest) <= aRequest.wantedBy;
+}
+
+bool
+SlotQueue::Before(Time aNow,
+                  const SlotRequest& aLeft,
+                  const SlotRequest& aRight) const
+{
+  auto order = [&](const SlotRequest& aRequest) {
+    return std::tuple(!this->CanBeInTime(aNow, aRequest),
+                      !aRequest.nested,
+                      aRequest.priority,
+                      aRequest.arrivedAt,
+                      aRequest.id);
+  };
+  return order(aLeft) < order(aRight);
+}
+
+/** Usual time until a slot is free while all are in use. */
+Duration
+SlotQueue::Residual(Time aNow) const
+{
+  if (this->running.size() < this->slots) {
+    return Duration(0);
+  }
+  Duration shortest = Duration::max();
+  for (const auto& [id, entry] : this->running) {
+    auto usual = this->TimeOf(entry.request);
+    auto spent = aNow - entry.startedAt;
+    // What has taken longer than usual is expected to take as long again.
+    auto rest = spent < usual ? usual - spent : Duration(spent);
+    shortest = std::min(shortest, Duration(rest));
+  }
+  return shortest / static_cast<int>(this->slots);
+}
+
+/** Expected wait of a request, or of one that comes after all. */
+Duration
+SlotQueue::WaitFor(Time aNow, const SlotRequest* aRequest) const
+{
+  Duration work(0);
+  for (const auto& other : this->waiting) {
+    if (aRequest == nullptr ||
+        (other.id != aRequest->id && this->Before(aNow, other, *aRequest))) {
+      work += this->TimeOf(other);
+    }
+  }
+  if (this->running.size() < this->slots && work == Duration(0)) {
+    return Duration(0);
+  }
+  return work / static_cast<int>(this->slots) + this->Residual(aNow);
+}
+
+Duration
+SlotQueue::RetryAfter(Time aNow, uint64_t aId) const
+{
+  auto wait = std::max<Duration>(this->WaitFor(aNow, nullptr), kShortestRetry);
+  // Spread by id, so that clients refused together do not return together.
+  double spread = kRetrySpread * static_cast<double>(aId % 64) / 64;
+  return std::chrono::duration_cast<Duration>(wait * (1 + spread));
+}
+
+/** Factor on the offered work since it was last counted. */
+double
+SlotQueue::OfferedDecay(Time aNow) const
+{
+  return std::exp2(-static_cast<double>((aNow - this->offeredAt).count()) /
+                   static_cast<double>(kOfferedHalfLife.count()));
+}
+
+void
+SlotQueue::CountOffered(Time aNow, Duration aWork)
+{
+  this->offered = this->offered * this->OfferedDecay(aNow) +
+                  static_cast<double>(aWork.count()) / 1e9;
+  this->offeredAt = aNow;
+}
+
+std::vector<SlotRefusal>
+SlotQueue::Offer(Time aNow, const SlotRequest& aRequest)
+{
+  auto usual = this->TimeOf(aRequest);
+  this->CountOffered(aNow, usual);
+  bool inTime = this->CanBeInTime(aNow, aRequest);
+  auto wait = std::max(this->WaitFor(aNow, &aRequest),
+                       Duration(aRequest.notBefore - aNow));
+  auto end = aNow + wait + usual;
+  bool late = !inTime || end > aRequest.wantedBy;
+  auto left = aRequest.deadline - aNow - usual;
+  bool hopeless = end > aRequest.deadline ||
+                  (late && wait > std::chrono::duration_cast<Duration>(
+                                    left * kLateShare));
+  if (hopeless) {
+    return { { aRequest.id, "no-time", this->RetryAfter(aNow, aRequest.id) } };
+  }
+  this->waiting.push_back(aRequest);
+  return {};
+}
+
+std::vector<uint64_t>
+SlotQueue::Start(Time aNow)
+{
+  std::vector<uint64_t> started;
+  while (this->running.size() < this->slots) {
+    auto best = this->waiting.end();
+    for (auto entry = this->waiting.begin(); entry != this->waiting.end();
+         ++entry) {
+      if (this->eligible(*entry) && (best == this->waiting.end() ||
+                                     this->Before(aNow, *entry, *best))) {
+        best = entry;
+      }
+    }
+    if (best == this->waiting.end()) {
+      break;
+    }
+    started.push_back(best->id);
+    this->running[best->id] = { *best, aNow };
+    this->waiting.erase(best);
+  }
+  return started;
+}
+
+void
+SlotQueue::Finished(Time aNow, uint64_t aId, bool aLearn)
+{
+  auto found = this->running.find(aId);
+  if (found == this->running.end()) {
+    return;
+  }
+  if (aLearn) {
+    this->times.Learn(found->second.request.requestClass,
+                      aNow - found->second.startedAt);
+  }
+  this->running.erase(found);
+}
+
+bool
+SlotQueue::Cancel(uint64_t aId)
+{
+  auto found =
+    std::find_if(this->waiting.begin(),
+                 this->waiting.end(),
+                 [&](const auto& aRequest) { return aRequest.id == aId; });
+  if (found == this->waiting.end()) {
+    return false;
+  }
+  this->waiting.erase(found);
+  return true;
+}
+
+std::vector<SlotRefusal>
+SlotQueue::Expire(Time aNow)
+{
+  std::vector<SlotRefusal> refused;
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    auto start = std::max(aNow, entry->notBefore);
+    if (start + this->TimeOf(*entry) > entry->deadline) {
+      refused.push_back(
+        { entry->id, "expired", this->RetryAfter(aNow, entry->id) });
+      entry = this->waiting.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return refused;
+}
+
+std::vector<SlotRefusal>
+SlotQueue::Clear(Time aNow, const std::string& aReason)
+{
+  std::vector<SlotRefusal> refused;
+  for (const auto& request : this->waiting) {
+    refused.push_back(
+      { request.id, aReason, this->RetryAfter(aNow, request.id) });
+  }
+  this->waiting.clear();
+  return refused;
+}
+
+double
+SlotQueue::OfferedLoad(Time aNow) const
+{
+  double span = static_cast<double>(kOfferedHalfLife.count()) / 1e9 /
+                std::log(2.0);
+  return this->offered * this->OfferedDecay(aNow) / span /
+         static_cast<double>(this->slots);
+}
+
+Duration
+SlotQueue::ExpectedTime(Time aNow, const std::string& aClass) const
+{
+  return this->WaitFor(aNow, nullptr) + this->times.Of(aClass, Duration(0));
+}
+
+size_t
+SlotQueue::Running() const
+{
+  return this->running.size();
+}
+
+size_t
+SlotQueue::Waiting() const
+{
+  return this->waiting.size();
+}
+
+ServiceTimes&
+SlotQueue::Times()
+{
+  return this->times;
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/admission/slotqueue.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "admission/servicetimes.h"
+#include "base/base.h"
+
+namespace fescuetiller {
+
+/** One request for a slot. */
+struct SlotRequest
+{
+  uint64_t id = 0;
+  std::string requestClass;
+  uint32_t priority = 0; ///< 0 is the most urgent.
+  bool nested = false;   ///< Made by a request that holds a slot meanwhile.
+  Time arrivedAt;
+  Time wantedBy; ///< An answer until then earns its full worth.
+  Time deadline; ///< A later answer is of no use.
+  /** When it may start at the earliest, as far as is known; for keys that have
+   * not been granted yet. */
+  Time notBefore;
+};
+
+/** A request that will not run, and when its client may come back. */
+struct SlotRefusal
+{
+  uint64_t id = 0;
+  std::string reason;
+  Duration retryAfter = Duration(0);
+
+  friend bool operator==(const SlotRefusal& aLeft, const SlotRefusal& aRight);
+};
+
+/**
+ * Requests that wait for a slot of one backend server. Those that can be
+ * answered in time come first: calls of running requests, then by priority,
+ * then by arrival; the others use what is left. A request that is not expected
+ * to end before its deadline is refused at once. Pure, not thread-safe.
+ */
+class SlotQueue
+{
+public:
+  /** Whether a request may start now; a request that may not lets others pass.
+   */
+  using Eligible = std::function<bool(const SlotRequest&)>;
+
+  explicit SlotQueue(Eligible aEligible);
+
+  void SetSlots(uint32_t aSlots);
+
+  /** Waits, or is refused. */
+  std::vector<SlotRefusal> Offer(Time aNow, const SlotRequest& aRequest);
+
+  /** Requests that start now, in order; they hold slots until Finished. */
+  std::vector<uint64_t> Start(Time aNow);
+
+  /** @param aLearn Whether the time tells how long the class takes. */
+  void Finished(Time aNow, uint64_t aId, bool aLearn);
+
+  /** A waiting request is no longer wanted. @return Whether it waited. */
+  bool Cancel(uint64_t aId);
+
+  /** Refuses what cannot end before its deadline any more. */
+  std::vector<SlotRefusal> Expire(Time aNow);
+
+  /** Refuses everything that waits. */
+  std::vector<SlotRefusal> Clear(Time aNow, const std::string& aReason);
+
+  /** Slots' worth of work offered in the recent past, by slots; may exceed 1.
+   */
+  double OfferedLoad(Time aNow) const;
+
+  /** Time after which a request of the class would be answered now. */
+  Duration ExpectedTime(Time aNow, const std::string& aClass) const;
+
+  size_t Running() const;
+  size_t Waiting() const;
+  ServiceTimes& Times();
+
+private:
+  struct RunningRequest
+  {
+    SlotRequest request;
+    Time startedAt;
+  };
+
+  Duration TimeOf(const SlotRequest& aRequest) const;
+  bool CanBeInTime(Time aNow, const SlotRequest& aRequest) const;
+  bool Before(Time aNow,
+              const SlotRequest& aLeft,
+              const SlotRequest& aRight) const;
+  Duration WaitFor(Time aNow, const SlotRequest* aRequest) const;
+  Duration Residual(Time aNow) const;
+  Duration RetryAfter(Time aNow, uint64_t aId) const;
+  double OfferedDecay(Time aNow) const;
+  void CountOffered(Time aNow, Duration aWork);
+
+  Eligible eligible;
+  uint32_t slots = 1;
+  std::vector<SlotRequest> waiting;
+  std::map<uint64_t, RunningRequest> running;
+  ServiceTimes times;
+  double offered = 0; ///< Decaying sum of slot seconds.
+  Time offeredAt;
+};
+
+} // namespace fescuetiller
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -3,5 +3,6 @@
 /** Public header of the base library: time, errors, identifiers. */
 
 #include "base/error.h"
+#include "base/event.h"
 #include "base/ids.h"
 #include "base/time.h"
--- /dev/null
+++ b/src/cluster/clusterview.cpp
@@ -0,0 +1,129 @@
+#include "cluster/clusterview.h"
+
+#include <algorithm>
+#include <set>
+
+namespace fescuetiller {
+
+bool
+ClusterView::Apply(const StoreRow& aRow)
+{
+  if (aRow.key.table != kClusterTable) {
+    return false;
+  }
+  auto& known = this->versions[aRow.key];
+  if (aRow.version <= known) {
+    return false;
+  }
+  known = aRow.version;
+  this->newest = std::max(this->newest, aRow.version);
+  if (auto member = ParseMember(aRow)) {
+    this->members[member->id] = { *member, aRow.version };
+    return true;
+  }
+  if (auto range = ParseRange(aRow)) {
+    this->ranges[range->service][range->range.first] = { *range, aRow.version };
+    return true;
+  }
+  return this->Remove(aRow.key, aRow.version);
+}
+
+bool
+ClusterView::Remove(const StoreKey& aKey, RowVersion)
+{
+  for (auto entry = this->members.begin(); entry != this->members.end();
+       ++entry) {
+    if (MemberKey(entry->second.record.service, entry->first) == aKey) {
+      this->members.erase(entry);
+      return true;
+    }
+  }
+  auto service = this->ranges.find(aKey.part);
+  if (service == this->ranges.end()) {
+    return false;
+  }
+  for (auto entry = service->second.begin(); entry != service->second.end();
+       ++entry) {
+    if (RangeKey(aKey.part, entry->first) == aKey) {
+      service->second.erase(entry);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+ClusterView::Replace(const std::string& aService, const StoreRows& aRows)
+{
+  std::set<StoreKey> present;
+  for (const auto& row : aRows.rows) {
+    present.insert(row.key);
+  }
+  std::vector<StoreKey> missing;
+  for (const auto& [key, version] : this->versions) {
+    if (key.part == aService && version <= aRows.version &&
+        present.count(key) == 0) {
+      missing.push_back(key);
+    }
+  }
+  for (const auto& key : missing) {
+    this->Remove(key, aRows.version);
+    this->versions[key] = aRows.version;
+  }
+  for (const auto& row : aRows.rows) {
+    this->Apply(row);
+  }
+}
+
+const ClusterView::Members&
+ClusterView::AllMembers() const
+{
+  return this->members;
+}
+
+const Versioned<MemberRecord>*
+ClusterView::FindMember(const MemberId& aId) const
+{
+  auto found = this->members.find(aId);
+  return found == this->members.end() ? nullptr : &found->second;
+}
+
+std::vector<const MemberRecord*>
+ClusterView::MembersOf(const std::string& aService) const
+{
+  std::vector<const MemberRecord*> result;
+  for (const auto& [id, member] : this->members) {
+    if (member.record.service == aService) {
+      result.push_back(&member.record);
+    }
+  }
+  return result;
+}
+
+const ClusterView::Ranges&
+ClusterView::RangesOf(const std::string& aService) const
+{
+  static const Ranges kNone;
+  auto found = this->ranges.find(aService);
+  return found == this->ranges.end() ? kNone : found->second;
+}
+
+const RangeRecord*
+ClusterView::FindRange(const std::string& aService, Key aKey) const
+{
+  const auto& rows = this->RangesOf(aService);
+  auto next = rows.upper_bound(aKey);
+  if (next == rows.begin()) {
+    return nullptr;
+  }
+  const auto& record = std::prev(next)->second.record;
+  return record.range.Contains(aKey) ? &record : nullptr;
+}
+
+RowVersion
+ClusterView::Version() const
+{
+  return this->newest;
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/clusterview.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cluster/records.h"
+
+namespace fescuetiller {
+
+/** A record and the version of its row. */
+template<typename Record>
+struct Versioned
+{
+  Record record;
+  RowVersion version = 0;
+};
+
+/**
+ * Members and key ranges as this daemon knows them. A row of an older version
+ * never replaces a newer one, so rows may come late, twice and in any order.
+ */
+class ClusterView
+{
+public:
+  using Members = std::map<MemberId, Versioned<MemberRecord>>;
+  using Ranges = std::map<Key, Versioned<RangeRecord>>;
+
+  /** @return Whether anything changed. */
+  bool Apply(const StoreRow& aRow);
+
+  /** Takes the rows as everything that a part holds at a version; what is
+   * known beside them and is not newer is dropped. */
+  void Replace(const std::string& aService, const StoreRows& aRows);
+
+  const Members& AllMembers() const;
+
+  /** nullptr when there is no such member. */
+  const Versioned<MemberRecord>* FindMember(const MemberId& aId) const;
+
+  std::vector<const MemberRecord*> MembersOf(const std::string& aService) const;
+
+  /** Ranges of a service by their first key. */
+  const Ranges& RangesOf(const std::string& aService) const;
+
+  /** nullptr when nobody owns the key. */
+  const RangeRecord* FindRange(const std::string& aService, Key aKey) const;
+
+  /** Newest version of any row applied. */
+  RowVersion Version() const;
+
+private:
+  bool Remove(const StoreKey& aKey, RowVersion aVersion);
+
+  Members members;
+  std::map<std::string, Ranges> ranges;
+  std::map<StoreKey, RowVersion> versions; ///< Of removed rows too.
+  RowVersion newest = 0;
+};
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/keyload.cpp
@@ -0,0 +1,57 @@
+#include "cluster/keyload.h"
+
+#include <cmath>
+
+namespace fescuetiller {
+
+namespace {
+
+/** Between decays; finer steps change no decision. */
+constexpr Duration kDecayInterval = std::chrono::milliseconds(250);
+/** Share of one request below which a key is forgotten. */
+constexpr double kLeastWeight = 1e-4;
+
+} // namespace
+
+KeyLoad::KeyLoad(Duration aHalfLife)
+  : halfLife(aHalfLife)
+{
+}
+
+void
+KeyLoad::Decay(Time aNow)
+{
+  auto passed = aNow - this->decayedAt;
+  if (passed < kDecayInterval) {
+    return;
+  }
+  this->decayedAt = aNow;
+  double factor = std::exp2(-static_cast<double>(passed.count()) /
+                            static_cast<double>(this->halfLife.count()));
+  for (auto entry = this->weights.begin(); entry != this->weights.end();) {
+    entry->second *= factor;
+    entry = entry->second < kLeastWeight ? this->weights.erase(entry)
+                                         : std::next(entry);
+  }
+}
+
+void
+KeyLoad::Add(Time aNow, Key aKey, double aWork)
+{
+  this->Decay(aNow);
+  this->weights[aKey] += aWork;
+}
+
+std::vector<KeyWeight>
+KeyLoad::Snapshot(Time aNow)
+{
+  this->Decay(aNow);
+  std::vector<KeyWeight> result;
+  result.reserve(this->weights.size());
+  for (const auto& [key, weight] : this->weights) {
+    result.push_back({ key, weight });
+  }
+  return result;
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/messages.cpp
@@ -0,0 +1,64 @@
+#include "cluster/messages.h"
+
+#include <tuple>
+
+#include <nlohmann/json.hpp>
+
+namespace fescuetiller {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kLastKind = static_cast<int>(BeaconMessage::Kind::Consent);
+
+} // namespace
+
+bool
+operator==(const BeaconMessage& aLeft, const BeaconMessage& aRight)
+{
+  auto tie = [](const BeaconMessage& aMessage) {
+    return std::tie(aMessage.kind,
+                    aMessage.from,
+                    aMessage.to,
+                    aMessage.ward,
+                    aMessage.version,
+                    aMessage.sentAt);
+  };
+  return tie(aLeft) == tie(aRight);
+}
+
+std::string
+Encode(const BeaconMessage& aMessage)
+{
+  json value = { static_cast<int>(aMessage.kind),
+                 aMessage.from,
+                 aMessage.to,
+                 aMessage.ward,
+                 aMessage.version,
+                 aMessage.sentAt };
+  auto bytes = json::to_msgpack(value);
+  return { bytes.begin(), bytes.end() };
+}
+
+std::optional<BeaconMessage>
+DecodeBeacon(const std::string& aBytes)
+{
+  auto value = json::from_msgpack(aBytes, true, false);
+  try {
+    auto kind = value.at(0).get<int>();
+    if (!value.is_array() || kind < 0 || kind > kLastKind) {
+      return std::nullopt;
+    }
+    return BeaconMessage{ static_cast<BeaconMessage::Kind>(kind),
+                          value.at(1).get<std::string>(),
+                          value.at(2).get<std::string>(),
+                          value.at(3).get<std::string>(),
+                          value.at(4).get<RowVersion>(),
+                          value.at(5).get<int64_t>() };
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/messages.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "cluster/records.h"
+
+namespace fescuetiller {
+
+/** A datagram between a member and its guardians. */
+struct BeaconMessage
+{
+  enum class Kind
+  {
+    Renew,       ///< "I live": a member to its guardian.
+    Acknowledge, ///< The guardian will not agree to a takeover for a while.
+    AskConsent,  ///< May the silent member be taken over?
+    Consent,     ///< Yes; its renewals are not acknowledged any more.
+  };
+
+  Kind kind = Kind::Renew;
+  MemberId from;
+  MemberId to;
+  MemberId ward;      ///< The member in question.
+  /** Version of the member's record that a consent is for. */
+  RowVersion version = 0;
+  int64_t sentAt = 0; ///< Sender's clock; echoed by an acknowledgement.
+
+  friend bool operator==(const BeaconMessage& aLeft,
+                         const BeaconMessage& aRight);
+};
+
+std::string
+Encode(const BeaconMessage& aMessage);
+
+/** Nothing for bytes that are no message. */
+std::optional<BeaconMessage>
+DecodeBeacon(const std::string& aBytes);
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/ownershipagent.cpp
@@ -0,0 +1,1094 @@
+#include "cluster/ownershipagent.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace fescuetiller {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A server's clock may run slow by 2%; rounded up. */
+constexpr double kServerDrift = 0.03;
+/** A shorter grant ends before the next heartbeat and is not worth giving. */
+constexpr Duration kShortestHold = milliseconds(200);
+/** Lets the others' records arrive before guardians or ranges are chosen. */
+constexpr Duration kGatherTime = milliseconds(1200);
+/** Between attempts to join or to change the own record. */
+constexpr Duration kRecordInterval = milliseconds(700);
+/** Between moves for load: their effect shows in the loads only later. */
+constexpr Duration kMoveInterval = milliseconds(1200);
+/** A move for load is dropped if the store does not take it by then. */
+constexpr Duration kMovePatience = milliseconds(400);
+constexpr Duration kLeasePatience = std::chrono::seconds(2);
+/** Usual time between heartbeats of a backend server. */
+constexpr Duration kHeartbeatInterval = milliseconds(900);
+/** Parts that a lost member's ranges are divided into at most: all rows and
+ * conditions must fit into one transaction. */
+constexpr size_t kMostParts = 30;
+/** Ranges of a lost member that one transaction takes. */
+constexpr size_t kMostTaken = 40;
+/** Time after which keys whose owner is no member are taken by another: longer
+ * than any grant that the owner may have given. */
+constexpr Duration kOrphanTime = milliseconds(4000);
+/** Ranges of a member from which on adjacent ones are merged. */
+constexpr size_t kMergeFrom = 16;
+/** Longest time for which a process that is gone may have granted keys. */
+constexpr Duration kForeignGrant = milliseconds(3300);
+/** Lives of a server that get fences within one epoch. */
+constexpr uint64_t kLivesPerEpoch = 4096;
+
+void
+AddCondition(StoreTransaction& aTransaction,
+             const StoreKey& aKey,
+             RowVersion aVersion)
+{
+  aTransaction.conditions.push_back({ aKey, aVersion });
+}
+
+/** Ranges and their fences, for the log. */
+template<typename Rows>
+std::string
+Describe(const Rows& aRows)
+{
+  std::string text;
+  for (const auto& row : aRows) {
+    text += (text.empty() ? "" : " ") + ToString(row.range) + "@" +
+            std::to_string(row.fence);
+  }
+  return text;
+}
+
+} // namespace
+
+bool
+operator==(const ServedRange& aLeft, const ServedRange& aRight)
+{
+  return aLeft.range == aRight.range &&
+         aLeft.grantedUntil == aRight.grantedUntil;
+}
+
+bool
+operator==(const ServingState& aLeft, const ServingState& aRight)
+{
+  auto tie = [](const ServingState& aState) {
+    return std::tie(aState.member,
+                    aState.serverId,
+                    aState.slots,
+                    aState.usable,
+                    aState.leaving,
+                    aState.sendUntil,
+                    aState.coldUntil,
+                    aState.nextHeartbeat,
+                    aState.ownsKeys,
+                    aState.ranges);
+  };
+  return tie(aLeft) == tie(aRight);
+}
+
+OwnershipAgent::OwnershipAgent(AgentIdentity aIdentity,
+                               AgentSettings aSettings,
+                               IdFunction aNewId,
+                               RandomFunction aRandom)
+  : identity(std::move(aIdentity))
+  , settings(aSettings)
+  , newId(std::move(aNewId))
+  , random(std::move(aRandom))
+  , lease(aSettings.times)
+  , watch(aSettings.times)
+{
+  this->self = this->newId();
+}
+
+void
+OwnershipAgent::Say(std::string aName,
+                    std::vector<std::pair<std::string, std::string>> aFields)
+{
+  aFields.emplace_back("member", this->self);
+  this->events.push_back({ std::move(aName), std::move(aFields) });
+}
+
+void
+OwnershipAgent::SetOwnsKeys(bool aOwnsKeys)
+{
+  this->ownsKeys = aOwnsKeys;
+}
+
+void
+OwnershipAgent::OnRows(Time aNow,
+                       const std::string& aService,
+                       const StoreRows& aRows)
+{
+  this->view.Replace(aService, aRows);
+  this->viewLoaded = this->viewLoaded || aService == this->identity.service;
+  this->CheckMembership(aNow);
+}
+
+void
+OwnershipAgent::OnRow(Time aNow, const StoreRow& aRow)
+{
+  this->view.Apply(aRow);
+  this->CheckMembership(aNow);
+}
+
+void
+OwnershipAgent::CheckMembership(Time aNow)
+{
+  if (this->phase != Phase::Inside ||
+      this->view.FindMember(this->self) != nullptr) {
+    return;
+  }
+  this->Say("member-ended", { { "reason", "record removed by another" } });
+  this->phase = Phase::Outside;
+  this->self = this->newId();
+  this->moves.clear();
+  this->lease.Start({}, Time());
+  this->granted.clear();
+  this->nextJoinAt = aNow + kRecordInterval;
+}
+
+HeartbeatReply
+OwnershipAgent::OnHeartbeat(Time aNow, const ServerReport& aReport)
+{
+  if (aReport.service != this->identity.service ||
+      aReport.address != this->identity.server) {
+    this->Say("heartbeat-refused",
+              { { "server", aReport.life.id },
+                { "reason", "not the server beside this daemon" },
+                { "address", aReport.address } });
+    return {};
+  }
+  bool wasLeaving = this->server.Leaving();
+  auto seen = this->server.OnHeartbeat(aNow, aReport);
+  if (seen == ServerState::Seen::Stale) {
+    return {};
+  }
+  this->lastHeartbeat = aNow;
+  if (seen == ServerState::Seen::NewLife) {
+    this->granted.clear();
+    this->Say("server-started",
+              { { "server", aReport.life.id },
+                { "born", std::to_string(aReport.life.startedAt) },
+                { "slots", std::to_string(aReport.slots) } });
+  }
+  if (this->server.Leaving() && !wasLeaving) {
+    this->Say("server-leaving", { { "server", aReport.life.id } });
+  }
+  if (!this->ownsKeys || this->phase != Phase::Inside) {
+    return {};
+  }
+  this->DropStaleMoves(aNow);
+  this->PlanMoves(aNow); // The answer leaves keys out that are to move.
+  auto left = std::min(this->settings.longestHold,
+                       this->lease.EndsAt() > aNow
+                         ? Duration(this->lease.EndsAt() - aNow)
+                         : Duration(0));
+  auto hold =
+    std::chrono::duration_cast<Duration>(left * (1 - kServerDrift)) -
+    milliseconds(10);
+  if (hold < kShortestHold) {
+    return {};
+  }
+  HeartbeatReply reply;
+  reply.grants = Grants{ this->GrantList(), hold };
+  if (!(this->granted == reply.grants->ranges)) {
+    this->Say("grants-changed",
+              { { "server", aReport.life.id },
+                { "grants", Describe(reply.grants->ranges) },
+                { "held", Describe(aReport.holds) },
+                { "hold_ms", std::to_string(ToMilliseconds(hold)) },
+                { "heartbeat", std::to_string(aReport.sequence) } });
+  }
+  this->granted = reply.grants->ranges;
+  this->grantedUntil = aNow + hold;
+  this->server.Granted(
+    this->granted,
+    aNow + std::chrono::duration_cast<Duration>(hold * (1 + kServerDrift)));
+  return reply;
+}
+
+std::vector<Grant>
+OwnershipAgent::GrantList() const
+{
+  std::vector<Grant> grants;
+  for (const auto* owned : this->Owned()) {
+    std::vector<KeyRange> parts{ owned->record.range };
+    for (const auto& move : this->moves) {
+      std::vector<KeyRange> rest;
+      for (const auto& part : parts) {
+        auto pieces = Subtract(part, move.plan.range);
+        rest.insert(rest.end(), pieces.begin(), pieces.end());
+      }
+      parts = std::move(rest);
+    }
+    for (const auto& part : parts) {
+      grants.push_back({ part,
+                         owned->record.epoch * kLivesPerEpoch +
+                           this->server.LifeNumber() % kLivesPerEpoch,
+                         owned->record.handover });
+    }
+  }
+  return grants;
+}
+
+void
+OwnershipAgent::OnLeave(Time aNow, const std::string& aServerId)
+{
+  bool wasLeaving = this->server.Leaving();
+  this->server.OnLeave(aNow, aServerId);
+  if (this->server.Leaving() && !wasLeaving) {
+    this->Say("server-leaving", { { "server", aServerId } });
+  }
+}
+
+void
+OwnershipAgent::OnRefusedConnection(Time aNow)
+{
+  if (!this->server.Lost(aNow)) {
+    this->Say("server-lost", { { "reason", "connection refused" } });
+  }
+  this->server.OnRefusedConnection(aNow);
+}
+
+std::vector<OutgoingBeacon>
+OwnershipAgent::OnBeacon(Time aNow, const BeaconMessage& aMessage)
+{
+  if (aMessage.to != this->self) {
+    return {};
+  }
+  using Kind = BeaconMessage::Kind;
+  auto reply = [&](Kind aKind) {
+    return BeaconMessage{
+      aKind,           this->self,       aMessage.from,
+      aMessage.ward,   aMessage.version, aMessage.sentAt
+    };
+  };
+  switch (aMessage.kind) {
+    case Kind::Renew:
+      // A member whose record may be gone must promise nothing more.
+      if (this->LeaseEnd() > aNow &&
+          this->watch.OnRenewal(aNow, aMessage.from)) {
+        return { { "", reply(Kind::Acknowledge) } };
+      }
+      break;
+    case Kind::Acknowledge:
+      this->lease.Acknowledged(aMessage.from,
+                               FromBootNanoseconds(aMessage.sentAt));
+      break;
+    case Kind::AskConsent:
+      if (this->watch.OnConsentAsked(
+            aNow, aMessage.ward, aMessage.version)) {
+        return { { "", reply(Kind::Consent) } };
+      }
+      break;
+    case Kind::Consent:
+      this->watch.OnConsent(
+        aMessage.ward, aMessage.from, aMessage.version);
+      break;
+  }
+  return {};
+}
+
+void
+OwnershipAgent::OnLease(Time aNow, const MemberId& aMember, RowVersion aVersion)
+{
+  this->watch.OnLease(aNow, aMember, aVersion);
+}
+
+void
+OwnershipAgent::SetLoads(double aOwnLoad,
+                         std::vector<KeyWeight> aKeys,
+                         std::map<MemberId, double> aLoads)
+{
+  this->ownLoad = aOwnLoad;
+  this->keys = std::move(aKeys);
+  this->loads = std::move(aLoads);
+}
+
+OwnershipAgent::Output
+OwnershipAgent::Tick(Time aNow)
+{
+  Output output;
+  if (this->phase == Phase::Outside) {
+    this->Join(aNow);
+  }
+  if (this->phase == Phase::Inside) {
+    this->UpdateMember(aNow);
+    this->SendRenewals(aNow, output);
+    this->RenewLongLease(aNow);
+    if (this->ownsKeys) {
+      this->CreateRanges(aNow);
+      this->DropStaleMoves(aNow);
+      this->PlanMoves(aNow);
+      this->WriteMoves(aNow);
+      this->MergeRanges(aNow);
+      this->TakeOrphans(aNow);
+    }
+  }
+  auto findings = this->watch.Tick(aNow, this->view, this->self);
+  output.beacons.insert(output.beacons.end(),
+                        findings.messages.begin(),
+                        findings.messages.end());
+  output.leaseReads = findings.leaseReads;
+  if (this->phase == Phase::Inside) {
+    for (const auto& lost : findings.lost) {
+      this->TakeOver(aNow, lost, lost.leaseVersion ? "long-lease" : "consent");
+    }
+    this->TakeOverPredecessors(aNow);
+  }
+  return output;
+}
+
+void
+OwnershipAgent::Join(Time aNow)
+{
+  if (!this->viewLoaded || !this->queue.Empty() || aNow < this->nextJoinAt ||
+      !this->server.Usable(aNow)) {
+    return;
+  }
+  StoreTransaction change;
+  MemberRecord record{ this->self,
+                       this->identity.service,
+                       this->identity.zone,
+                       this->identity.address,
+                       this->identity.beacon,
+                       MemberState::Ready,
+                       this->ChooseGuardians(aNow) };
+  AddCondition(change, MemberKey(record.service, this->self), 0);
+  AddCondition(change, LeaseKey(record.service, this->self), 0);
+  change.sets.push_back(ToRow(record));
+  change.sets.push_back(
+    { LeaseKey(record.service, this->self), "0", 0, false });
+  // This process has bound the address, so an earlier one there has ended, and
+  // its grants are this server's own.
+  for (const auto& [id, member] : this->view.AllMembers()) {
+    if (member.record.address != this->identity.address ||
+        member.record.service != record.service) {
+      continue;
+    }
+    AddCondition(change, MemberKey(record.service, id), member.version);
+    change.removes.push_back(MemberKey(record.service, id));
+    change.removes.push_back(LeaseKey(record.service, id));
+    for (const auto& [first, range] : this->view.RangesOf(record.service)) {
+      if (range.record.owner == id && change.sets.size() < kMostTaken) {
+        auto adopted = range.record;
+        adopted.owner = this->self;
+        adopted.epoch += 1;
+        AddCondition(change, RangeKey(record.service, first), range.version);
+        change.sets.push_back(ToRow(adopted));
+      }
+    }
+  }
+  this->phase = Phase::Joining;
+  this->nextJoinAt = aNow + kRecordInterval;
+  this->queue.Add(
+    change,
+    [this, change, record, aNow](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, change, aDone);
+      this->OnJoined(aDoneAt, aDone, record, aNow);
+    });
+}
+
+void
+OwnershipAgent::OnJoined(Time aNow,
+                         const SettledTransaction& aResult,
+                         const MemberRecord& aRecord,
+                         Time aSentAt)
+{
+  if (!aResult.committed) {
+    this->Say("join-failed", { { "reason", "rows changed meanwhile" } });
+    this->phase = Phase::Outside;
+    return;
+  }
+  this->phase = Phase::Inside;
+  this->joinedAt = aNow;
+  this->longLeaseVersion = aResult.version;
+  this->nextLongRenewAt = aNow + this->settings.times.longRenewInterval;
+  this->nextMemberChangeAt = aNow + kGatherTime;
+  this->guardianSince.clear();
+  this->lease.Start(aRecord.guardians, aSentAt);
+  this->Say("joined",
+            { { "guardians", std::to_string(aRecord.guardians.size()) },
+              { "ranges", std::to_string(this->Owned().size()) } });
+}
+
+void
+OwnershipAgent::ApplySettled(Time aNow,
+                             const StoreTransaction& aTransaction,
+                             const SettledTransaction& aResult)
+{
+  if (!aResult.committed) {
+    for (const auto& row : aResult.current) {
+      this->view.Apply(row);
+    }
+    this->CheckMembership(aNow);
+    return;
+  }
+  for (auto row : aTransaction.sets) {
+    row.version = aResult.version;
+    this->view.Apply(row);
+  }
+  for (const auto& key : aTransaction.removes) {
+    this->view.Apply({ key, "", aResult.version, true });
+  }
+}
+
+MemberState
+OwnershipAgent::DesiredState(Time aNow) const
+{
+  if (this->server.Leaving()) {
+    return MemberState::Draining;
+  }
+  return this->server.Lost(aNow) ? MemberState::Down : MemberState::Ready;
+}
+
+bool
+OwnershipAgent::IsSilent(Time aNow, const MemberId& aGuardian) const
+{
+  auto since = this->guardianSince.find(aGuardian);
+  if (since == this->guardianSince.end()) {
+    return false;
+  }
+  auto heard = this->lease.LastAcknowledged(aGuardian).value_or(Time());
+  return aNow - std::max(heard, since->second) >
+         this->settings.times.guardianSilence;
+}
+
+std::vector<MemberId>
+OwnershipAgent::ChooseGuardians(Time aNow) const
+{
+  struct Candidate
+  {
+    bool kept;
+    uint64_t rank;
+    const MemberRecord* record;
+  };
+  const auto* own = this->view.FindMember(this->self);
+  std::vector<Candidate> candidates;
+  for (const auto& [id, member] : this->view.AllMembers()) {
+    if (id == this->self || member.record.beacon == this->identity.beacon ||
+        this->IsSilent(aNow, id)) {
+      continue;
+    }
+    bool kept =
+      own != nullptr && std::count(own->record.guardians.begin(),
+                                   own->record.guardians.end(),
+                                   id) > 0;
+    candidates.push_back(
+      { kept, HashKey(id, HashKey(this->self)), &member.record });
+  }
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return std::tuple(!aLeft.kept, aLeft.rank) <
+                     std::tuple(!aRight.kept, aRight.rank);
+            });
+  std::vector<MemberId> chosen;
+  std::map<std::string, int> zones;
+  // First one of each zone, so that the loss of a zone silences few.
+  for (bool anyZone : { false, true }) {
+    for (const auto& candidate : candidates) {
+      const auto& record = *candidate.record;
+      bool taken = std::count(chosen.begin(), chosen.end(), record.id) > 0;
+      if (!taken && chosen.size() < this->settings.times.guardians &&
+          (anyZone || zones[record.zone] == 0)) {
+        ++zones[record.zone];
+        chosen.push_back(record.id);
+      }
+    }
+  }
+  std::sort(chosen.begin(), chosen.end());
+  return chosen;
+}
+
+void
+OwnershipAgent::UpdateMember(Time aNow)
+{
+  const auto* own = this->view.FindMember(this->self);
+  if (own == nullptr || !this->queue.Empty()) {
+    return;
+  }
+  auto record = own->record;
+  record.state = this->DesiredState(aNow);
+  bool urgent = record.state != own->record.state;
+  if (aNow >= this->nextMemberChangeAt) {
+    bool wrong = own->record.guardians.size() < this->settings.times.guardians;
+    for (const auto& guardian : own->record.guardians) {
+      wrong = wrong || this->IsSilent(aNow, guardian) ||
+              this->view.FindMember(guardian) == nullptr;
+    }
+    if (wrong) {
+      record.guardians = this->ChooseGuardians(aNow);
+    }
+    urgent = urgent || record.guardians != own->record.guardians;
+  }
+  if (urgent) {
+    this->WriteMember(aNow, record);
+  }
+}
+
+void
+OwnershipAgent::WriteMember(Time aNow, const MemberRecord& aRecord)
+{
+  const auto* own = this->view.FindMember(this->self);
+  StoreTransaction change;
+  AddCondition(change, MemberKey(aRecord.service, this->self), own->version);
+  change.sets.push_back(ToRow(aRecord));
+  this->nextMemberChangeAt = aNow + kRecordInterval;
+  this->lease.BeginChange(aRecord.guardians, aNow);
+  this->queue.Add(
+    change,
+    [this, change, aRecord, before = own->record](
+      Time aDoneAt, const SettledTransaction& aDone) {
+      this->lease.EndChange(aDone.committed);
+      this->ApplySettled(aDoneAt, change, aDone);
+      if (aDone.committed) {
+        this->Say("member-changed",
+                  { { "state", ToString(aRecord.state) },
+                    { "before", ToString(before.state) },
+                    { "guardians",
+                      std::to_string(aRecord.guardians.size()) } });
+      }
+    },
+    aNow + kMovePatience);
+}
+
+void
+OwnershipAgent::RenewLongLease(Time aNow)
+{
+  const auto* own = this->view.FindMember(this->self);
+  if (aNow < this->nextLongRenewAt || own == nullptr ||
+      !this->queue.Empty()) {
+    return;
+  }
+  this->nextLongRenewAt = aNow + this->settings.times.longRenewInterval;
+  StoreTransaction change;
+  auto key = LeaseKey(this->identity.service, this->self);
+  AddCondition(
+    change, MemberKey(this->identity.service, this->self), own->version);
+  AddCondition(change, key, this->longLeaseVersion);
+  change.sets.push_back(
+    { key, std::to_string(++this->longLeaseCount), 0, false });
+  this->queue.Add(
+    change,
+    [this, key, change, aNow](Time aDoneAt, const SettledTransaction& aDone) {
+      if (aDone.committed) {
+        this->longLeaseVersion = aDone.version;
+        this->lease.LongLeaseRenewed(aNow);
+        return;
+      }
+      for (const auto& row : aDone.current) {
+        if (row.key == key) {
+          this->longLeaseVersion = row.version;
+        }
+      }
+      this->ApplySettled(aDoneAt, change, aDone);
+      this->nextLongRenewAt = aDoneAt + kRecordInterval;
+    },
+    aNow + kLeasePatience);
+}
+
+void
+OwnershipAgent::SendRenewals(Time aNow, Output& aOutput)
+{
+  if (aNow < this->nextRenewAt) {
+    return;
+  }
+  this->nextRenewAt = aNow + this->settings.times.renewInterval;
+  for (const auto& guardian : this->lease.Guardians()) {
+    this->guardianSince.try_emplace(guardian, aNow);
+    const auto* member = this->view.FindMember(guardian);
+    if (member != nullptr) {
+      aOutput.beacons.push_back({ member->record.beacon,
+                                  { BeaconMessage::Kind::Renew,
+                                    this->self,
+                                    guardian,
+                                    this->self,
+                                    0,
+                                    ToBootNanoseconds(aNow) } });
+    }
+  }
+}
+
+OwnershipAgent::OwnedRanges
+OwnershipAgent::Owned() const
+{
+  OwnedRanges owned;
+  for (const auto& [first, range] :
+       this->view.RangesOf(this->identity.service)) {
+    if (range.record.owner == this->self) {
+      owned.push_back(&range);
+    }
+  }
+  return owned;
+}
+
+std::vector<KeyRange>
+OwnershipAgent::OwnedKeyRanges() const
+{
+  std::vector<KeyRange> ranges;
+  for (const auto* owned : this->Owned()) {
+    ranges.push_back(owned->record.range);
+  }
+  return ranges;
+}
+
+std::vector<MemberLoad>
+OwnershipAgent::Targets(const std::string& aService) const
+{
+  std::map<MemberId, size_t> counts;
+  for (const auto& [first, range] : this->view.RangesOf(aService)) {
+    ++counts[range.record.owner];
+  }
+  std::vector<MemberLoad> targets;
+  for (const auto* member : this->view.MembersOf(aService)) {
+    if (member->id != this->self && member->state == MemberState::Ready &&
+        counts[member->id] < this->settings.rebalancing.mostRanges) {
+      auto load = this->loads.find(member->id);
+      targets.push_back({ member->id,
+                          load == this->loads.end() ? 0 : load->second,
+                          counts[member->id] > 0 });
+    }
+  }
+  return targets;
+}
+
+void
+OwnershipAgent::CreateRanges(Time aNow)
+{
+  const auto& service = this->identity.service;
+  if (!this->view.RangesOf(service).empty() || !this->queue.Empty()) {
+    return;
+  }
+  std::vector<MemberId> ready;
+  for (const auto* member : this->view.MembersOf(service)) {
+    if (member->state == MemberState::Ready) {
+      ready.push_back(member->id);
+    }
+  }
+  auto place = std::find(ready.begin(), ready.end(), this->self);
+  auto rank = static_cast<int>(place - ready.begin());
+  if (place == ready.end() ||
+      aNow < this->joinedAt + kGatherTime + rank * kGatherTime) {
+    return;
+  }
+  ready.resize(std::min(ready.size(), kMostParts));
+  StoreTransaction change;
+  Key next = 0;
+  for (size_t index = 0; index < ready.size(); ++index) {
+    Key last =
+      static_cast<Key>((kLastKey + 1) * (index + 1) / ready.size() - 1);
+    RangeRecord record{ service, { next, last }, ready[index], 1, "" };
+    AddCondition(change, RangeKey(service, next), 0);
+    change.sets.push_back(ToRow(record));
+    next = last + 1;
+  }
+  this->Say("ranges-created", { { "members", std::to_string(ready.size()) } });
+  this->queue.Add(
+    change,
+    [this, change](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, change, aDone);
+    },
+    aNow + kMovePatience);
+}
+
+void
+OwnershipAgent::DropStaleMoves(Time aNow)
+{
+  bool usable = this->server.Usable(aNow);
+  auto owned = this->OwnedKeyRanges();
+  auto stale = [&](const Move& aMove) {
+    const auto* target = this->view.FindMember(aMove.plan.target);
+    bool ours = std::any_of(owned.begin(), owned.end(), [&](const auto& aRange) {
+      return aRange.Contains(aMove.plan.range);
+    });
+    return !aMove.writing &&
+           (target == nullptr || target->record.state != MemberState::Ready ||
+            !ours || (aMove.forced && usable));
+  };
+  this->moves.erase(
+    std::remove_if(this->moves.begin(), this->moves.end(), stale),
+    this->moves.end());
+}
+
+void
+OwnershipAgent::PlanMoves(Time aNow)
+{
+  if (!this->server.Usable(aNow)) {
+    this->Evacuate(aNow);
+    return;
+  }
+  if (!this->moves.empty() || aNow < this->nextMoveAt ||
+      !this->queue.StoreAnswers() || !this->queue.Empty()) {
+    return;
+  }
+  auto plan = PlanMove(this->OwnedKeyRanges(),
+                       this->keys,
+                       this->ownLoad,
+                       this->Targets(this->identity.service),
+                       this->settings.rebalancing,
+                       this->random);
+  if (!plan) {
+    return;
+  }
+  this->nextMoveAt = aNow + kMoveInterval;
+  this->moves.push_back({ *plan, false, false });
+  this->Say("move-planned",
+            { { "keys", ToString(plan->range) },
+              { "target", plan->target },
+              { "load", std::to_string(this->ownLoad) },
+              { "target-load", std::to_string(this->loads[plan->target]) } });
+}
+
+void
+OwnershipAgent::Evacuate(Time)
+{
+  if (std::any_of(this->moves.begin(), this->moves.end(), [](const auto& aMove) {
+        return aMove.forced || aMove.writing;
+      })) {
+    return;
+  }
+  this->moves.clear();
+  auto plans = Distribute(this->OwnedKeyRanges(),
+                          this->keys,
+                          this->Targets(this->identity.service),
+                          kMostParts);
+  for (const auto& plan : plans) {
+    this->moves.push_back({ plan, true, false });
+  }
+  if (!plans.empty()) {
+    this->Say("evacuating", { { "parts", std::to_string(plans.size()) } });
+  }
+}
+
+StoreTransaction
+OwnershipAgent::MoveTransaction(const std::vector<Move>& aMoves) const
+{
+  StoreTransaction change;
+  std::map<MemberId, RowVersion> targets;
+  for (const auto* owned : this->Owned()) {
+    const auto& record = owned->record;
+    std::vector<KeyRange> rest{ record.range };
+    std::vector<RangeRecord> parts;
+    for (const auto& move : aMoves) {
+      if (!record.range.Contains(move.plan.range)) {
+        continue;
+      }
+      std::vector<KeyRange> left;
+      for (const auto& range : rest) {
+        auto pieces = Subtract(range, move.plan.range);
+        left.insert(left.end(), pieces.begin(), pieces.end());
+      }
+      rest = std::move(left);
+      parts.push_back({ record.service,
+                        move.plan.range,
+                        move.plan.target,
+                        record.epoch + 1,
+                        this->server.HandoverOf(move.plan.range) });
+      targets[move.plan.target] =
+        this->view.FindMember(move.plan.target)->version;
+    }
+    if (parts.empty()) {
+      continue;
+    }
+    for (const auto& range : rest) {
+      parts.push_back(
+        { record.service, range, this->self, record.epoch, record.handover });
+    }
+    for (const auto& part : parts) {
+      AddCondition(change,
+                   RangeKey(record.service, part.range.first),
+                   part.range.first == record.range.first ? owned->version : 0);
+      change.sets.push_back(ToRow(part));
+    }
+  }
+  for (const auto& [id, version] : targets) {
+    AddCondition(change, MemberKey(this->identity.service, id), version);
+  }
+  return change;
+}
+
+void
+OwnershipAgent::WriteMoves(Time aNow)
+{
+  if (!this->queue.Empty()) {
+    return;
+  }
+  std::vector<Move> ready;
+  bool forced = false;
+  for (auto& move : this->moves) {
+    if (ready.size() < kMostParts && !move.writing && this->server.IsFree(aNow, move.plan.range)) {
+      move.writing = true;
+      forced = forced || move.forced;
+      ready.push_back(move);
+    }
+  }
+  if (ready.empty()) {
+    return;
+  }
+  auto change = this->MoveTransaction(ready);
+  const auto& report = this->server.Report();
+  for (const auto& move : ready) {
+    this->Say("keys-free",
+              { { "keys", ToString(move.plan.range) },
+                { "target", move.plan.target },
+                { "held", report ? Describe(report->holds) : "" },
+                { "heartbeat",
+                  report ? std::to_string(report->sequence) : "" } });
+  }
+  this->queue.Add(
+    change,
+    [this, change, ready](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, change, aDone);
+      this->moves.erase(std::remove_if(this->moves.begin(),
+                                       this->moves.end(),
+                                       [](const Move& aMove) {
+                                         return aMove.writing;
+                                       }),
+                        this->moves.end());
+      for (const auto& move : ready) {
+        this->Say(aDone.committed ? "keys-moved" : "move-failed",
+                  { { "keys", ToString(move.plan.range) },
+                    { "target", move.plan.target } });
+      }
+    },
+    forced ? Time::max() : aNow + kMovePatience);
+}
+
+void
+OwnershipAgent::MergeRanges(Time aNow)
+{
+  auto owned = this->Owned();
+  if (owned.size() < kMergeFrom || !this->moves.empty() ||
+      !this->queue.Empty()) {
+    return;
+  }
+  for (size_t index = 1; index < owned.size(); ++index) {
+    const auto& left = *owned[index - 1];
+    const auto& right = *owned[index];
+    if (left.record.range.last + 1 != right.record.range.first) {
+      continue;
+    }
+    RangeRecord merged = left.record;
+    merged.range.last = right.record.range.last;
+    merged.epoch = std::max(left.record.epoch, right.record.epoch) + 1;
+    merged.handover.clear();
+    StoreTransaction change;
+    auto leftKey = RangeKey(merged.service, left.record.range.first);
+    auto rightKey = RangeKey(merged.service, right.record.range.first);
+    AddCondition(change, leftKey, left.version);
+    AddCondition(change, rightKey, right.version);
+    change.sets.push_back(ToRow(merged));
+    change.removes.push_back(rightKey);
+    this->queue.Add(
+      change,
+      [this, change](Time aDoneAt, const SettledTransaction& aDone) {
+        this->ApplySettled(aDoneAt, change, aDone);
+      },
+      aNow + kMovePatience);
+    return;
+  }
+}
+
+void
+OwnershipAgent::TakeOrphans(Time aNow)
+{
+  std::map<Key, Time> still;
+  StoreTransaction change;
+  for (const auto& [first, range] :
+       this->view.RangesOf(this->identity.service)) {
+    if (this->view.FindMember(range.record.owner) != nullptr) {
+      continue;
+    }
+    auto known = this->orphans.find(first);
+    still[first] = known == this->orphans.end() ? aNow : known->second;
+    if (aNow - still[first] > kOrphanTime &&
+        change.sets.size() < kMostTaken) {
+      auto adopted = range.record;
+      adopted.owner = this->self;
+      adopted.epoch += 1;
+      adopted.handover.clear();
+      AddCondition(change, RangeKey(adopted.service, first), range.version);
+      change.sets.push_back(ToRow(adopted));
+    }
+  }
+  this->orphans = std::move(still);
+  if (change.sets.empty() || !this->queue.Empty() ||
+      this->DesiredState(aNow) != MemberState::Ready) {
+    return;
+  }
+  this->Say("orphans-taken",
+            { { "ranges", std::to_string(change.sets.size()) } });
+  this->queue.Add(
+    change,
+    [this, change](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, change, aDone);
+    },
+    aNow + kMovePatience);
+}
+
+/** Ends members of other services that had this daemon's address: their
+ * processes are gone, and so are their servers' grants after a while. */
+void
+OwnershipAgent::TakeOverPredecessors(Time aNow)
+{
+  if (aNow - this->joinedAt < kForeignGrant) {
+    return;
+  }
+  for (const auto& [id, member] : this->view.AllMembers()) {
+    if (id != this->self &&
+        member.record.address == this->identity.address) {
+      this->TakeOver(aNow, { id, member.version, std::nullopt }, "address");
+      return;
+    }
+  }
+}
+
+void
+OwnershipAgent::TakeOver(Time aNow,
+                         const LostMember& aLost,
+                         const std::string& aBasis)
+{
+  const auto* lost = this->view.FindMember(aLost.id);
+  if (lost == nullptr || lost->version != aLost.version ||
+      !this->queue.Empty()) {
+    return;
+  }
+  const auto& service = lost->record.service;
+  StoreTransaction change;
+  AddCondition(change, MemberKey(service, aLost.id), lost->version);
+  if (aLost.leaseVersion) {
+    AddCondition(change, LeaseKey(service, aLost.id), *aLost.leaseVersion);
+  }
+  std::vector<const Versioned<RangeRecord>*> ranges;
+  std::vector<KeyRange> keyRanges;
+  for (const auto& [first, range] : this->view.RangesOf(service)) {
+    if (range.record.owner == aLost.id && ranges.size() < kMostTaken) {
+      ranges.push_back(&range);
+      keyRanges.push_back(range.record.range);
+    }
+  }
+  if (ranges.size() < kMostTaken) {
+    change.removes.push_back(MemberKey(service, aLost.id));
+    change.removes.push_back(LeaseKey(service, aLost.id));
+  }
+  auto targets = this->Targets(service);
+  if (service == this->identity.service &&
+      this->DesiredState(aNow) == MemberState::Ready) {
+    targets.push_back({ this->self, this->ownLoad, true });
+  }
+  targets.erase(std::remove_if(
+                  targets.begin(),
+                  targets.end(),
+                  [&](const auto& aTarget) { return aTarget.id == aLost.id; }),
+                targets.end());
+  if (!ranges.empty() && targets.empty()) {
+    return; // Nobody could serve the keys; the member may come back.
+  }
+  for (const auto& plan :
+       Distribute(keyRanges, this->keys, targets, kMostParts)) {
+    for (const auto* range : ranges) {
+      if (!range->record.range.Contains(plan.range)) {
+        continue;
+      }
+      bool starts = range->record.range.first == plan.range.first;
+      AddCondition(change,
+                   RangeKey(service, plan.range.first),
+                   starts ? range->version : 0);
+      change.sets.push_back(ToRow(RangeRecord{
+        service, plan.range, plan.target, range->record.epoch + 1, "" }));
+    }
+  }
+  this->queue.Add(
+    change,
+    [this, change, aLost, aBasis](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, change, aDone);
+      this->Say(aDone.committed ? "took-over" : "takeover-failed",
+                { { "lost", aLost.id },
+                  { "basis", aBasis },
+                  { "parts", std::to_string(change.sets.size()) } });
+    });
+}
+
+void
+OwnershipAgent::Leave(Time)
+{
+  const auto* own = this->view.FindMember(this->self);
+  if (this->phase != Phase::Inside || own == nullptr ||
+      !this->Owned().empty()) {
+    return;
+  }
+  StoreTransaction change;
+  AddCondition(
+    change, MemberKey(this->identity.service, this->self), own->version);
+  change.removes.push_back(MemberKey(this->identity.service, this->self));
+  change.removes.push_back(LeaseKey(this->identity.service, this->self));
+  this->queue.Add(change, [](Time, const SettledTransaction&) {});
+}
+
+TransactionQueue&
+OwnershipAgent::Transactions()
+{
+  return this->queue;
+}
+
+bool
+OwnershipAgent::Settled() const
+{
+  return this->queue.Empty();
+}
+
+const ClusterView&
+OwnershipAgent::View() const
+{
+  return this->view;
+}
+
+Time
+OwnershipAgent::LeaseEnd() const
+{
+  return this->phase == Phase::Inside ? this->lease.EndsAt() : Time();
+}
+
+ServingState
+OwnershipAgent::Serving(Time aNow) const
+{
+  ServingState state;
+  state.ownsKeys = this->ownsKeys;
+  if (this->phase == Phase::Inside) {
+    state.member = this->self;
+  }
+  if (this->server.Report()) {
+    const auto& report = *this->server.Report();
+    state.serverId = report.life.id;
+    state.slots = report.slots;
+    state.usable = !this->server.Lost(aNow);
+    state.leaving = this->server.Leaving();
+    state.coldUntil = this->lastHeartbeat + report.coldFor;
+  }
+  if (state.leaving) {
+    state.sendUntil = this->server.LeavingSince() + this->settings.drainTime;
+  }
+  state.nextHeartbeat = this->lastHeartbeat + kHeartbeatInterval;
+  if (!this->ownsKeys || this->phase != Phase::Inside) {
+    return state;
+  }
+  for (const auto& grant : this->GrantList()) {
+    auto covered =
+      std::any_of(this->granted.begin(), this->granted.end(), [&](auto& aGrant) {
+        return aGrant.range.Contains(grant.range);
+      });
+    state.ranges.push_back(
+      { grant.range, covered ? this->grantedUntil : Time() });
+  }
+  return state;
+}
+
+std::vector<Event>
+OwnershipAgent::TakeEvents()
+{
+  return std::exchange(this->events, {});
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/ownershipagent.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster/clusterview.h"
+#include "cluster/keyload.h"
+#include "cluster/leasetimes.h"
+#include "cluster/messages.h"
+#include "cluster/ownlease.h"
+#include "cluster/rebalancing.h"
+#include "cluster/serverstate.h"
+#include "cluster/transactionqueue.h"
+#include "cluster/wardwatch.h"
+
+namespace fescuetiller {
+
+/** What a daemon tells others of itself. */
+struct AgentIdentity
+{
+  std::string service;
+  std::string zone;
+  std::string address; ///< Takes requests from other daemons.
+  std::string beacon;  ///< Takes lease messages.
+  std::string server;  ///< Address of the backend server beside it.
+};
+
+struct AgentSettings
+{
+  LeaseTimes times;
+  RebalancingPolicy rebalancing;
+  /** Longest grant that backend servers accept. */
+  Duration longestHold = std::chrono::seconds(10);
+  /** Time after a server's word that it leaves in which it may still get
+   * requests. */
+  Duration drainTime = std::chrono::seconds(2);
+};
+
+/** Keys that the backend server beside the daemon serves or soon will. */
+struct ServedRange
+{
+  KeyRange range;
+  Time grantedUntil; ///< Time(): not granted yet.
+
+  friend bool operator==(const ServedRange& aLeft, const ServedRange& aRight);
+};
+
+/** What the request path must know of the backend server beside the daemon. */
+struct ServingState
+{
+  MemberId member;      ///< Empty: not a member.
+  std::string serverId; ///< Empty: no server has announced itself.
+  uint32_t slots = 0;
+  bool usable = false;
+  bool leaving = false;
+  Time sendUntil = Time::max(); ///< No request is sent to it later.
+  Time coldUntil;
+  Time nextHeartbeat; ///< When new grants can be expected.
+  bool ownsKeys = false;
+  std::vector<ServedRange> ranges; ///< In ascending order.
+
+  friend bool operator==(const ServingState& aLeft, const ServingState& aRight);
+};
+
+/**
+ * Everything that a daemon decides about membership and the ownership of keys:
+ * joining, watching and being watched, grants for the backend server beside it,
+ * moves of keys, and takeovers of lost members. Pure: time and messages in,
+ * messages and transactions out. Not thread-safe.
+ */
+class OwnershipAgent
+{
+public:
+  using IdFunction = std::function<MemberId()>;
+
+  OwnershipAgent(AgentIdentity aIdentity,
+                 AgentSettings aSettings,
+                 IdFunction aNewId,
+                 RandomFunction aRandom);
+
+  /** What the configuration says of the own service. */
+  void SetOwnsKeys(bool aOwnsKeys);
+
+  /** All rows of a service; the first time for the own service allows to join.
+   */
+  void OnRows(Time aNow, const std::string& aService, const StoreRows& aRows);
+  void OnRow(Time aNow, const StoreRow& aRow);
+
+  HeartbeatReply OnHeartbeat(Time aNow, const ServerReport& aReport);
+  void OnLeave(Time aNow, const std::string& aServerId);
+  /** The server's address refused a connection. */
+  void OnRefusedConnection(Time aNow);
+
+  std::vector<OutgoingBeacon> OnBeacon(Time aNow, const BeaconMessage& aMessage);
+  void OnLease(Time aNow, const MemberId& aMember, RowVersion aVersion);
+
+  void SetLoads(double aOwnLoad,
+                std::vector<KeyWeight> aKeys,
+                std::map<MemberId, double> aLoads);
+
+  struct Output
+  {
+    std::vector<OutgoingBeacon> beacons;
+    std::vector<StoreKey> leaseReads;
+  };
+  Output Tick(Time aNow);
+
+  /** A planned stop for good: the member ends unless it owns keys. */
+  void Leave(Time aNow);
+
+  TransactionQueue& Transactions();
+  /** Whether no change of the store is under way. */
+  bool Settled() const;
+  const ClusterView& View() const;
+  ServingState Serving(Time aNow) const;
+  /** Until when grants may run; Time() while there is no lease. */
+  Time LeaseEnd() const;
+  std::vector<Event> TakeEvents();
+
+private:
+  enum class Phase
+  {
+    Outside, ///< No record in the store.
+    Joining, ///< The record is being written.
+    Inside,
+  };
+  struct Move
+  {
+    PlannedMove plan;
+    bool forced = false; ///< The server leaves or is lost.
+    bool writing = false;
+  };
+  using OwnedRanges = std::vector<const Versioned<RangeRecord>*>;
+
+  void Join(Time aNow);
+  void OnJoined(Time aNow,
+                const SettledTransaction& aResult,
+                const MemberRecord& aRecord,
+                Time aSentAt);
+  void CheckMembership(Time aNow);
+  void UpdateMember(Time aNow);
+  void WriteMember(Time aNow, const MemberRecord& aRecord);
+  void RenewLongLease(Time aNow);
+  void SendRenewals(Time aNow, Output& aOutput);
+  bool IsSilent(Time aNow, const MemberId& aGuardian) const;
+  std::vector<MemberId> ChooseGuardians(Time aNow) const;
+  void CreateRanges(Time aNow);
+  void PlanMoves(Time aNow);
+  void Evacuate(Time aNow);
+  void DropStaleMoves(Time aNow);
+  void WriteMoves(Time aNow);
+  void MergeRanges(Time aNow);
+  void TakeOrphans(Time aNow);
+  void TakeOverPredecessors(Time aNow);
+  void TakeOver(Time aNow, const LostMember& aLost, const std::string& aBasis);
+  StoreTransaction MoveTransaction(const std::vector<Move>& aMoves) const;
+  OwnedRanges Owned() const;
+  std::vector<KeyRange> OwnedKeyRanges() const;
+  std::vector<MemberLoad> Targets(const std::string& aService) const;
+  std::vector<Grant> GrantList() const;
+  MemberState DesiredState(Time aNow) const;
+  void ApplySettled(Time aNow,
+                    const StoreTransaction& aTransaction,
+                    const SettledTransaction& aResult);
+  void Say(std::string aName,
+           std::vector<std::pair<std::string, std::string>> aFields);
+
+  AgentIdentity identity;
+  AgentSettings settings;
+  IdFunction newId;
+  RandomFunction random;
+
+  Phase phase = Phase::Outside;
+  MemberId self;
+  ClusterView view;
+  bool viewLoaded = false;
+  bool ownsKeys = false;
+  OwnLease lease;
+  WardWatch watch;
+  ServerState server;
+  TransactionQueue queue;
+  std::vector<Move> moves;
+  std::map<MemberId, Time> guardianSince;
+  std::map<Key, Time> orphans; ///< Ranges without a living owner, since when.
+  RowVersion longLeaseVersion = 0;
+  uint64_t longLeaseCount = 0;
+  Time joinedAt;
+  Time nextJoinAt;
+  Time nextRenewAt;
+  Time nextLongRenewAt;
+  Time nextMemberChangeAt;
+  Time nextMoveAt;
+  Time grantedUntil;
+  Time lastHeartbeat;
+  std::vector<Grant> granted;
+  double ownLoad = 0;
+  std::vector<KeyWeight> keys;
+  std::map<MemberId, double> loads;
+  std::vector<Event> events;
+};
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/rebalancing.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "cluster/keyload.h"
+#include "cluster/records.h"
+
+namespace fescuetiller {
+
+/** Work that a member's backend server is asked for; 1: all that it can do. */
+struct MemberLoad
+{
+  MemberId id;
+  double load = 0;
+  bool ownsKeys = true; ///< Whether it owns any range yet.
+};
+
+/** Keys to hand to another member. */
+struct PlannedMove
+{
+  KeyRange range;
+  MemberId target;
+
+  friend bool operator==(const PlannedMove& aLeft, const PlannedMove& aRight);
+};
+
+/** When keys move for the sake of load. */
+struct RebalancingPolicy
+{
+  /** Load below which a server needs no relief: queues are short there. */
+  double busy = 0.7;
+  /** Difference that is worth the time in which moving keys wait. */
+  double difference = 0.25;
+  /** Load from which on a member without keys is given some. */
+  double shareWithNew = 0.08;
+  /** Largest number of ranges of one member; a takeover of all of them must
+   * fit into one transaction. */
+  size_t mostRanges = 30;
+};
+
+/** Draws a number from 0 (included) to 1 (excluded). */
+using RandomFunction = std::function<double()>;
+
+/**
+ * The keys that a member should hand to one with less load, if any: from one
+ * end of its ranges, about half of the difference. @param aOwn In ascending
+ * order. @param aKeys Work by key, in ascending order.
+ */
+std::optional<PlannedMove>
+PlanMove(const std::vector<KeyRange>& aOwn,
+         const std::vector<KeyWeight>& aKeys,
+         double aOwnLoad,
+         const std::vector<MemberLoad>& aOthers,
+         const RebalancingPolicy& aPolicy,
+         const RandomFunction& aRandom);
+
+/** Divides ranges among members so that each gets about the same work; members
+ * with less load come first. Splits a range where that evens the parts. */
+std::vector<PlannedMove>
+Distribute(const std::vector<KeyRange>& aRanges,
+           const std::vector<KeyWeight>& aKeys,
+           std::vector<MemberLoad> aMembers,
+           size_t aMostParts);
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/cluster/wardwatch.cpp
@@ -0,0 +1,210 @@
+#include "cluster/wardwatch.h"
+
+#include <algorithm>
+
+namespace fescuetiller {
+
+namespace {
+
+/** Between questions to the other guardians: some round trips. */
+constexpr Duration kAskInterval = std::chrono::milliseconds(200);
+/** Time in which a guardian named earlier in the record acts alone. */
+constexpr Duration kRankDelay = std::chrono::milliseconds(150);
+/** Time to let a takeover be written before it is asked for again. */
+constexpr Duration kReportInterval = std::chrono::milliseconds(700);
+/** Time in which guardians should have agreed; then the long lease is read. */
+constexpr Duration kAgreementTime = std::chrono::seconds(2);
+/** Between reads of a long lease: few calls, found soon after its end. */
+constexpr Duration kReadInterval = std::chrono::seconds(4);
+
+} // namespace
+
+bool
+operator==(const LostMember& aLeft, const LostMember& aRight)
+{
+  return aLeft.id == aRight.id && aLeft.version == aRight.version &&
+         aLeft.leaseVersion == aRight.leaseVersion;
+}
+
+WardWatch::WardWatch(const LeaseTimes& aTimes)
+  : times(aTimes)
+{
+}
+
+bool
+WardWatch::IsSilent(Time aNow, const Ward& aWard) const
+{
+  return aNow - aWard.lastSeen > WithDrift(this->times.promise, this->times);
+}
+
+/** Whether a guardian agreed, or can hold to no promise any more. */
+bool
+WardWatch::Agrees(Time aNow,
+                  const ClusterView& aView,
+                  Ward& aWard,
+                  const MemberId& aGuardian) const
+{
+  if (aWard.consents.count(aGuardian) > 0) {
+    return true;
+  }
+  if (aView.FindMember(aGuardian) != nullptr) {
+    aWard.missingSince.erase(aGuardian);
+    return false;
+  }
+  auto since = aWard.missingSince.try_emplace(aGuardian, aNow).first->second;
+  return aNow - since > WithDrift(this->times.promise, this->times);
+}
+
+bool
+WardWatch::OnRenewal(Time aNow, const MemberId& aWard)
+{
+  auto& ward = this->wards[aWard];
+  if (ward.condemned) {
+    return false;
+  }
+  ward.lastSeen = aNow;
+  return true;
+}
+
+bool
+WardWatch::OnConsentAsked(Time aNow, const MemberId& aWard, RowVersion aVersion)
+{
+  auto found = this->wards.find(aWard);
+  if (found == this->wards.end() || found->second.version != aVersion) {
+    return false;
+  }
+  auto& ward = found->second;
+  ward.condemned = ward.condemned || this->IsSilent(aNow, ward);
+  return ward.condemned;
+}
+
+void
+WardWatch::OnConsent(const MemberId& aWard,
+                     const MemberId& aGuardian,
+                     RowVersion aVersion)
+{
+  auto found = this->wards.find(aWard);
+  if (found != this->wards.end() && found->second.version == aVersion) {
+    found->second.consents.insert(aGuardian);
+  }
+}
+
+void
+WardWatch::OnLease(Time aNow, const MemberId& aWard, RowVersion aVersion)
+{
+  auto& ward = this->wards[aWard];
+  if (!ward.leaseSeen || ward.leaseVersion != aVersion) {
+    ward.leaseSeen = true;
+    ward.leaseVersion = aVersion;
+    ward.leaseSeenAt = aNow;
+  }
+}
+
+WardWatch::Findings
+WardWatch::Tick(Time aNow, const ClusterView& aView, const MemberId& aSelf)
+{
+  Findings findings;
+  for (const auto& [id, member] : aView.AllMembers()) {
+    const auto& guardians = member.record.guardians;
+    auto place = std::find(guardians.begin(), guardians.end(), aSelf);
+    bool orphan = std::none_of(
+      guardians.begin(), guardians.end(), [&](const auto& aGuardian) {
+        return aView.FindMember(aGuardian) != nullptr;
+      });
+    if (id == aSelf || (place == guardians.end() && !orphan)) {
+      continue;
+    }
+    auto& ward = this->wards[id];
+    if (ward.version != member.version) {
+      ward = Ward();
+      ward.version = member.version;
+      ward.lastSeen = aNow;
+    }
+    for (const auto& guardian : guardians) {
+      this->Agrees(aNow, aView, ward, guardian); // Notes who is missing.
+    }
+    if (!this->IsSilent(aNow, ward)) {
+      continue;
+    }
+    if (place == guardians.end()) {
+      this->WatchLease(aNow, member, findings);
+    } else {
+      this->Pursue(aNow,
+                   aView,
+                   member,
+                   aSelf,
+                   static_cast<size_t>(place - guardians.begin()),
+                   findings);
+    }
+  }
+  return findings;
+}
+
+void
+WardWatch::Pursue(Time aNow,
+                  const ClusterView& aView,
+                  const Versioned<MemberRecord>& aMember,
+                  const MemberId& aSelf,
+                  size_t aRank,
+                  Findings& aFindings)
+{
+  const auto& record = aMember.record;
+  auto& ward = this->wards[record.id];
+  ward.condemned = true;
+  ward.consents.insert(aSelf);
+  auto silentFor =
+    aNow - ward.lastSeen - WithDrift(this->times.promise, this->times);
+  if (silentFor < kRankDelay * static_cast<int>(aRank)) {
+    return;
+  }
+  size_t agreed = 0;
+  for (const auto& guardian : record.guardians) {
+    const auto* other = aView.FindMember(guardian);
+    if (this->Agrees(aNow, aView, ward, guardian)) {
+      ++agreed;
+    } else if (aNow >= ward.nextAskAt && other != nullptr) {
+      aFindings.messages.push_back(
+        { other->record.beacon,
+          { BeaconMessage::Kind::AskConsent,
+            aSelf,
+            guardian,
+            record.id,
+            aMember.version,
+            0 } });
+    }
+  }
+  if (aNow >= ward.nextAskAt) {
+    ward.nextAskAt = aNow + kAskInterval;
+  }
+  if (agreed >= ConsentsNeeded(record.guardians.size())) {
+    if (aNow >= ward.nextReportAt) {
+      ward.nextReportAt = aNow + kReportInterval;
+      aFindings.lost.push_back({ record.id, aMember.version, std::nullopt });
+    }
+  } else if (silentFor > kAgreementTime) {
+    this->WatchLease(aNow, aMember, aFindings);
+  }
+}
+
+void
+WardWatch::WatchLease(Time aNow,
+                      const Versioned<MemberRecord>& aMember,
+                      Findings& aFindings)
+{
+  const auto& record = aMember.record;
+  auto& ward = this->wards[record.id];
+  auto needed = WithDrift(this->times.longLease, this->times);
+  if (ward.leaseSeen && aNow - ward.leaseSeenAt > needed) {
+    if (aNow >= ward.nextReportAt) {
+      ward.nextReportAt = aNow + kReportInterval;
+      aFindings.lost.push_back(
+        { record.id, aMember.version, ward.leaseVersion });
+    }
+  }
+  if (aNow >= ward.nextReadAt) {
+    ward.nextReadAt = aNow + kReadInterval;
+    aFindings.leaseReads.push_back(LeaseKey(record.service, record.id));
+  }
+}
+
+} // namespace fescuetiller
--- a/src/config/classfile.cpp
+++ b/src/config/classfile.cpp
@@ -1,6 +1,6 @@
 #include "config/classfile.h"
 
-#include "config/inifile.h"
+#include "ini/ini.h"
 
 namespace fescuetiller {
 
--- a/src/config/classtarget.cpp
+++ b/src/config/classtarget.cpp
@@ -2,7 +2,7 @@
 
 #include <sstream>
 
-#include "config/inifile.h"
+#include "ini/ini.h"
 
 namespace fescuetiller {
 
--- a/src/config/classtarget.h
+++ b/src/config/classtarget.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "tableservice/tableservice.h"
 #include "wire/wire.h"
 
 namespace fescuetiller {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "config/inifile.h"
+#include "ini/ini.h"
 #include "ownership/leasesettings.h"
 #include "placement/placementsettings.h"
 
--- a/src/fescuetillerd/countingstore.h
+++ b/src/fescuetillerd/countingstore.h
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "metrics/metrics.h"
-#include "platform/platform.h"
+#include "tableservice/tableservice.h"
 
 namespace fescuetiller {
 
--- a/src/gossip/rowset.h
+++ b/src/gossip/rowset.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <vector>
 
-#include "platform/platform.h"
+#include "tableservice/tableservice.h"
 
 namespace fescuetiller {
 
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** Public header of the HTTP library: an asynchronous server and client. */
+
+#include "http/connectionpool.h"
+#include "http/fetch.h"
+#include "http/messages.h"
+#include "http/server.h"
+#include "http/upstreamcall.h"
--- /dev/null
+++ b/src/http/messages.cpp
@@ -0,0 +1,79 @@
+#include "http/messages.h"
+
+#include <vector>
+
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+namespace fescuetiller {
+
+const char*
+ToString(CallStage aStage)
+{
+  switch (aStage) {
+    case CallStage::NotSent:
+      return "not-sent";
+    case CallStage::Sent:
+      return "sent";
+    case CallStage::Answering:
+      return "answering";
+  }
+  return "unknown";
+}
+
+void
+RemoveConnectionFields(http::fields& aFields)
+{
+  std::vector<std::string> named;
+  for (const auto& token : http::token_list(aFields[http::field::connection])) {
+    named.emplace_back(token.data(), token.size());
+  }
+  for (const auto& name : named) {
+    aFields.erase(name);
+  }
+  for (auto field : { http::field::connection,
+                      http::field::keep_alive,
+                      http::field::proxy_connection,
+                      http::field::te,
+                      http::field::trailer,
+                      http::field::transfer_encoding,
+                      http::field::upgrade,
+                      http::field::expect }) {
+    aFields.erase(field);
+  }
+}
+
+HttpResponse
+TextResponse(unsigned aStatus, const std::string& aText)
+{
+  HttpResponse response(static_cast<http::status>(aStatus), 11);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = aText;
+  return response;
+}
+
+Result<Tcp::endpoint>
+ParseEndpoint(const std::string& aText)
+{
+  auto colon = aText.rfind(':');
+  uint16_t port = 0;
+  boost::system::error_code error;
+  asio::ip::address address;
+  if (colon != std::string::npos) {
+    address = asio::ip::make_address(aText.substr(0, colon), error);
+  }
+  if (colon == std::string::npos || error ||
+      !boost::conversion::try_lexical_convert(aText.substr(colon + 1), port)) {
+    return tl::unexpected(Error{
+      ErrorCode::Invalid, "read address", aText, "must be IP-NUMBER:PORT" });
+  }
+  return Tcp::endpoint(address, port);
+}
+
+std::string
+ToString(const Tcp::endpoint& aEndpoint)
+{
+  return aEndpoint.address().to_string() + ":" +
+         std::to_string(aEndpoint.port());
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,89 @@
+#include "http/server.h"
+
+namespace fescuetiller {
+
+HttpServer::HttpServer(asio::io_context& aContext, Handler aHandler)
+  : context(aContext)
+  , handler(std::move(aHandler))
+  , acceptor(aContext)
+{
+}
+
+Result<void>
+HttpServer::Listen(const Tcp::endpoint& aAddress)
+{
+  boost::system::error_code error;
+  this->acceptor.open(aAddress.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(aAddress, error);
+  }
+  if (!error) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return tl::unexpected(Error{
+      ErrorCode::Unavailable, "listen", ToString(aAddress), error.message() });
+  }
+  this->Accept();
+  return {};
+}
+
+void
+HttpServer::SetLimits(const SessionLimits& aLimits)
+{
+  bool closing = this->limits.closing;
+  this->limits = aLimits;
+  this->limits.closing = closing;
+}
+
+void
+HttpServer::AnnounceClose()
+{
+  this->limits.closing = true;
+}
+
+void
+HttpServer::StopAccepting()
+{
+  boost::system::error_code ignored; // Closed is closed.
+  this->acceptor.close(ignored);
+}
+
+void
+HttpServer::Sweep(Time aNow)
+{
+  for (auto entry = this->sessions.begin(); entry != this->sessions.end();) {
+    (*entry)->Sweep(aNow);
+    entry = (*entry)->IsClosed() ? this->sessions.erase(entry)
+                                 : std::next(entry);
+  }
+}
+
+Tcp::endpoint
+HttpServer::Address() const
+{
+  return this->acceptor.local_endpoint();
+}
+
+void
+HttpServer::Accept()
+{
+  this->acceptor.async_accept(
+    this->context, [this](boost::system::error_code aError, Tcp::socket aSocket) {
+      if (!this->acceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        auto session = std::make_shared<ServerSession>(
+          std::move(aSocket), this->handler, this->limits);
+        this->sessions.insert(session);
+        session->Start();
+      }
+      this->Accept();
+    });
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/http/serversession.cpp
@@ -0,0 +1,429 @@
+#include "http/serversession.h"
+
+#include <cerrno>
+
+#include <sys/socket.h>
+
+namespace fescuetiller {
+
+namespace {
+
+using boost::system::error_code;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kBodyTooLarge = 413;
+constexpr unsigned kHeaderTooLarge = 431;
+/** Room kept at an idle connection. */
+constexpr size_t kIdleBufferBytes = 4 * 1024;
+
+} // namespace
+
+Exchange::Exchange(HttpRequest aRequest,
+                   bool aFromSameMachine,
+                   std::weak_ptr<ServerSession> aSession)
+  : request(std::move(aRequest))
+  , receivedAt(BootClock::now())
+  , local(aFromSameMachine)
+  , session(std::move(aSession))
+{
+}
+
+Exchange::~Exchange()
+{
+  if (!this->answered && !this->gone) {
+    this->Abort();
+  }
+}
+
+void
+Exchange::Respond(HttpResponse aResponse)
+{
+  this->answered = true;
+  if (auto open = this->session.lock()) {
+    open->Respond(std::move(aResponse));
+  }
+}
+
+void
+Exchange::StartBody(ResponseHead aHead)
+{
+  this->answered = true;
+  if (auto open = this->session.lock()) {
+    open->StartBody(std::move(aHead));
+  }
+}
+
+void
+Exchange::WritePiece(asio::const_buffer aPiece, std::function<void()> aNext)
+{
+  if (auto open = this->session.lock()) {
+    open->WritePiece(aPiece, std::move(aNext));
+  }
+}
+
+void
+Exchange::EndBody()
+{
+  if (auto open = this->session.lock()) {
+    open->EndBody();
+  }
+}
+
+void
+Exchange::Abort()
+{
+  this->onGone = nullptr;
+  if (auto open = this->session.lock()) {
+    open->Close();
+  }
+}
+
+bool
+Exchange::Answered() const
+{
+  return this->answered;
+}
+
+ServerSession::ServerSession(Tcp::socket aSocket,
+                             const Handler& aHandler,
+                             const SessionLimits& aLimits)
+  : socket(std::move(aSocket))
+  , handler(aHandler)
+  , limits(aLimits)
+  , since(BootClock::now())
+{
+}
+
+void
+ServerSession::Start()
+{
+  error_code ignored; // Answers are only later without it.
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->Watch();
+}
+
+bool
+ServerSession::IsClosed() const
+{
+  return this->state == State::Closed;
+}
+
+void
+ServerSession::Sweep(Time aNow)
+{
+  bool slow = this->state == State::Reading &&
+              aNow - this->since > this->limits.headerTimeout;
+  bool idle = this->state == State::Idle &&
+              aNow - this->since > this->limits.idleTimeout;
+  if (slow || idle) {
+    this->Close();
+  }
+}
+
+void
+ServerSession::Close()
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  this->state = State::Closed;
+  error_code ignored; // The socket is given up either way.
+  this->socket.close(ignored);
+  this->ClientGone();
+}
+
+void
+ServerSession::ClientGone()
+{
+  auto current = this->exchange.lock();
+  if (current == nullptr || current->gone) {
+    return;
+  }
+  current->gone = true;
+  auto notify = std::move(current->onGone);
+  current->onGone = nullptr;
+  if (notify) {
+    notify();
+  }
+}
+
+/** Waits until anything arrives: a request, or the client's end. */
+void
+ServerSession::Watch()
+{
+  if (this->watching || this->state == State::Closed) {
+    return;
+  }
+  this->watching = true;
+  this->socket.async_wait(
+    Tcp::socket::wait_read,
+    [self = this->shared_from_this()](error_code aError) {
+      self->watching = false;
+      if (self->state == State::Closed) {
+        return;
+      }
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->OnReadable();
+    });
+}
+
+void
+ServerSession::OnReadable()
+{
+  if (this->state == State::Idle) {
+    this->ReadHeader();
+    return;
+  }
+  if (this->state != State::Busy) {
+    return;
+  }
+  char byte = 0;
+  auto count =
+    ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    this->pipelined = true; // Read once the present answer is out.
+  } else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    this->Watch();
+  } else {
+    this->Close();
+  }
+}
+
+void
+ServerSession::ReadHeader()
+{
+  this->state = State::Reading;
+  this->since = BootClock::now();
+  this->parser = std::make_unique<Parser>();
+  this->parser->header_limit(this->limits.maxHeaderBytes);
+  this->parser->body_limit(this->limits.maxBodyBytes);
+  http::async_read_header(
+    this->socket,
+    this->buffer,
+    *this->parser,
+    [self = this->shared_from_this()](error_code aError, size_t) {
+      if (self->state == State::Closed) {
+        return;
+      }
+      if (aError) {
+        self->Refuse(aError);
+        return;
+      }
+      if (self->parser->get()[http::field::expect] == "100-continue") {
+        self->SendContinue();
+      }
+      self->ReadBody();
+    });
+}
+
+void
+ServerSession::SendContinue()
+{
+  // Sent at once: the client waits with its body until it has read this.
+  static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  error_code error;
+  asio::write(this->socket, asio::buffer(kContinue), error);
+  if (error) {
+    this->Close();
+  }
+}
+
+void
+ServerSession::ReadBody()
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  if (this->parser->is_done()) {
+    this->OnRequest();
+    return;
+  }
+  http::async_read(this->socket,
+                   this->buffer,
+                   *this->parser,
+                   [self = this->shared_from_this()](error_code aError, size_t) {
+                     if (self->state == State::Closed) {
+                       return;
+                     }
+                     if (aError) {
+                       self->Refuse(aError);
+                       return;
+                     }
+                     self->OnRequest();
+                   });
+}
+
+void
+ServerSession::Refuse(const error_code& aError)
+{
+  unsigned status = kBadRequest;
+  if (aError == http::error::header_limit) {
+    status = kHeaderTooLarge;
+  } else if (aError == http::error::body_limit) {
+    status = kBodyTooLarge;
+  } else if (aError.category() !=
+               http::make_error_code(http::error::bad_method).category() ||
+             aError == http::error::end_of_stream ||
+             aError == http::error::partial_message) {
+    this->Close();
+    return;
+  }
+  this->state = State::Busy;
+  this->keepAlive = false;
+  this->Respond(TextResponse(status, aError.message() + "\n"));
+}
+
+void
+ServerSession::OnRequest()
+{
+  this->state = State::Busy;
+  this->since = BootClock::now();
+  this->pipelined = false;
+  auto request = this->parser->release();
+  this->parser.reset();
+  this->keepAlive = request.keep_alive();
+  this->headRequest = request.method() == http::verb::head;
+  this->version = request.version();
+  error_code ignored; // A closed socket is noticed by the watch below.
+  bool local = this->socket.remote_endpoint(ignored).address() ==
+               this->socket.local_endpoint(ignored).address();
+  auto current = std::make_shared<Exchange>(
+    std::move(request), local, this->weak_from_this());
+  this->exchange = current;
+  if (this->buffer.size() > 0) {
+    this->pipelined = true;
+  } else {
+    this->Watch();
+  }
+  this->handler(std::move(current));
+}
+
+void
+ServerSession::Respond(HttpResponse aResponse)
+{
+  if (this->state != State::Busy) {
+    return;
+  }
+  bool keep = this->keepAlive && !this->limits.closing;
+  this->whole = std::make_unique<HttpResponse>(std::move(aResponse));
+  this->whole->version(11);
+  this->whole->keep_alive(keep);
+  bool bodyless = this->headRequest || this->whole->result_int() == 204 ||
+                  this->whole->result_int() == 304;
+  if (!bodyless) {
+    this->whole->content_length(this->whole->body().size());
+  }
+  http::async_write(this->socket,
+                    *this->whole,
+                    [self = this->shared_from_this(), keep](error_code aError,
+                                                            size_t) {
+                      self->whole.reset();
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      self->FinishAnswer(keep);
+                    });
+}
+
+void
+ServerSession::StartBody(ResponseHead aHead)
+{
+  if (this->state != State::Busy) {
+    return;
+  }
+  this->stream = std::make_unique<Streaming>();
+  this->stream->base() = aHead.message.base();
+  this->stream->version(11);
+  this->keepAlive = this->keepAlive && !this->limits.closing;
+  this->stream->keep_alive(this->keepAlive);
+  if (aHead.length) {
+    this->stream->content_length(*aHead.length);
+  } else {
+    this->stream->chunked(true);
+  }
+  this->stream->body().data = nullptr;
+  this->stream->body().more = true;
+  this->serializer =
+    std::make_unique<http::response_serializer<http::buffer_body>>(
+      *this->stream);
+}
+
+void
+ServerSession::WritePiece(asio::const_buffer aPiece,
+                          std::function<void()> aNext)
+{
+  if (this->state != State::Busy || this->serializer == nullptr) {
+    return;
+  }
+  // The serializer takes its data as not const, but does not change it.
+  this->stream->body().data = const_cast<void*>(aPiece.data());
+  this->stream->body().size = aPiece.size();
+  this->stream->body().more = true;
+  http::async_write(this->socket,
+                    *this->serializer,
+                    [self = this->shared_from_this(), next = std::move(aNext)](
+                      error_code aError, size_t) {
+                      if (self->state == State::Closed) {
+                        return;
+                      }
+                      if (aError && aError != http::error::need_buffer) {
+                        self->Close();
+                        return;
+                      }
+                      next();
+                    });
+}
+
+void
+ServerSession::EndBody()
+{
+  if (this->state != State::Busy || this->serializer == nullptr) {
+    return;
+  }
+  this->stream->body().data = nullptr;
+  this->stream->body().size = 0;
+  this->stream->body().more = false;
+  http::async_write(this->socket,
+                    *this->serializer,
+                    [self = this->shared_from_this()](error_code aError, size_t) {
+                      bool keep = self->keepAlive;
+                      self->serializer.reset();
+                      self->stream.reset();
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      self->FinishAnswer(keep);
+                    });
+}
+
+void
+ServerSession::FinishAnswer(bool aKeepAlive)
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  this->exchange.reset();
+  if (!aKeepAlive) {
+    error_code ignored; // The close below ends it anyway.
+    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    this->Close();
+    return;
+  }
+  this->state = State::Idle;
+  this->since = BootClock::now();
+  if (this->pipelined) {
+    this->ReadHeader();
+    return;
+  }
+  if (this->buffer.capacity() > kIdleBufferBytes) {
+    this->buffer = boost::beast::flat_buffer();
+  }
+  this->Watch();
+}
+
+} // namespace fescuetiller
--- a/src/config/inifile.cpp
+++ b/src/ini/inifile.cpp
@@ -1,4 +1,4 @@
-#include "config/inifile.h"
+#include "ini/inifile.h"
 
 #include <algorithm>
 #include <cctype>
--- /dev/null
+++ b/src/node/controlnode.cpp
@@ -0,0 +1,463 @@
+#include "node/controlnode.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Between looks at leases and moves: a small part of the shortest time that
+ * they decide about. */
+constexpr Duration kTickInterval = milliseconds(100);
+/** Waits for changes of the configuration: a silent connection is noticed
+ * within the usual time in which a configuration is to be in force. */
+constexpr Duration kConfigurationWait = milliseconds(4000);
+/** Waits for changes of the cluster; daemons that act on an old view are
+ * corrected by the others. */
+constexpr Duration kClusterWait = milliseconds(8000);
+/** Two refused connections at least so far apart show that nothing listens. */
+constexpr Duration kRefusedAgain = milliseconds(60);
+/** Refusals that lie further apart do not belong together. */
+constexpr Duration kRefusedForget = milliseconds(1500);
+/** A call of a backend server fits into this. */
+constexpr uint64_t kServerCallBytes = 1024 * 1024;
+
+std::string
+RandomId(std::mt19937_64& aRandom)
+{
+  return ToHex(aRandom());
+}
+
+double
+RandomFraction(std::mt19937_64& aRandom)
+{
+  return std::uniform_real_distribution<double>(0, 1)(aRandom);
+}
+
+AgentSettings
+ToAgentSettings(const NodeSettings& aSettings)
+{
+  AgentSettings settings;
+  settings.longestHold = aSettings.longestHold;
+  settings.drainTime = aSettings.drainTime;
+  return settings;
+}
+
+} // namespace
+
+ControlNode::ControlNode(asio::io_context& aContext,
+                         const NodeSettings& aSettings,
+                         EventLog& aLog,
+                         Counters& aCounters)
+  : context(aContext)
+  , settings(aSettings)
+  , log(aLog)
+  , counters(aCounters)
+  , pool(aContext)
+  , store(pool,
+          ParseEndpoint(aSettings.storeAddress).value_or(Tcp::endpoint()))
+  , random(std::random_device()())
+  , agent({ aSettings.service,
+            aSettings.zone,
+            aSettings.peerAddress,
+            aSettings.ip + ":" + std::to_string(aSettings.firstPort),
+            aSettings.server },
+          ToAgentSettings(aSettings),
+          [this] { return RandomId(this->random); },
+          [this] { return RandomFraction(this->random); })
+  , serverCalls(aContext,
+                [this](std::shared_ptr<Exchange> aExchange) {
+                  this->OnServerCall(std::move(aExchange));
+                })
+  , readyCalls(aContext,
+               [this](std::shared_ptr<Exchange> aExchange) {
+                 this->OnReadyCall(std::move(aExchange));
+               })
+  , beacons(aContext)
+  , timer(aContext)
+  , configurationWatch(
+      aContext,
+      store,
+      aLog,
+      ConfigurationKey().table,
+      kConfigurationWait,
+      { [this](TableWatch::Loaded aLoaded) {
+         this->LoadConfiguration(std::move(aLoaded));
+       },
+        [this](const StoreRows& aRows) { this->OnConfigurationRows(aRows); } })
+  , clusterWatch(
+      aContext,
+      store,
+      aLog,
+      kClusterTable,
+      kClusterWait,
+      { [this](TableWatch::Loaded aLoaded) {
+         this->LoadCluster(std::move(aLoaded));
+       },
+        [this](const StoreRows& aRows) { this->OnClusterRows(aRows); } })
+{
+}
+
+Result<void>
+ControlNode::Listen()
+{
+  SessionLimits limits;
+  limits.maxBodyBytes = kServerCallBytes;
+  this->serverCalls.SetLimits(limits);
+  this->readyCalls.SetLimits(limits);
+  for (auto [server, text] :
+       { std::pair(&this->serverCalls, this->settings.serverCallAddress),
+         std::pair(&this->readyCalls, this->settings.readyAddress) }) {
+    auto address = ParseEndpoint(text);
+    if (!address) {
+      return tl::unexpected(address.error());
+    }
+    auto listening = server->Listen(*address);
+    if (!listening) {
+      return listening;
+    }
+  }
+  auto beacon = ParseEndpoint(this->settings.ip + ":" +
+                              std::to_string(this->settings.firstPort));
+  if (!beacon) {
+    return tl::unexpected(beacon.error());
+  }
+  boost::system::error_code error;
+  this->beacons.open(asio::ip::udp::v4(), error);
+  if (!error) {
+    this->beacons.bind({ beacon->address(), beacon->port() }, error);
+  }
+  if (error) {
+    return tl::unexpected(Error{ ErrorCode::Unavailable,
+                                 "listen for lease messages",
+                                 ToString(*beacon),
+                                 error.message() });
+  }
+  this->ReceiveBeacon();
+  this->configurationWatch.Start();
+  this->Tick();
+  return {};
+}
+
+void
+ControlNode::Tick()
+{
+  this->pool.Sweep(BootClock::now());
+  this->Advance();
+  this->timer.expires_after(kTickInterval);
+  this->timer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->Tick();
+    }
+  });
+}
+
+/** Lets the agent decide, and carries its decisions out. */
+void
+ControlNode::Advance()
+{
+  auto now = BootClock::now();
+  auto output = this->agent.Tick(now);
+  for (const auto& beacon : output.beacons) {
+    this->SendBeacon(beacon.address, beacon.message);
+  }
+  for (const auto& key : output.leaseReads) {
+    this->ReadLease(key);
+  }
+  if (auto change = this->agent.Transactions().Next(now)) {
+    this->store.Transact(*change, [this](Result<StoreOutcome> aOutcome) {
+      if (!aOutcome) {
+        this->log.Write(
+          { "store-call-failed",
+            { { "call", "change" }, { "error", ToString(aOutcome.error()) } } });
+      }
+      this->agent.Transactions().OnAnswer(BootClock::now(), aOutcome);
+      this->Advance();
+    });
+  }
+  this->WriteEvents();
+  this->Publish();
+}
+
+void
+ControlNode::WriteEvents()
+{
+  for (const auto& event : this->agent.TakeEvents()) {
+    this->counters.CountEvent(event.name);
+    this->log.Write(event);
+  }
+}
+
+void
+ControlNode::Publish()
+{
+  auto serving = this->agent.Serving(BootClock::now());
+  const auto& view = this->agent.View();
+  if (view.Version() != this->publishedView ||
+      serving.member != this->publishedSelf) {
+    this->publishedView = view.Version();
+    this->publishedSelf = serving.member;
+    this->onView(std::make_shared<ClusterView>(view), serving.member);
+  }
+  if (!(serving == this->publishedServing)) {
+    this->publishedServing = serving;
+    this->onServing(serving);
+  }
+}
+
+void
+ControlNode::OnReport(TrafficReport aReport)
+{
+  this->counters.SetGauge("fescuetiller_offered_load", aReport.load);
+  this->counters.SetGauge("fescuetiller_log_lines_dropped",
+                          static_cast<double>(this->log.Dropped()));
+  this->counters.SetGauge("fescuetiller_store_calls",
+                          static_cast<double>(this->store.calls));
+  this->agent.SetLoads(
+    aReport.load, std::move(aReport.keys), std::move(aReport.peerLoads));
+}
+
+void
+ControlNode::OnServerRefused()
+{
+  auto now = BootClock::now();
+  bool again = this->refusedAt != Time() &&
+               now - this->refusedAt >= kRefusedAgain &&
+               now - this->refusedAt <= kRefusedForget;
+  if (again) {
+    this->agent.OnRefusedConnection(now);
+    this->refusedAt = Time();
+    this->Advance();
+  } else if (this->refusedAt == Time() ||
+             now - this->refusedAt > kRefusedForget) {
+    this->refusedAt = now;
+  }
+}
+
+void
+ControlNode::OnServerCall(std::shared_ptr<Exchange> aExchange)
+{
+  const auto& request = aExchange->request;
+  auto call = ParseServerCall(std::string(request.method_string()),
+                              std::string(request.target()));
+  if (!call) {
+    aExchange->Respond(TextResponse(404, "unknown call\n"));
+    return;
+  }
+  auto now = BootClock::now();
+  if (call->kind == ServerCall::Kind::Leave) {
+    this->agent.OnLeave(now, call->serverId);
+    aExchange->Respond(TextResponse(200, ""));
+    this->Advance();
+    return;
+  }
+  auto report = ParseHeartbeat(call->serverId, request.body());
+  if (!report) {
+    this->log.Write({ "heartbeat-refused",
+                      { { "server", call->serverId },
+                        { "reason", ToString(report.error()) }, { "body", request.body() } } });
+    aExchange->Respond(TextResponse(400, ToString(report.error()) + "\n"));
+    return;
+  }
+  auto reply = this->agent.OnHeartbeat(now, *report);
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = EncodeHeartbeatReply(reply);
+  aExchange->Respond(std::move(response));
+  this->Advance();
+}
+
+void
+ControlNode::OnReadyCall(std::shared_ptr<Exchange> aExchange)
+{
+  bool ready = !this->stopping && this->configuration != nullptr &&
+               this->clusterWatch.IsLoaded() &&
+               aExchange->request.target() == headers::kReadinessPath;
+  aExchange->Respond(
+    TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+}
+
+void
+ControlNode::LoadConfiguration(TableWatch::Loaded aLoaded)
+{
+  this->store.ReadFrom(
+    ConfigurationKey(),
+    [this, loaded = std::move(aLoaded)](Result<StoreRows> aRows) {
+      if (!aRows) {
+        loaded(tl::unexpected(aRows.error()));
+        return;
+      }
+      this->OnConfigurationRows(*aRows);
+      loaded(aRows->version);
+    });
+}
+
+void
+ControlNode::OnConfigurationRows(const StoreRows& aRows)
+{
+  for (const auto& row : aRows.rows) {
+    if (row.key == ConfigurationKey() && !row.removed) {
+      this->TakeConfiguration(row);
+    }
+  }
+}
+
+void
+ControlNode::TakeConfiguration(const StoreRow& aRow)
+{
+  auto parsed = ParseConfiguration(aRow.value);
+  if (!parsed) {
+    this->log.Write({ "configuration-refused",
+                      { { "row_version", std::to_string(aRow.version) },
+                        { "reason", ToString(parsed.error()) } } });
+    return;
+  }
+  if (this->configuration != nullptr &&
+      parsed->version <= this->configuration->version) {
+    return;
+  }
+  bool first = this->configuration == nullptr;
+  this->log.Write(
+    { "configuration-taken",
+      { { "version", std::to_string(parsed->version) },
+        { "before",
+          first ? "" : std::to_string(this->configuration->version) },
+        { "routes", std::to_string(parsed->routes.size()) } } });
+  this->configuration = std::make_shared<Configuration>(std::move(*parsed));
+  const auto* own = this->configuration->FindService(this->settings.service);
+  this->agent.SetOwnsKeys(own != nullptr && own->ownsKeys);
+  this->onConfiguration(this->configuration);
+  if (first) {
+    this->clusterWatch.Start();
+  }
+}
+
+void
+ControlNode::LoadCluster(TableWatch::Loaded aLoaded)
+{
+  auto services = std::make_shared<std::vector<std::string>>();
+  for (const auto& [name, service] : this->configuration->services) {
+    services->push_back(name);
+  }
+  this->LoadServices(std::move(services), 0, std::move(aLoaded));
+}
+
+/** Reads the services' parts one after the other; changes are then followed
+ * from the first one's version on. */
+void
+ControlNode::LoadServices(
+  std::shared_ptr<std::vector<std::string>> aServices,
+  RowVersion aVersion,
+  TableWatch::Loaded aLoaded)
+{
+  if (aServices->empty()) {
+    aLoaded(aVersion);
+    return;
+  }
+  auto service = aServices->back();
+  aServices->pop_back();
+  this->store.Read(
+    kClusterTable,
+    service,
+    [this, service, aServices, aVersion, loaded = std::move(aLoaded)](
+      Result<StoreRows> aRows) {
+      if (!aRows) {
+        loaded(tl::unexpected(aRows.error()));
+        return;
+      }
+      this->agent.OnRows(BootClock::now(), service, *aRows);
+      this->LoadServices(
+        aServices, aVersion == 0 ? aRows->version : aVersion, loaded);
+    });
+}
+
+void
+ControlNode::OnClusterRows(const StoreRows& aRows)
+{
+  for (const auto& row : aRows.rows) {
+    this->agent.OnRow(BootClock::now(), row);
+  }
+  this->Advance();
+}
+
+void
+ControlNode::ReadLease(const StoreKey& aKey)
+{
+  this->store.ReadFrom(aKey, [this, aKey](Result<StoreRows> aRows) {
+    if (!aRows) {
+      this->log.Write(
+        { "store-call-failed",
+          { { "call", "read lease" }, { "error", ToString(aRows.error()) } } });
+      return;
+    }
+    RowVersion version = 0;
+    for (const auto& row : aRows->rows) {
+      if (row.key == aKey) {
+        version = row.version;
+      }
+    }
+    this->agent.OnLease(BootClock::now(), aKey.key, version);
+  });
+}
+
+void
+ControlNode::ReceiveBeacon()
+{
+  this->beacons.async_receive_from(
+    asio::buffer(this->beaconBuffer),
+    this->beaconSender,
+    [this](boost::system::error_code aError, size_t aSize) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      auto message =
+        aError ? std::nullopt
+               : DecodeBeacon(std::string(this->beaconBuffer.data(), aSize));
+      if (message) {
+        for (const auto& reply :
+             this->agent.OnBeacon(BootClock::now(), *message)) {
+          this->SendBeacon(this->beaconSender.address().to_string() + ":" +
+                             std::to_string(this->beaconSender.port()),
+                           reply.message);
+        }
+      }
+      this->ReceiveBeacon();
+    });
+}
+
+void
+ControlNode::SendBeacon(const std::string& aAddress,
+                        const BeaconMessage& aMessage)
+{
+  auto address = ParseEndpoint(aAddress);
+  if (!address) {
+    this->log.Write({ "beacon-not-sent", { { "address", aAddress } } });
+    return;
+  }
+  boost::system::error_code ignored; // A lost datagram is sent again.
+  this->beacons.send_to(asio::buffer(Encode(aMessage)),
+                        { address->address(), address->port() },
+                        0,
+                        ignored);
+}
+
+void
+ControlNode::BeginStop()
+{
+  this->stopping = true;
+}
+
+void
+ControlNode::LeaveCluster()
+{
+  this->agent.Leave(BootClock::now());
+  this->Advance();
+}
+
+bool
+ControlNode::Settled() const
+{
+  return this->agent.Settled();
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/counters.cpp
@@ -0,0 +1,112 @@
+#include "node/counters.h"
+
+#include <sstream>
+#include <tuple>
+
+#include "metrics/prometheus.h"
+
+namespace fescuetiller {
+
+namespace {
+
+/** Latency buckets: 1 ms to 10 s, four for each factor of ten. */
+constexpr unsigned kBuckets = 16;
+constexpr double kShortest = 0.001;
+constexpr double kLongest = 10;
+
+} // namespace
+
+bool
+operator<(const Counters::RequestKey& aLeft, const Counters::RequestKey& aRight)
+{
+  return std::tie(aLeft.requestClass, aLeft.outcome, aLeft.reason) <
+         std::tie(aRight.requestClass, aRight.outcome, aRight.reason);
+}
+
+void
+Counters::CountRequest(const std::string& aClass,
+                       const std::string& aOutcome,
+                       const std::string& aReason,
+                       Duration aTaken)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->requests[{ aClass, aOutcome, aReason }];
+  auto [entry, added] = this->latencies.try_emplace(
+    aClass,
+    boost::histogram::make_histogram(
+      LatencyAxis(kBuckets, kShortest, kLongest)));
+  double seconds = static_cast<double>(aTaken.count()) / 1e9;
+  entry->second(seconds);
+  this->latencySums[aClass] += seconds;
+}
+
+void
+Counters::CountEvent(const std::string& aName)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->events[aName];
+}
+
+void
+Counters::SetGauge(const std::string& aName, double aValue)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->gauges[aName] = aValue;
+}
+
+std::string
+Counters::Text() const
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  std::ostringstream text;
+  PrometheusWriter writer(text);
+  writer.Describe("fescuetiller_requests_total",
+                  "counter",
+                  "Requests of clients by class, outcome and reason.");
+  for (const auto& [key, count] : this->requests) {
+    writer.Write("fescuetiller_requests_total",
+                 { { "class", key.requestClass },
+                   { "outcome", key.outcome },
+                   { "reason", key.reason } },
+                 static_cast<double>(count));
+  }
+  writer.Describe("fescuetiller_request_seconds",
+                  "histogram",
+                  "Time from reading a request to its answer.");
+  for (const auto& [name, histogram] : this->latencies) {
+    double below =
+      histogram.at(boost::histogram::axis::index_type(-1));
+    const auto& axis = histogram.axis(0);
+    for (int index = 0; index < axis.size(); ++index) {
+      below += histogram.at(index);
+      writer.Write("fescuetiller_request_seconds_bucket",
+                   { { "class", name },
+                     { "le", std::to_string(axis.bin(index).upper()) } },
+                   below);
+    }
+    below += histogram.at(axis.size());
+    writer.Write("fescuetiller_request_seconds_bucket",
+                 { { "class", name }, { "le", "+Inf" } },
+                 below);
+    writer.Write("fescuetiller_request_seconds_sum",
+                 { { "class", name } },
+                 this->latencySums.at(name));
+    writer.Write(
+      "fescuetiller_request_seconds_count", { { "class", name } }, below);
+  }
+  writer.Describe("fescuetiller_events_total",
+                  "counter",
+                  "Decisions and changes of state by name.");
+  for (const auto& [name, count] : this->events) {
+    writer.Write("fescuetiller_events_total",
+                 { { "event", name } },
+                 static_cast<double>(count));
+  }
+  for (const auto& [name, value] : this->gauges) {
+    writer.Describe(name, "gauge", "State of this daemon.");
+    writer.Write(name, {}, value);
+  }
+  return text.str();
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/dispatch.cpp
@@ -0,0 +1,126 @@
+#include "node/dispatch.h"
+
+#include <sstream>
+#include <tuple>
+
+namespace fescuetiller {
+
+namespace {
+
+constexpr int kLastKind = static_cast<int>(RequestKind::Download);
+constexpr int kLastOutcome = static_cast<int>(DispatchOutcome::Failed);
+constexpr double kLoadUnit = 1000;
+
+Duration
+Milliseconds(int64_t aCount)
+{
+  return std::chrono::milliseconds(aCount);
+}
+
+} // namespace
+
+bool
+operator==(const Dispatch& aLeft, const Dispatch& aRight)
+{
+  auto tie = [](const Dispatch& aDispatch) {
+    return std::tie(aDispatch.service,
+                    aDispatch.requestClass,
+                    aDispatch.priority,
+                    aDispatch.kind,
+                    aDispatch.nested,
+                    aDispatch.untilWanted,
+                    aDispatch.untilDeadline);
+  };
+  return tie(aLeft) == tie(aRight);
+}
+
+bool
+operator==(const DispatchNote& aLeft, const DispatchNote& aRight)
+{
+  auto tie = [](const DispatchNote& aNote) {
+    return std::tie(aNote.outcome,
+                    aNote.reason,
+                    aNote.retryAfter,
+                    aNote.load,
+                    aNote.expected);
+  };
+  return tie(aLeft) == tie(aRight);
+}
+
+std::string
+Encode(const Dispatch& aDispatch)
+{
+  std::ostringstream text;
+  text << aDispatch.service << ' ' << aDispatch.requestClass << ' '
+       << aDispatch.priority << ' ' << static_cast<int>(aDispatch.kind) << ' '
+       << aDispatch.nested << ' ' << ToMilliseconds(aDispatch.untilWanted)
+       << ' ' << ToMilliseconds(aDispatch.untilDeadline);
+  return text.str();
+}
+
+std::optional<Dispatch>
+DecodeDispatch(const std::string& aText)
+{
+  std::istringstream text(aText);
+  Dispatch dispatch;
+  int kind = 0;
+  int64_t wanted = 0;
+  int64_t deadline = 0;
+  text >> dispatch.service >> dispatch.requestClass >> dispatch.priority >>
+    kind >> dispatch.nested >> wanted >> deadline;
+  if (!text || kind < 0 || kind > kLastKind) {
+    return std::nullopt;
+  }
+  dispatch.kind = static_cast<RequestKind>(kind);
+  dispatch.untilWanted = Milliseconds(wanted);
+  dispatch.untilDeadline = Milliseconds(deadline);
+  return dispatch;
+}
+
+std::string
+Encode(const DispatchNote& aNote)
+{
+  std::ostringstream text;
+  text << static_cast<int>(aNote.outcome) << ' '
+       << (aNote.reason.empty() ? "-" : aNote.reason) << ' '
+       << ToMilliseconds(aNote.retryAfter) << ' '
+       << static_cast<int64_t>(aNote.load * kLoadUnit) << ' '
+       << ToMilliseconds(aNote.expected);
+  return text.str();
+}
+
+std::optional<DispatchNote>
+DecodeNote(const std::string& aText)
+{
+  std::istringstream text(aText);
+  DispatchNote note;
+  int outcome = 0;
+  int64_t retry = 0;
+  int64_t load = 0;
+  int64_t expected = 0;
+  text >> outcome >> note.reason >> retry >> load >> expected;
+  if (!text || outcome < 0 || outcome > kLastOutcome) {
+    return std::nullopt;
+  }
+  note.outcome = static_cast<DispatchOutcome>(outcome);
+  note.retryAfter = Milliseconds(retry);
+  note.load = static_cast<double>(load) / kLoadUnit;
+  note.expected = Milliseconds(expected);
+  return note;
+}
+
+const char*
+ToString(DispatchOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case DispatchOutcome::Answered:
+      return "answered";
+    case DispatchOutcome::Refused:
+      return "refused";
+    case DispatchOutcome::Failed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/dispatch.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "model/model.h"
+
+namespace fescuetiller {
+
+/** Field in which a daemon tells another what a request is. */
+constexpr const char* kDispatchField = "Fescue-Dispatch";
+/** Field in which a daemon tells what became of a request. */
+constexpr const char* kNoteField = "Fescue-Note";
+
+/** What the daemon beside the backend server must know of a request. */
+struct Dispatch
+{
+  std::string service;
+  std::string requestClass; ///< Name of the route.
+  uint32_t priority = 0;
+  RequestKind kind = RequestKind::NonIdempotent;
+  bool nested = false; ///< Made by a request that holds a slot meanwhile.
+  Duration untilWanted = Duration(0); ///< May be negative.
+  Duration untilDeadline = Duration(0);
+
+  friend bool operator==(const Dispatch& aLeft, const Dispatch& aRight);
+};
+
+std::string
+Encode(const Dispatch& aDispatch);
+
+/** Nothing for a text of the wrong form. */
+std::optional<Dispatch>
+DecodeDispatch(const std::string& aText);
+
+/** What became of a request at the daemon beside the backend server. */
+enum class DispatchOutcome
+{
+  Answered, ///< The answer is the backend server's.
+  Refused,  ///< Not run, and never will be.
+  Failed,   ///< It may have run.
+};
+
+struct DispatchNote
+{
+  DispatchOutcome outcome = DispatchOutcome::Answered;
+  std::string reason;             ///< One word; "-" when answered.
+  Duration retryAfter = Duration(0);
+  double load = 0;                ///< Offered to the backend server; 1: full.
+  Duration expected = Duration(0); ///< Until a usual request would end.
+
+  friend bool operator==(const DispatchNote& aLeft, const DispatchNote& aRight);
+};
+
+std::string
+Encode(const DispatchNote& aNote);
+
+std::optional<DispatchNote>
+DecodeNote(const std::string& aText);
+
+const char*
+ToString(DispatchOutcome aOutcome);
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/eventlog.cpp
@@ -0,0 +1,99 @@
+#include "node/eventlog.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace fescuetiller {
+
+namespace {
+
+/** Lines waiting for the output; older ones are dropped first. */
+constexpr size_t kQueuedLines = 1024;
+
+int64_t
+UnixMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+EventLog::EventLog(std::string aNode, const EventLogSettings& aSettings)
+  : node(std::move(aNode))
+  , settings(aSettings)
+  , allowance(aSettings.burst)
+  , allowanceAt(BootClock::now())
+{
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  this->logger = std::make_shared<spdlog::async_logger>(
+    "events",
+    std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+    spdlog::thread_pool(),
+    spdlog::async_overflow_policy::overrun_oldest);
+  this->logger->set_pattern("%v");
+  this->logger->flush_on(spdlog::level::info);
+}
+
+EventLog::~EventLog()
+{
+  this->logger.reset();
+  spdlog::shutdown();
+}
+
+bool
+EventLog::Allow(EventRank aRank)
+{
+  auto now = BootClock::now();
+  double seconds =
+    static_cast<double>((now - this->allowanceAt).count()) / 1e9;
+  this->allowanceAt = now;
+  this->allowance =
+    std::min(this->settings.burst,
+             this->allowance + seconds * this->settings.linesPerSecond);
+  double reserve = aRank == EventRank::Routine
+                     ? this->settings.burst * this->settings.routineReserve
+                     : 0;
+  if (this->allowance < reserve + 1) {
+    ++this->dropped;
+    ++this->droppedTotal;
+    return false;
+  }
+  this->allowance -= 1;
+  return true;
+}
+
+void
+EventLog::Write(const Event& aEvent, EventRank aRank)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->Allow(aRank)) {
+    return;
+  }
+  nlohmann::ordered_json line = { { "time_ms", UnixMilliseconds() },
+                                  { "node", this->node },
+                                  { "event", aEvent.name } };
+  for (const auto& [name, value] : aEvent.fields) {
+    line[name] = value;
+  }
+  if (this->dropped > 0) {
+    line["lines_dropped_before"] = this->dropped;
+    this->dropped = 0;
+  }
+  this->logger->info(line.dump(
+    -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+}
+
+uint64_t
+EventLog::Dropped() const
+{
+  return this->droppedTotal + spdlog::thread_pool()->overrun_counter();
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/eventlog.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "base/base.h"
+
+namespace spdlog {
+class logger;
+}
+
+namespace fescuetiller {
+
+/** How many lines may be written, and which go first. */
+struct EventLogSettings
+{
+  /** Lines a second; at some 300 bytes a line this stays under 60 KB/s. */
+  double linesPerSecond = 200;
+  /** Lines that may come at once. */
+  double burst = 400;
+  /** Part of the allowance below which routine lines are left out. */
+  double routineReserve = 0.5;
+};
+
+/** How much a line matters when not all can be written. */
+enum class EventRank
+{
+  Routine, ///< A request that was answered.
+  Notable, ///< A request that was not answered, or a change of state.
+};
+
+/**
+ * One JSON object a line on standard output. Writing never blocks: lines beyond
+ * the allowance, and those that the output does not take in time, are dropped
+ * and counted, and the next line written tells how many. Thread-safe.
+ */
+class EventLog
+{
+public:
+  EventLog(std::string aNode, const EventLogSettings& aSettings);
+  ~EventLog();
+
+  void Write(const Event& aEvent, EventRank aRank = EventRank::Notable);
+
+  uint64_t Dropped() const;
+
+private:
+  bool Allow(EventRank aRank);
+
+  std::string node;
+  EventLogSettings settings;
+  std::shared_ptr<spdlog::logger> logger;
+  std::mutex mutex;
+  double allowance;
+  Time allowanceAt;
+  uint64_t dropped = 0;
+  std::atomic<uint64_t> droppedTotal{ 0 };
+};
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/execution.cpp
@@ -0,0 +1,202 @@
+#include "node/execution.h"
+
+#include "platform/headers.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Longest wait for a connection to the server on the same machine. */
+constexpr Duration kConnectTimeout = milliseconds(400);
+/** Time in which the server's own answer at its time limit still arrives. */
+constexpr Duration kAnswerSlack = milliseconds(40);
+/** When to come back to a server that turned a request away itself. */
+constexpr Duration kShedRetry = milliseconds(100);
+constexpr Duration kUnreachableRetry = milliseconds(400);
+
+} // namespace
+
+Execution::Execution(Executor& aExecutor,
+                     uint64_t aId,
+                     HttpRequest aRequest,
+                     const Dispatch& aDispatch,
+                     std::shared_ptr<ResponseReceiver> aReceiver)
+  : requestId(aRequest[headers::kRequestId])
+  , executor(aExecutor)
+  , id(aId)
+  , request(std::move(aRequest))
+  , dispatch(aDispatch)
+  , receiver(std::move(aReceiver))
+{
+}
+
+void
+Execution::Cancel()
+{
+  if (this->receiver == nullptr) {
+    return;
+  }
+  auto hold = this->shared_from_this();
+  if (this->call != nullptr) {
+    this->call->Cancel();
+  }
+  this->executor.queue.Cancel(this->id);
+  this->Finish(false);
+  this->LogOutcome("cancelled", "caller left");
+}
+
+void
+Execution::Run(Time aNow)
+{
+  this->startedAt = aNow;
+  auto left = this->deadline - aNow;
+  auto forwarded = this->request;
+  RemoveConnectionFields(forwarded);
+  forwarded.erase(kDispatchField);
+  forwarded.set(headers::kTimeLeft, std::to_string(ToMilliseconds(left)));
+  forwarded.set(headers::kTargetServer, this->executor.serving.serverId);
+  forwarded.keep_alive(true);
+  CallOptions options;
+  options.connectTimeout = kConnectTimeout;
+  options.timeout = left + kAnswerSlack;
+  options.matchField = headers::kRequestId;
+  this->call = UpstreamCall::Start(this->executor.pool,
+                                   this->executor.server,
+                                   std::move(forwarded),
+                                   options,
+                                   this->shared_from_this());
+}
+
+std::shared_ptr<ResponseReceiver>
+Execution::Finish(bool aLearn)
+{
+  auto taker = std::move(this->receiver);
+  this->receiver.reset();
+  this->executor.queue.Finished(BootClock::now(), this->id, aLearn);
+  this->executor.executions.erase(this->id);
+  this->executor.Pump();
+  return taker;
+}
+
+void
+Execution::LogOutcome(const std::string& aOutcome, const std::string& aReason)
+{
+  auto now = BootClock::now();
+  auto spent =
+    this->startedAt == Time() ? Duration(0) : Duration(now - this->startedAt);
+  this->executor.log.Write(
+    { "execution",
+      { { "request", this->requestId },
+        { "class", this->dispatch.requestClass },
+        { "server", this->executor.serving.serverId },
+        { "outcome", aOutcome },
+        { "reason", aReason },
+        { "key", this->key ? std::to_string(*this->key) : "" },
+        { "in_slot_ms", std::to_string(ToMilliseconds(spent)) },
+        { "time_left_ms",
+          std::to_string(ToMilliseconds(this->deadline - now)) },
+        { "running", std::to_string(this->executor.queue.Running()) },
+        { "waiting", std::to_string(this->executor.queue.Waiting()) } } },
+    aOutcome == "answered" ? EventRank::Routine : EventRank::Notable);
+}
+
+void
+Execution::Reject(const std::string& aReason, DispatchOutcome aOutcome)
+{
+  this->LogOutcome(ToString(aOutcome), aReason);
+  auto hold = this->shared_from_this();
+  auto requestClass = this->dispatch.requestClass;
+  auto retry = aReason == "server-unreachable" ? kUnreachableRetry : kShedRetry;
+  auto taker = this->Finish(false);
+  auto response = TextResponse(
+    aOutcome == DispatchOutcome::Refused ? 503 : 502, aReason + "\n");
+  response.set(kNoteField,
+               Encode(this->executor.Note(
+                 aOutcome, requestClass, aReason, retry)));
+  taker->OnWhole(std::move(response));
+}
+
+void
+Execution::Refuse(const std::string& aReason, Duration aRetryAfter)
+{
+  this->LogOutcome("refused", aReason);
+  auto hold = this->shared_from_this();
+  auto taker = this->Finish(false);
+  auto response = TextResponse(503, aReason + "\n");
+  response.set(kNoteField,
+               Encode(this->executor.Note(DispatchOutcome::Refused,
+                                          this->dispatch.requestClass,
+                                          aReason,
+                                          aRetryAfter)));
+  taker->OnWhole(std::move(response));
+}
+
+void
+Execution::OnWhole(HttpResponse aResponse)
+{
+  auto status = aResponse.result_int();
+  bool notRun =
+    status == 421 || aResponse.find(headers::kNotExecuted) != aResponse.end();
+  if (notRun) {
+    this->Reject("server-refused-" + std::to_string(status),
+                 DispatchOutcome::Refused);
+    return;
+  }
+  this->LogOutcome("answered", std::to_string(status));
+  auto hold = this->shared_from_this();
+  auto requestClass = this->dispatch.requestClass;
+  auto taker = this->Finish(status < 300);
+  aResponse.set(
+    kNoteField,
+    Encode(this->executor.Note(DispatchOutcome::Answered, requestClass)));
+  taker->OnWhole(std::move(aResponse));
+}
+
+void
+Execution::OnHead(ResponseHead aHead)
+{
+  aHead.message.set(kNoteField,
+                    Encode(this->executor.Note(DispatchOutcome::Answered,
+                                               this->dispatch.requestClass)));
+  this->receiver->OnHead(std::move(aHead));
+}
+
+void
+Execution::OnPiece(asio::const_buffer aPiece, std::function<void()> aNext)
+{
+  this->receiver->OnPiece(aPiece, std::move(aNext));
+}
+
+void
+Execution::OnEnd()
+{
+  this->LogOutcome("answered", "streamed");
+  auto hold = this->shared_from_this();
+  this->Finish(true)->OnEnd();
+}
+
+void
+Execution::OnFailure(const CallFailure& aFailure)
+{
+  if (aFailure.refused && this->executor.onRefusedConnection) {
+    this->executor.onRefusedConnection();
+  }
+  switch (aFailure.stage) {
+    case CallStage::NotSent:
+      this->Reject("server-unreachable", DispatchOutcome::Refused);
+      break;
+    case CallStage::Sent:
+      this->Reject("answer-lost", DispatchOutcome::Failed);
+      break;
+    case CallStage::Answering: {
+      this->LogOutcome("failed", "answer broke off: " + ToString(aFailure.error));
+      auto hold = this->shared_from_this();
+      this->Finish(false)->OnFailure(aFailure);
+      break;
+    }
+  }
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/ingress.cpp
@@ -0,0 +1,68 @@
+#include "node/ingress.h"
+
+#include "node/ingressrequest.h"
+
+namespace fescuetiller {
+
+namespace {
+
+/** Retries that may be saved up: a few, since all daemons together share the
+ * allowance. */
+constexpr double kMostSavedRetries = 3;
+
+} // namespace
+
+Ingress::Ingress(asio::io_context& aContext,
+                 Executor& aExecutor,
+                 IngressIdentity aIdentity,
+                 EventLog& aLog,
+                 Counters& aCounters)
+  : context(aContext)
+  , executor(aExecutor)
+  , identity(std::move(aIdentity))
+  , log(aLog)
+  , counters(aCounters)
+  , pool(aContext)
+  , view(std::make_shared<ClusterView>())
+  , budget(identity.retryShare, kMostSavedRetries)
+{
+}
+
+void
+Ingress::SetConfiguration(std::shared_ptr<const Configuration> aConfiguration)
+{
+  this->routes = std::make_shared<RouteTable>(std::move(aConfiguration));
+}
+
+void
+Ingress::SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf)
+{
+  this->view = std::move(aView);
+  this->self = std::move(aSelf);
+}
+
+void
+Ingress::OnRequest(std::shared_ptr<Exchange> aExchange)
+{
+  std::make_shared<IngressRequest>(*this, std::move(aExchange))->Begin();
+}
+
+std::map<MemberId, double>
+Ingress::PeerLoads() const
+{
+  return this->peers.Loads(BootClock::now());
+}
+
+size_t
+Ingress::InFlight() const
+{
+  return this->inFlight;
+}
+
+void
+Ingress::Sweep(Time aNow)
+{
+  this->pool.Sweep(aNow);
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/ingressrequest.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "node/ingress.h"
+
+namespace fescuetiller {
+
+/** One client's request, from its route to its answer. */
+class IngressRequest
+  : public ResponseReceiver
+  , public std::enable_shared_from_this<IngressRequest>
+{
+public:
+  IngressRequest(Ingress& aIngress, std::shared_ptr<Exchange> aExchange);
+  ~IngressRequest() override;
+
+  void Begin();
+
+  void OnWhole(HttpResponse aResponse) override;
+  void OnHead(ResponseHead aHead) override;
+  void OnPiece(asio::const_buffer aPiece, std::function<void()> aNext) override;
+  void OnEnd() override;
+  void OnFailure(const CallFailure& aFailure) override;
+
+private:
+  /** What comes next once a member did not answer. */
+  struct Setback
+  {
+    std::string reason;
+    bool mayHaveRun = false;
+    bool unreachable = false;
+    Duration retryAfter = Duration(0);
+  };
+
+  bool ReadRequest();
+  void Send();
+  std::string ChooseMember(std::string& aReason);
+  void SendTo(const std::string& aMember);
+  void OnSetback(const Setback& aSetback);
+  bool RetryElsewhere(const Setback& aSetback);
+  void WaitAndSend(Duration aWait);
+  void EndCall();
+  void OnClientGone();
+  void GiveUp(const Setback& aSetback);
+  void Reply(unsigned aStatus, const std::string& aReason, Duration aRetry);
+  void Log(const std::string& aOutcome, const std::string& aReason);
+  Duration Left() const;
+  std::optional<DispatchNote> TakeNote(http::fields& aFields);
+
+  Ingress& ingress;
+  std::shared_ptr<Exchange> exchange;
+  std::string requestId;
+  Route route;
+  Dispatch dispatch;
+  std::optional<Key> key;
+  Time startedAt;
+  Time deadline;
+  std::string member; ///< Where it is now.
+  std::set<std::string> tried;
+  std::shared_ptr<UpstreamCall> remote;
+  std::shared_ptr<Cancellable> local;
+  asio::steady_timer timer;
+  uint32_t sends = 0; ///< That may have reached a backend server.
+  uint32_t hops = 0;
+  std::string lastReason;
+  Duration leastRetry = Duration::max();
+  bool ended = false;
+};
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/node/main.cpp
@@ -0,0 +1,85 @@
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "ini/ini.h"
+#include "node/nodeprocess.h"
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kWrongUse = 2;
+
+/** Path of the settings file, from the command line or the environment. */
+std::string
+SettingsPath(const options::variables_map& aValues)
+{
+  if (aValues.count("settings") > 0) {
+    return aValues["settings"].as<std::string>();
+  }
+  const char* path =
+    std::getenv(aValues["settings-from"].as<std::string>().c_str());
+  return path == nullptr ? "" : path;
+}
+
+int
+RunNode(const std::string& aPath, bool aCheckOnly)
+{
+  auto text = fescuetiller::ReadTextFile(aPath);
+  auto settings =
+    text ? fescuetiller::ParseNodeSettings(*text, aPath)
+         : fescuetiller::Result<fescuetiller::NodeSettings>(
+             tl::unexpected(text.error()));
+  if (!settings) {
+    std::cerr << settings.error() << std::endl;
+    return kWrongUse;
+  }
+  if (aCheckOnly) {
+    std::cout << "settings are valid" << std::endl;
+    return 0;
+  }
+  fescuetiller::NodeProcess process(*settings);
+  auto ended = process.Run();
+  if (!ended) {
+    std::cerr << ended.error() << std::endl;
+    return 1;
+  }
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  options::options_description description(
+    "Routes requests to servers that own keys.");
+  auto add = description.add_options();
+  add("help,h", "print this text");
+  add("settings", options::value<std::string>(), "settings file (INI)");
+  add("settings-from",
+      options::value<std::string>()->default_value("FESCUETILLER_SETTINGS"),
+      "environment variable that names the settings file");
+  add("check", "only check the settings");
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(aCount, aArguments, description),
+                   values);
+    options::notify(values);
+  } catch (const options::error& error) {
+    std::cerr << error.what() << std::endl;
+    return kWrongUse;
+  }
+  if (values.count("help") > 0) {
+    std::cout << description << std::endl;
+    return 0;
+  }
+  auto path = SettingsPath(values);
+  if (path.empty()) {
+    std::cerr << "no settings file; see --help" << std::endl;
+    return kWrongUse;
+  }
+  return RunNode(path, values.count("check") > 0);
+}
--- a/src/ownership/records.h
+++ b/src/ownership/records.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "platform/platform.h"
+#include "tableservice/tableservice.h"
 
 namespace fescuetiller {
 
--- /dev/null
+++ b/src/platform/configurationcodec.cpp
@@ -0,0 +1,162 @@
+#include "platform/configurationcodec.h"
+
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include "platform/jsonvalue.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kStep = "read configuration";
+
+uint64_t
+ParseVersion(const std::string& aText)
+{
+  uint64_t version = 0;
+  if (aText.size() < 2 || aText[0] != 'r' ||
+      !boost::conversion::try_lexical_convert(aText.substr(1), version)) {
+    throw JsonMismatch{ "'" + aText + "' is no version" };
+  }
+  return version;
+}
+
+RequestKind
+ParseKind(const std::string& aText)
+{
+  if (aText == "safe") {
+    return RequestKind::Idempotent;
+  }
+  if (aText == "unsafe") {
+    return RequestKind::NonIdempotent;
+  }
+  if (aText == "download") {
+    return RequestKind::Download;
+  }
+  throw JsonMismatch{ "unknown kind '" + aText + "'" };
+}
+
+std::vector<Destination>
+ParseDestinations(const JsonObject& aRoute)
+{
+  if (!aRoute.Has("weighted-clusters")) {
+    return { { aRoute.Text("service"), 1 } };
+  }
+  std::vector<Destination> destinations;
+  const auto& parts = aRoute.Get("weighted-clusters");
+  if (!parts.is_array() || parts.empty()) {
+    throw JsonMismatch{ "'weighted-clusters' is not a list with entries" };
+  }
+  for (const auto& part : parts) {
+    JsonObject object(part);
+    destinations.push_back({ object.Text("service"),
+                             static_cast<uint32_t>(object.Number("weight")) });
+  }
+  return destinations;
+}
+
+Route
+ParseRoute(const std::string& aName, const json& aValue)
+{
+  JsonObject object(aValue);
+  Route route;
+  route.name = aName;
+  route.host = object.Text("host");
+  route.prefix = object.Text("prefix");
+  route.kind = ParseKind(object.Text("kind"));
+  route.timeout = object.Time("timeout");
+  route.targetLatency = object.Has("target-latency")
+                          ? object.Time("target-latency")
+                          : route.timeout;
+  route.priority = object.Has("priority")
+                     ? static_cast<uint32_t>(object.Number("priority"))
+                     : 0;
+  route.attempts = object.Has("attempts")
+                     ? static_cast<uint32_t>(object.Number("attempts"))
+                     : 1;
+  route.destinations = ParseDestinations(object);
+  return route;
+}
+
+Service
+ParseService(const std::string& aName, const json& aValue)
+{
+  JsonObject object(aValue);
+  Service service;
+  service.name = aName;
+  service.healthPath =
+    object.Has("health-check") ? object.Text("health-check") : "";
+  service.maxConnections =
+    static_cast<uint32_t>(object.Number("max-connections"));
+  service.ownsKeys = object.Has("sharded") && object.Flag("sharded");
+  if (object.Has("protocol") && object.Text("protocol") != "h1") {
+    throw JsonMismatch{ "service '" + aName + "' does not speak HTTP/1.1" };
+  }
+  if (object.Has("tls") && object.Flag("tls")) {
+    throw JsonMismatch{ "service '" + aName + "' asks for TLS" };
+  }
+  return service;
+}
+
+ClientLimits
+ParseLimits(const JsonObject& aLimits)
+{
+  ClientLimits limits;
+  limits.maxHeaderBytes =
+    static_cast<uint32_t>(aLimits.Number("max-header-bytes"));
+  limits.maxBodyBytes = aLimits.Number("max-body-bytes");
+  limits.headerTimeout = aLimits.Time("header-timeout");
+  limits.idleTimeout = aLimits.Time("idle-timeout");
+  return limits;
+}
+
+Configuration
+ParseBody(const JsonObject& aBody)
+{
+  Configuration configuration;
+  configuration.version = ParseVersion(aBody.Text("version"));
+  const auto& services = aBody.Get("services");
+  const auto& routes = aBody.Get("routes");
+  JsonObject{ services };
+  JsonObject{ routes };
+  for (const auto& [name, value] : services.items()) {
+    configuration.services[name] = ParseService(name, value);
+  }
+  for (const auto& [name, value] : routes.items()) {
+    configuration.routes[name] = ParseRoute(name, value);
+  }
+  if (aBody.Has("limits")) {
+    configuration.limits = ParseLimits(JsonObject(aBody.Get("limits")));
+  }
+  return configuration;
+}
+
+} // namespace
+
+const StoreKey&
+ConfigurationKey()
+{
+  static const StoreKey kKey{ "op", "", "config" };
+  return kKey;
+}
+
+Result<Configuration>
+ParseConfiguration(const std::string& aText)
+{
+  auto parsed = ParseJson(aText, kStep, ConfigurationKey().table);
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
+  }
+  try {
+    return ParseBody(JsonObject(*parsed));
+  } catch (const JsonMismatch& mismatch) {
+    return tl::unexpected(Error{ ErrorCode::Invalid,
+                                 kStep,
+                                 ConfigurationKey().table,
+                                 mismatch.message });
+  }
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/platform/heartbeatcodec.cpp
@@ -0,0 +1,137 @@
+#include "platform/heartbeatcodec.h"
+
+#include "platform/jsonvalue.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kStep = "read heartbeat";
+constexpr const char* kPathStart = "/v1/instances/";
+constexpr uint64_t kMostSlots = 100000;
+
+KeyRange
+ParseRange(const json& aRow, size_t aColumns)
+{
+  if (!aRow.is_array() || aRow.size() != aColumns) {
+    throw JsonMismatch{ "a range has the wrong form" };
+  }
+  auto first = NumberOf(aRow[0], "from");
+  auto last = NumberOf(aRow[1], "to");
+  if (first > last || last > kLastKey) {
+    throw JsonMismatch{ "a range ends before it starts or beyond the keys" };
+  }
+  return { static_cast<Key>(first), static_cast<Key>(last) };
+}
+
+const json&
+RowsOf(const JsonObject& aObject, const char* aName)
+{
+  static const json kNone = json::array();
+  const auto& rows = aObject.Has(aName) ? aObject.Get(aName) : kNone;
+  if (!rows.is_array()) {
+    throw JsonMismatch{ std::string("field '") + aName + "' is not a list" };
+  }
+  return rows;
+}
+
+bool
+ParseDraining(const std::string& aState)
+{
+  if (aState != "ready" && aState != "draining") {
+    throw JsonMismatch{ "unknown state '" + aState + "'" };
+  }
+  return aState == "draining";
+}
+
+} // namespace
+
+bool
+operator==(const ServerCall& aLeft, const ServerCall& aRight)
+{
+  return aLeft.kind == aRight.kind && aLeft.serverId == aRight.serverId;
+}
+
+std::optional<ServerCall>
+ParseServerCall(const std::string& aMethod, const std::string& aPath)
+{
+  const std::string start = kPathStart;
+  auto end = aPath.rfind('/');
+  if (aMethod != "POST" || aPath.compare(0, start.size(), start) != 0 ||
+      end <= start.size()) {
+    return std::nullopt;
+  }
+  ServerCall call;
+  call.serverId = aPath.substr(start.size(), end - start.size());
+  std::string verb = aPath.substr(end + 1);
+  if (verb == "heartbeat") {
+    call.kind = ServerCall::Kind::Heartbeat;
+  } else if (verb == "deregister") {
+    call.kind = ServerCall::Kind::Leave;
+  } else {
+    return std::nullopt;
+  }
+  return call;
+}
+
+Result<ServerReport>
+ParseHeartbeat(const std::string& aServerId, const std::string& aBody)
+{
+  auto parsed = ParseJson(aBody, kStep, aServerId);
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
+  }
+  try {
+    JsonObject body(*parsed);
+    ServerReport report;
+    report.life.id = aServerId;
+    // Deployments in which no id is used twice leave it out.
+    report.life.startedAt =
+      body.Has("born") ? static_cast<int64_t>(body.Number("born")) : 0;
+    report.service = body.Text("service");
+    report.address = body.Text("address");
+    report.zone = body.Text("zone");
+    auto slots = body.Number("slots");
+    if (slots == 0 || slots > kMostSlots) {
+      throw JsonMismatch{ "field 'slots' is out of range" };
+    }
+    report.slots = static_cast<uint32_t>(slots);
+    report.draining = ParseDraining(body.Text("state"));
+    report.coldFor = body.Has("cold") ? body.Time("cold") : Duration(0);
+    report.sequence = body.Number("seq");
+    for (const auto& row : RowsOf(body, "holds")) {
+      report.holds.push_back({ ParseRange(row, 3), NumberOf(row[2], "fence") });
+    }
+    for (const auto& row : RowsOf(body, "freed")) {
+      auto range = ParseRange(row, 3);
+      report.released.push_back(
+        { range, row[2].is_string() ? row[2].get<std::string>() : "" });
+    }
+    return report;
+  } catch (const JsonMismatch& mismatch) {
+    return tl::unexpected(
+      Error{ ErrorCode::Invalid, kStep, aServerId, mismatch.message });
+  }
+}
+
+std::string
+EncodeHeartbeatReply(const HeartbeatReply& aReply)
+{
+  json body = json::object();
+  if (aReply.grants) {
+    json rows = json::array();
+    for (const auto& grant : aReply.grants->ranges) {
+      rows.push_back({ grant.range.first,
+                       grant.range.last,
+                       grant.fence,
+                       grant.handover });
+    }
+    body["holds"] = rows;
+    body["hold_time"] = FormatDuration(aReply.grants->holdFor);
+  }
+  return body.dump();
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/platform/jsonvalue.cpp
@@ -0,0 +1,125 @@
+#include "platform/jsonvalue.h"
+
+#include <cmath>
+
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+namespace fescuetiller {
+
+Result<nlohmann::json>
+ParseJson(const std::string& aText,
+          const std::string& aStep,
+          const std::string& aPeer)
+{
+  auto parsed = nlohmann::json::parse(aText, nullptr, false);
+  if (parsed.is_discarded()) {
+    return tl::unexpected(
+      Error{ ErrorCode::Invalid, aStep, aPeer, "not a JSON text" });
+  }
+  return parsed;
+}
+
+JsonObject::JsonObject(const nlohmann::json& aValue)
+  : value(aValue)
+{
+  if (!aValue.is_object()) {
+    throw JsonMismatch{ "not a JSON object" };
+  }
+}
+
+bool
+JsonObject::Has(const char* aName) const
+{
+  return this->value.contains(aName);
+}
+
+const nlohmann::json&
+JsonObject::Get(const char* aName) const
+{
+  auto found = this->value.find(aName);
+  if (found == this->value.end()) {
+    throw JsonMismatch{ std::string("no field '") + aName + "'" };
+  }
+  return *found;
+}
+
+std::string
+JsonObject::Text(const char* aName) const
+{
+  const auto& member = this->Get(aName);
+  if (!member.is_string()) {
+    throw JsonMismatch{ std::string("field '") + aName + "' is not a text" };
+  }
+  return member.get<std::string>();
+}
+
+uint64_t
+JsonObject::Number(const char* aName) const
+{
+  return NumberOf(this->Get(aName), aName);
+}
+
+bool
+JsonObject::Flag(const char* aName) const
+{
+  const auto& member = this->Get(aName);
+  if (!member.is_boolean()) {
+    throw JsonMismatch{ std::string("field '") + aName +
+                        "' is not true or false" };
+  }
+  return member.get<bool>();
+}
+
+Duration
+JsonObject::Time(const char* aName) const
+{
+  auto time = ParseDuration(this->Text(aName), aName);
+  if (!time) {
+    throw JsonMismatch{ std::string("field '") + aName + "' " +
+                        time.error().message };
+  }
+  return *time;
+}
+
+uint64_t
+NumberOf(const nlohmann::json& aValue, const char* aName)
+{
+  if (!aValue.is_number_unsigned()) {
+    throw JsonMismatch{ std::string("field '") + aName +
+                        "' is not a whole number" };
+  }
+  return aValue.get<uint64_t>();
+}
+
+Result<Duration>
+ParseDuration(const std::string& aText, const std::string& aStep)
+{
+  constexpr double kMostSeconds = 1e6;
+  auto wrong = tl::unexpected(Error{ ErrorCode::Invalid,
+                                     aStep,
+                                     aText,
+                                     "must be a number and ms or s" });
+  auto unit = aText.find_first_not_of("0123456789.");
+  if (unit == std::string::npos) {
+    return wrong;
+  }
+  double number = 0;
+  bool seconds = aText.substr(unit) == "s";
+  if ((!seconds && aText.substr(unit) != "ms") ||
+      !boost::conversion::try_lexical_convert(aText.substr(0, unit), number)) {
+    return wrong;
+  }
+  number = seconds ? number : number / 1e3;
+  if (number > kMostSeconds) {
+    return wrong;
+  }
+  return Duration(static_cast<int64_t>(std::llround(number * 1e9)));
+}
+
+std::string
+FormatDuration(Duration aDuration)
+{
+  return std::to_string(ToMilliseconds(aDuration)) + "ms";
+}
+
+} // namespace fescuetiller
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -1,7 +1,11 @@
 #pragma once
 
-/** Public header of the platform library: the table service and its client. */
+/** Public header of the platform library: names and formats of the platform,
+ * and the client of its store. Nothing here decides. */
 
-#include "platform/httptablestore.h"
-#include "platform/rowcodec.h"
-#include "platform/tablestore.h"
+#include "platform/configurationcodec.h"
+#include "platform/headers.h"
+#include "platform/heartbeatcodec.h"
+#include "platform/jsonvalue.h"
+#include "platform/storeclient.h"
+#include "platform/storecodec.h"
--- /dev/null
+++ b/src/platform/storeclient.cpp
@@ -0,0 +1,128 @@
+#include "platform/storeclient.h"
+
+#include "platform/storecodec.h"
+
+namespace fescuetiller {
+
+namespace {
+
+/** Longest wait for an answer: the store may be slow by a factor of tens, and a
+ * silent connection must be noticed well within the time in which a new
+ * configuration is to be in force. */
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+/** What a waiting call may take beyond its wait. */
+constexpr Duration kWatchSlack = std::chrono::milliseconds(800);
+/** Idle time of connections to the store; its own is not stated. */
+constexpr Duration kIdleTimeout = std::chrono::seconds(5);
+
+} // namespace
+
+StoreClient::StoreClient(ConnectionPool& aPool, const Tcp::endpoint& aAddress)
+  : pool(aPool)
+  , address(aAddress)
+{
+}
+
+void
+StoreClient::Call(const StoreCall& aCall, Duration aTimeout, FetchDone aDone)
+{
+  ++this->calls;
+  HttpRequest request(
+    http::string_to_verb(aCall.method), aCall.target, 11);
+  request.set(http::field::host, ToString(this->address));
+  if (!aCall.body.empty()) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = aCall.body;
+    request.prepare_payload();
+  }
+  CallOptions options;
+  options.timeout = aTimeout;
+  options.idleTimeout = kIdleTimeout;
+  Fetch(this->pool, this->address, std::move(request), options, std::move(aDone));
+}
+
+void
+StoreClient::Transact(const StoreTransaction& aTransaction, OutcomeDone aDone)
+{
+  this->Call(EncodeTransaction(aTransaction),
+             kCallTimeout,
+             [done = std::move(aDone)](Result<HttpResponse> aAnswer) {
+               if (!aAnswer) {
+                 done(tl::unexpected(aAnswer.error()));
+                 return;
+               }
+               done(ParseOutcome(aAnswer->result_int(), aAnswer->body()));
+             });
+}
+
+void
+StoreClient::Read(const std::string& aTable,
+                  const std::string& aPart,
+                  RowsDone aDone)
+{
+  this->ReadMore({ aTable, aPart, "" },
+                 std::make_shared<StoreRows>(),
+                 std::move(aDone));
+}
+
+void
+StoreClient::ReadMore(const StoreKey& aFrom,
+                      std::shared_ptr<StoreRows> aRows,
+                      RowsDone aDone)
+{
+  this->ReadFrom(
+    aFrom,
+    [this, aFrom, rows = std::move(aRows), done = std::move(aDone)](
+      Result<StoreRows> aPage) {
+      if (!aPage) {
+        done(std::move(aPage));
+        return;
+      }
+      if (rows->version == 0) {
+        rows->version = aPage->version;
+      }
+      rows->rows.insert(
+        rows->rows.end(), aPage->rows.begin(), aPage->rows.end());
+      if (!aPage->more || aPage->rows.empty()) {
+        done(*rows);
+        return;
+      }
+      // The next key in byte order after the last one.
+      auto next = aPage->rows.back().key;
+      next.key.push_back('\x01');
+      this->ReadMore(next, rows, done);
+    });
+}
+
+void
+StoreClient::ReadFrom(const StoreKey& aFrom, RowsDone aDone)
+{
+  this->Call(EncodeRead(aFrom.table, aFrom.part, aFrom.key),
+             kCallTimeout,
+             [done = std::move(aDone)](Result<HttpResponse> aAnswer) {
+               if (!aAnswer) {
+                 done(tl::unexpected(aAnswer.error()));
+                 return;
+               }
+               done(ParseRows(aAnswer->result_int(), aAnswer->body()));
+             });
+}
+
+void
+StoreClient::Watch(const std::string& aTable,
+                   RowVersion aAfter,
+                   Duration aWait,
+                   RowsDone aDone)
+{
+  this->Call(EncodeWatch(aTable, aAfter, aWait),
+             aWait + kWatchSlack,
+             [done = std::move(aDone)](Result<HttpResponse> aAnswer) {
+               if (!aAnswer) {
+                 done(tl::unexpected(aAnswer.error()));
+                 return;
+               }
+               done(ParseRows(aAnswer->result_int(), aAnswer->body()));
+             });
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/platform/storecodec.cpp
@@ -0,0 +1,217 @@
+#include "platform/storecodec.h"
+
+#include <algorithm>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+
+#include "platform/jsonvalue.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using nlohmann::json;
+namespace iterators = boost::archive::iterators;
+
+constexpr const char* kStep = "call store";
+constexpr unsigned kOk = 200;
+constexpr unsigned kGone = 410;
+constexpr unsigned kConflict = 412;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kUnavailable = 503;
+
+std::string
+EncodeBase64(const std::string& aBytes)
+{
+  using Encoder = iterators::base64_from_binary<
+    iterators::transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(Encoder(aBytes.begin()), Encoder(aBytes.end()));
+  return text.append((3 - aBytes.size() % 3) % 3, '=');
+}
+
+std::string
+DecodeBase64(std::string aText)
+{
+  using Decoder = iterators::transform_width<
+    iterators::binary_from_base64<std::string::const_iterator>,
+    8,
+    6>;
+  auto padding = std::count(aText.begin(), aText.end(), '=');
+  std::replace(aText.begin(), aText.end(), '=', 'A');
+  try {
+    std::string bytes(Decoder(aText.cbegin()), Decoder(aText.cend()));
+    bytes.resize(bytes.size() - std::min<size_t>(padding, bytes.size()));
+    return bytes;
+  } catch (const iterators::dataflow_exception&) {
+    throw JsonMismatch{ "a value is not base64" };
+  }
+}
+
+std::string
+EscapeQuery(const std::string& aText)
+{
+  static const char* const kDigits = "0123456789ABCDEF";
+  std::string escaped;
+  for (unsigned char byte : aText) {
+    if (std::isalnum(byte) != 0 || byte == '-' || byte == '_' || byte == '.') {
+      escaped += static_cast<char>(byte);
+    } else {
+      escaped += { '%', kDigits[byte >> 4], kDigits[byte & 15] };
+    }
+  }
+  return escaped;
+}
+
+json
+ToJson(const StoreKey& aKey)
+{
+  return { { "table", aKey.table },
+           { "part", aKey.part },
+           { "key", aKey.key } };
+}
+
+StoreRow
+ParseRow(const json& aValue)
+{
+  JsonObject object(aValue);
+  StoreRow row;
+  row.key = { object.Text("table"),
+              object.Has("part") ? object.Text("part") : "",
+              object.Text("key") };
+  row.removed = object.Has("removed") && object.Get("removed") != json(false);
+  row.version = object.Has("ver") ? object.Number("ver") : 0;
+  if (!row.removed && object.Has("value")) {
+    row.value = DecodeBase64(object.Text("value"));
+  }
+  return row;
+}
+
+std::vector<StoreRow>
+ParseRowList(const JsonObject& aBody)
+{
+  std::vector<StoreRow> rows;
+  if (!aBody.Has("rows")) {
+    return rows;
+  }
+  for (const auto& row : aBody.Get("rows")) {
+    rows.push_back(ParseRow(row));
+  }
+  return rows;
+}
+
+Error
+ErrorOf(unsigned aStatus, ErrorCode aCode)
+{
+  return { aCode, kStep, "store", "status " + std::to_string(aStatus) };
+}
+
+Error
+Unreadable(const std::string& aMessage)
+{
+  return { ErrorCode::Unknown, kStep, "store", aMessage };
+}
+
+} // namespace
+
+StoreCall
+EncodeTransaction(const StoreTransaction& aTransaction)
+{
+  json conditions = json::array();
+  for (const auto& condition : aTransaction.conditions) {
+    auto entry = ToJson(condition.key);
+    entry["ver"] = condition.version;
+    conditions.push_back(entry);
+  }
+  json sets = json::array();
+  for (const auto& row : aTransaction.sets) {
+    auto entry = ToJson(row.key);
+    entry["value"] = EncodeBase64(row.value);
+    sets.push_back(entry);
+  }
+  json removes = json::array();
+  for (const auto& key : aTransaction.removes) {
+    removes.push_back(ToJson(key));
+  }
+  json body = { { "expected-rev", conditions },
+                { "set-keys", sets },
+                { "remove", removes } };
+  return { "POST", "/v1/rows-tx", body.dump() };
+}
+
+StoreCall
+EncodeRead(const std::string& aTable,
+           const std::string& aPart,
+           const std::string& aFrom)
+{
+  std::string target = "/v1/rows-get?table=" + EscapeQuery(aTable) +
+                       "&part=" + EscapeQuery(aPart);
+  if (!aFrom.empty()) {
+    target += "&from=" + EscapeQuery(aFrom);
+  }
+  return { "GET", target, "" };
+}
+
+StoreCall
+EncodeWatch(const std::string& aTable, RowVersion aAfter, Duration aWait)
+{
+  return { "GET",
+           "/v1/rows-feed?table=" + EscapeQuery(aTable) +
+             "&after=" + std::to_string(aAfter) +
+             "&wait-ms=" + std::to_string(ToMilliseconds(aWait)),
+           "" };
+}
+
+Result<StoreOutcome>
+ParseOutcome(unsigned aStatus, const std::string& aBody)
+{
+  if (aStatus == kUnavailable || aStatus == kTooMany) {
+    return tl::unexpected(ErrorOf(aStatus, ErrorCode::Unavailable));
+  }
+  if (aStatus != kOk && aStatus != kConflict) {
+    auto code = aStatus >= 500 ? ErrorCode::Unknown : ErrorCode::Refused;
+    return tl::unexpected(ErrorOf(aStatus, code));
+  }
+  auto parsed = ParseJson(aBody, kStep, "store");
+  if (!parsed) {
+    return tl::unexpected(Unreadable(parsed.error().message));
+  }
+  try {
+    JsonObject body(*parsed);
+    StoreOutcome outcome;
+    outcome.committed = aStatus == kOk;
+    outcome.version = body.Has("ver") ? body.Number("ver") : 0;
+    outcome.current = ParseRowList(body);
+    return outcome;
+  } catch (const JsonMismatch& mismatch) {
+    return tl::unexpected(Unreadable(mismatch.message));
+  }
+}
+
+Result<StoreRows>
+ParseRows(unsigned aStatus, const std::string& aBody)
+{
+  if (aStatus == kGone) {
+    return tl::unexpected(ErrorOf(aStatus, ErrorCode::Expired));
+  }
+  if (aStatus != kOk) {
+    return tl::unexpected(ErrorOf(aStatus, ErrorCode::Unavailable));
+  }
+  auto parsed = ParseJson(aBody, kStep, "store");
+  if (!parsed) {
+    return tl::unexpected(Unreadable(parsed.error().message));
+  }
+  try {
+    JsonObject body(*parsed);
+    StoreRows rows;
+    rows.rows = ParseRowList(body);
+    rows.version = body.Number("ver");
+    rows.more = body.Has("has-more") && body.Flag("has-more");
+    return rows;
+  } catch (const JsonMismatch& mismatch) {
+    return tl::unexpected(Unreadable(mismatch.message));
+  }
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/routing/peertable.cpp
@@ -0,0 +1,109 @@
+#include "routing/peertable.h"
+
+#include <algorithm>
+
+namespace fescuetiller {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Age from which on a report says nothing about now. */
+constexpr Duration kReportAge = std::chrono::seconds(3);
+/** Time that each request in flight to a peer is taken to add, until the peer
+ * has reported again; a fraction of a usual request. */
+constexpr Duration kInFlightTime = milliseconds(8);
+/** Pause after a failure; doubles with each further one. */
+constexpr Duration kFirstPause = milliseconds(200);
+constexpr uint32_t kMostDoublings = 3;
+/** Longer than any expected time: peers to avoid come last. */
+constexpr Duration kAvoided = std::chrono::hours(1);
+
+} // namespace
+
+void
+PeerTable::Sent(const std::string& aMember)
+{
+  ++this->peers[aMember].inFlight;
+}
+
+void
+PeerTable::Ended(const std::string& aMember)
+{
+  auto& peer = this->peers[aMember];
+  peer.inFlight -= peer.inFlight > 0 ? 1 : 0;
+}
+
+void
+PeerTable::OnReport(Time aNow,
+                    const std::string& aMember,
+                    double aLoad,
+                    Duration aExpected)
+{
+  auto& peer = this->peers[aMember];
+  peer.load = aLoad;
+  peer.expected = aExpected;
+  peer.reportedAt = aNow;
+  peer.failures = 0;
+}
+
+void
+PeerTable::OnFailure(Time aNow, const std::string& aMember)
+{
+  auto& peer = this->peers[aMember];
+  auto doublings = std::min(peer.failures, kMostDoublings);
+  ++peer.failures;
+  peer.avoidUntil = aNow + kFirstPause * (1 << doublings);
+}
+
+void
+PeerTable::Avoid(const std::string& aMember, Time aUntil)
+{
+  auto& peer = this->peers[aMember];
+  peer.avoidUntil = std::max(peer.avoidUntil, aUntil);
+}
+
+std::string
+PeerTable::Pick(Time aNow,
+                const std::vector<PeerCandidate>& aCandidates,
+                const PeerQuestion& aQuestion) const
+{
+  std::string best;
+  Duration least = Duration::max();
+  for (const auto& candidate : aCandidates) {
+    if (aQuestion.tried.count(candidate.member) > 0) {
+      continue;
+    }
+    Duration cost = candidate.zone == aQuestion.ownZone
+                      ? Duration(0)
+                      : aQuestion.zonePreference;
+    auto found = this->peers.find(candidate.member);
+    if (found != this->peers.end()) {
+      const auto& peer = found->second;
+      if (aNow - peer.reportedAt < kReportAge) {
+        cost += peer.expected;
+      }
+      cost += kInFlightTime * static_cast<int>(peer.inFlight);
+      cost += aNow < peer.avoidUntil ? kAvoided : Duration(0);
+    }
+    if (cost < least) {
+      least = cost;
+      best = candidate.member;
+    }
+  }
+  return best;
+}
+
+std::map<std::string, double>
+PeerTable::Loads(Time aNow) const
+{
+  std::map<std::string, double> loads;
+  for (const auto& [member, peer] : this->peers) {
+    if (aNow - peer.reportedAt < kReportAge) {
+      loads[member] = peer.load;
+    }
+  }
+  return loads;
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/src/routing/peertable.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+
+namespace fescuetiller {
+
+/** A daemon that could take a request. */
+struct PeerCandidate
+{
+  std::string member;
+  std::string zone;
+};
+
+/** What decides among candidates. */
+struct PeerQuestion
+{
+  std::string ownZone;
+  /** Extra time that is accepted to stay in the own zone. */
+  Duration zonePreference = Duration(0);
+  std::set<std::string> tried;
+};
+
+/**
+ * What this daemon has seen of the others: how long their answers would take
+ * and whether they fail. Chooses the daemon for a request to a service that
+ * does not own keys. Pure, not thread-safe.
+ */
+class PeerTable
+{
+public:
+  void Sent(const std::string& aMember);
+  void Ended(const std::string& aMember);
+
+  /** What a peer said with an answer. */
+  void OnReport(Time aNow,
+                const std::string& aMember,
+                double aLoad,
+                Duration aExpected);
+
+  /** The peer could not be reached or broke off. */
+  void OnFailure(Time aNow, const std::string& aMember);
+
+  /** The peer takes no requests for a while. */
+  void Avoid(const std::string& aMember, Time aUntil);
+
+  /** Empty: every candidate was tried. */
+  std::string Pick(Time aNow,
+                   const std::vector<PeerCandidate>& aCandidates,
+                   const PeerQuestion& aQuestion) const;
+
+  /** Last reported load of each peer that reported recently. */
+  std::map<std::string, double> Loads(Time aNow) const;
+
+private:
+  struct Peer
+  {
+    uint32_t inFlight = 0;
+    double load = 0;
+    Duration expected = Duration(0);
+    Time reportedAt;
+    Time avoidUntil;
+    uint32_t failures = 0;
+  };
+
+  std::map<std::string, Peer> peers;
+};
+
+} // namespace fescuetiller
--- a/src/platform/httptablestore.cpp
+++ b/src/tableservice/httptablestore.cpp
@@ -1,8 +1,8 @@
-#include "platform/httptablestore.h"
+#include "tableservice/httptablestore.h"
 
 #include <httplib.h>
 
-#include "platform/rowcodec.h"
+#include "tableservice/rowcodec.h"
 #include "wire/wire.h"
 
 namespace fescuetiller {
--- a/src/platform/httptablestore.h
+++ b/src/tableservice/httptablestore.h
@@ -3,7 +3,7 @@
 #include <memory>
 #include <string>
 
-#include "platform/tablestore.h"
+#include "tableservice/tablestore.h"
 
 namespace httplib {
 class Client;
--- a/src/platform/rowcodec.cpp
+++ b/src/tableservice/rowcodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/rowcodec.h"
+#include "tableservice/rowcodec.h"
 
 namespace fescuetiller {
 
--- a/src/platform/rowcodec.h
+++ b/src/tableservice/rowcodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/tablestore.h"
+#include "tableservice/tablestore.h"
 #include "wire/wire.h"
 
 namespace fescuetiller {
--- a/src/platform/tablestore.cpp
+++ b/src/tableservice/tablestore.cpp
@@ -1,4 +1,4 @@
-#include "platform/tablestore.h"
+#include "tableservice/tablestore.h"
 
 #include <tuple>
 
--- a/tests/standins/memorytablestore.h
+++ b/tests/standins/memorytablestore.h
@@ -3,7 +3,7 @@
 #include <map>
 #include <mutex>
 
-#include "platform/platform.h"
+#include "tableservice/tableservice.h"
 
 namespace fescuetiller {
 
