Refuse at once what cannot be served; tell new owners directly

Cause: requests waited 250 to 400 ms for connections to machines that were known to be gone, late requests held queues of over 100 behind timely ones, and keys whose lease had lapsed kept admitting.

Change: one request at a time probes a failing daemon; late requests are taken only where the offered load leaves room; a key without a grant in sight refuses; an owner names the member that keys moved to, and sends it the rows.

Ruled out: refusing late work also with free slots.

--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -21,7 +21,9 @@
 constexpr double kRetrySpread = 0.5;
 /** Part of the time left that a late request's wait may take: its estimate is
  * less certain, since every timely request passes it. */
-constexpr double kLateShare = 0.6;
+constexpr double kLateShare = 0.5;
+/** Offered load from which on timely requests leave no room for late ones. */
+constexpr double kFullLoad = 0.95;
 
 } // namespace
 
@@ -97,6 +99,9 @@
 {
   Duration work(0);
   for (const auto& other : this->waiting) {
+    if (other.notBefore > aNow) {
+      continue; // Its keys are not granted yet; it takes no slot before.
+    }
     if (aRequest == nullptr ||
         (other.id != aRequest->id && this->Before(aNow, other, *aRequest))) {
       work += this->TimeOf(other);
@@ -144,10 +149,15 @@
   auto end = aNow + wait + usual;
   bool late = !inTime || end > aRequest.wantedBy;
   auto left = aRequest.deadline - aNow - usual;
-  bool hopeless = end > aRequest.deadline ||
-                  (late && wait > std::chrono::duration_cast<Duration>(
-                                    left * kLateShare));
-  if (hopeless) {
+  bool hopeless =
+    end > aRequest.deadline ||
+    (late && (wait > std::chrono::duration_cast<Duration>(left * kLateShare) ||
+              this->OfferedLoad(aNow) > kFullLoad));
+  // A free slot is used even if the class has taken too long lately: only so
+  // is it learned that it takes less by now.
+  bool free = aRequest.notBefore <= aNow && aRequest.deadline > aNow &&
+              this->running.size() + this->waiting.size() < this->slots;
+  if (hopeless && !free) {
     return { { aRequest.id, "no-time", this->RetryAfter(aNow, aRequest.id) } };
   }
   this->waiting.push_back(aRequest);
@@ -209,11 +219,18 @@
 SlotQueue::Expire(Time aNow)
 {
   std::vector<SlotRefusal> refused;
+  bool full = this->OfferedLoad(aNow) > kFullLoad &&
+              this->running.size() >= this->slots;
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     auto start = std::max(aNow, entry->notBefore);
-    if (start + this->TimeOf(*entry) > entry->deadline) {
-      refused.push_back(
-        { entry->id, "expired", this->RetryAfter(aNow, entry->id) });
+    auto usual = this->running.size() < this->slots ? Duration(0)
+                                                    : this->TimeOf(*entry);
+    bool expired = start + usual > entry->deadline;
+    bool displaced = full && !this->CanBeInTime(aNow, *entry);
+    if (expired || displaced) {
+      refused.push_back({ entry->id,
+                          expired ? "expired" : "displaced",
+                          this->RetryAfter(aNow, entry->id) });
       entry = this->waiting.erase(entry);
     } else {
       ++entry;
--- a/src/cluster/messages.cpp
+++ b/src/cluster/messages.cpp
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr int kLastKind = static_cast<int>(BeaconMessage::Kind::Consent);
+constexpr int kLastKind = static_cast<int>(BeaconMessage::Kind::Rows);
 
 } // namespace
 
@@ -23,7 +23,8 @@
                     aMessage.to,
                     aMessage.ward,
                     aMessage.version,
-                    aMessage.sentAt);
+                    aMessage.sentAt,
+                    aMessage.rows);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -37,6 +38,15 @@
                  aMessage.ward,
                  aMessage.version,
                  aMessage.sentAt };
+  json rows = json::array();
+  for (const auto& row : aMessage.rows) {
+    rows.push_back({ row.key.table,
+                     row.key.part,
+                     row.key.key,
+                     row.value,
+                     row.version });
+  }
+  value.push_back(rows);
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
 }
@@ -50,12 +60,22 @@
     if (!value.is_array() || kind < 0 || kind > kLastKind) {
       return std::nullopt;
     }
+    std::vector<StoreRow> rows;
+    for (const auto& row : value.at(6)) {
+      rows.push_back({ { row.at(0).get<std::string>(),
+                         row.at(1).get<std::string>(),
+                         row.at(2).get<std::string>() },
+                       row.at(3).get<std::string>(),
+                       row.at(4).get<RowVersion>(),
+                       false });
+    }
     return BeaconMessage{ static_cast<BeaconMessage::Kind>(kind),
                           value.at(1).get<std::string>(),
                           value.at(2).get<std::string>(),
                           value.at(3).get<std::string>(),
                           value.at(4).get<RowVersion>(),
-                          value.at(5).get<int64_t>() };
+                          value.at(5).get<int64_t>(),
+                          std::move(rows) };
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/cluster/messages.h
+++ b/src/cluster/messages.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cluster/records.h"
 
@@ -16,6 +17,7 @@
     Acknowledge, ///< The guardian will not agree to a takeover for a while.
     AskConsent,  ///< May the silent member be taken over?
     Consent,     ///< Yes; its renewals are not acknowledged any more.
+    Rows,        ///< Rows that the sender has changed in the store.
   };
 
   Kind kind = Kind::Renew;
@@ -25,6 +27,7 @@
   /** Version of the member's record that a consent is for. */
   RowVersion version = 0;
   int64_t sentAt = 0; ///< Sender's clock; echoed by an acknowledgement.
+  std::vector<StoreRow> rows;
 
   friend bool operator==(const BeaconMessage& aLeft,
                          const BeaconMessage& aRight);
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace fescuetiller {
 
@@ -36,6 +37,8 @@
 constexpr size_t kMergeFrom = 16;
 /** Longest time for which a process that is gone may have granted keys. */
 constexpr Duration kForeignGrant = milliseconds(3300);
+/** How long a member tells where keys went; the others know by then. */
+constexpr Duration kMovedMemory = milliseconds(3000);
 /** Lives of a server that get fences within one epoch. */
 constexpr uint64_t kLivesPerEpoch = 4096;
 
@@ -81,8 +84,10 @@
                     aState.sendUntil,
                     aState.coldUntil,
                     aState.nextHeartbeat,
+                    aState.leaseUntil,
                     aState.ownsKeys,
-                    aState.ranges);
+                    aState.ranges,
+                    aState.moved);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -261,10 +266,16 @@
   auto reply = [&](Kind aKind) {
     return BeaconMessage{
       aKind,           this->self,       aMessage.from,
-      aMessage.ward,   aMessage.version, aMessage.sentAt
+      aMessage.ward,   aMessage.version, aMessage.sentAt,
+      {}
     };
   };
   switch (aMessage.kind) {
+    case Kind::Rows:
+      for (const auto& row : aMessage.rows) {
+        this->OnRow(aNow, row);
+      }
+      break;
     case Kind::Renew:
       // A member whose record may be gone must promise nothing more.
       if (this->LeaseEnd() > aNow &&
@@ -296,6 +307,18 @@
   this->watch.OnLease(aNow, aMember, aVersion);
 }
 
+void
+OwnershipAgent::SetStoreReachable(bool aReachable)
+{
+  this->storeReachable = aReachable;
+}
+
+bool
+OwnershipAgent::StoreReachable() const
+{
+  return this->storeReachable && this->queue.StoreAnswers();
+}
+
 void
 OwnershipAgent::SetLoads(double aOwnLoad,
                          std::vector<KeyWeight> aKeys,
@@ -310,6 +333,7 @@
 OwnershipAgent::Tick(Time aNow)
 {
   Output output;
+  output.beacons = std::exchange(this->pendingBeacons, {});
   if (this->phase == Phase::Outside) {
     this->Join(aNow);
   }
@@ -606,7 +630,8 @@
                                     guardian,
                                     this->self,
                                     0,
-                                    ToBootNanoseconds(aNow) } });
+                                    ToBootNanoseconds(aNow),
+                                    {} } });
     }
   }
 }
@@ -710,6 +735,9 @@
   this->moves.erase(
     std::remove_if(this->moves.begin(), this->moves.end(), stale),
     this->moves.end());
+  while (!this->moved.empty() && aNow - this->moved.front().at > kMovedMemory) {
+    this->moved.pop_front();
+  }
 }
 
 void
@@ -720,7 +748,7 @@
     return;
   }
   if (!this->moves.empty() || aNow < this->nextMoveAt ||
-      !this->queue.StoreAnswers() || !this->queue.Empty()) {
+      !this->StoreReachable() || !this->queue.Empty()) {
     return;
   }
   auto plan = PlanMove(this->OwnedKeyRanges(),
@@ -742,8 +770,12 @@
 }
 
 void
-OwnershipAgent::Evacuate(Time)
+OwnershipAgent::Evacuate(Time aNow)
 {
+  // Keys that are let go while the store is away are served by nobody.
+  if (!this->server.Lost(aNow) && !this->StoreReachable()) {
+    return;
+  }
   if (std::any_of(this->moves.begin(), this->moves.end(), [](const auto& aMove) {
         return aMove.forced || aMove.writing;
       })) {
@@ -847,6 +879,9 @@
                                          return aMove.writing;
                                        }),
                         this->moves.end());
+      if (aDone.committed) {
+        this->TellTargets(aDoneAt, change, aDone.version, ready);
+      }
       for (const auto& move : ready) {
         this->Say(aDone.committed ? "keys-moved" : "move-failed",
                   { { "keys", ToString(move.plan.range) },
@@ -856,6 +891,35 @@
     forced ? Time::max() : aNow + kMovePatience);
 }
 
+/** Tells the new owners at once, and remembers where the keys went for those
+ * that still ask here. */
+void
+OwnershipAgent::TellTargets(Time aNow,
+                            const StoreTransaction& aChange,
+                            RowVersion aVersion,
+                            const std::vector<Move>& aMoves)
+{
+  for (const auto& move : aMoves) {
+    this->moved.push_back({ move.plan, aNow });
+    const auto* target = this->view.FindMember(move.plan.target);
+    for (auto row : aChange.sets) {
+      auto range = ParseRange(row);
+      if (target == nullptr || !range || !(range->range == move.plan.range)) {
+        continue;
+      }
+      row.version = aVersion;
+      this->pendingBeacons.push_back({ target->record.beacon,
+                                       { BeaconMessage::Kind::Rows,
+                                         this->self,
+                                         move.plan.target,
+                                         "",
+                                         0,
+                                         0,
+                                         { row } } });
+    }
+  }
+}
+
 void
 OwnershipAgent::MergeRanges(Time aNow)
 {
@@ -1071,9 +1135,15 @@
     state.sendUntil = this->server.LeavingSince() + this->settings.drainTime;
   }
   state.nextHeartbeat = this->lastHeartbeat + kHeartbeatInterval;
+  state.leaseUntil = this->LeaseEnd();
   if (!this->ownsKeys || this->phase != Phase::Inside) {
     return state;
   }
+  for (const auto& move : this->moved) {
+    if (aNow - move.at < kMovedMemory) {
+      state.moved.push_back(move.plan);
+    }
+  }
   for (const auto& grant : this->GrantList()) {
     auto covered =
       std::any_of(this->granted.begin(), this->granted.end(), [&](auto& aGrant) {
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -59,8 +60,10 @@
   Time sendUntil = Time::max(); ///< No request is sent to it later.
   Time coldUntil;
   Time nextHeartbeat; ///< When new grants can be expected.
+  Time leaseUntil;    ///< End of the time in which there are new grants.
   bool ownsKeys = false;
   std::vector<ServedRange> ranges; ///< In ascending order.
+  std::vector<PlannedMove> moved;  ///< Keys that went to others lately.
 
   friend bool operator==(const ServingState& aLeft, const ServingState& aRight);
 };
@@ -97,6 +100,9 @@
   std::vector<OutgoingBeacon> OnBeacon(Time aNow, const BeaconMessage& aMessage);
   void OnLease(Time aNow, const MemberId& aMember, RowVersion aVersion);
 
+  /** Whether changes of the store are being seen. */
+  void SetStoreReachable(bool aReachable);
+
   void SetLoads(double aOwnLoad,
                 std::vector<KeyWeight> aKeys,
                 std::map<MemberId, double> aLoads);
@@ -133,6 +139,11 @@
     bool forced = false; ///< The server leaves or is lost.
     bool writing = false;
   };
+  struct FinishedMove
+  {
+    PlannedMove plan;
+    Time at;
+  };
   using OwnedRanges = std::vector<const Versioned<RangeRecord>*>;
 
   void Join(Time aNow);
@@ -152,6 +163,11 @@
   void Evacuate(Time aNow);
   void DropStaleMoves(Time aNow);
   void WriteMoves(Time aNow);
+  void TellTargets(Time aNow,
+                   const StoreTransaction& aChange,
+                   RowVersion aVersion,
+                   const std::vector<Move>& aMoves);
+  bool StoreReachable() const;
   void MergeRanges(Time aNow);
   void TakeOrphans(Time aNow);
   void TakeOverPredecessors(Time aNow);
@@ -183,6 +199,9 @@
   ServerState server;
   TransactionQueue queue;
   std::vector<Move> moves;
+  std::deque<FinishedMove> moved;
+  std::vector<OutgoingBeacon> pendingBeacons;
+  bool storeReachable = true;
   std::map<MemberId, Time> guardianSince;
   std::map<Key, Time> orphans; ///< Ranges without a living owner, since when.
   RowVersion longLeaseVersion = 0;
--- a/src/cluster/wardwatch.cpp
+++ b/src/cluster/wardwatch.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kAskInterval = std::chrono::milliseconds(200);
 /** Time in which a guardian named earlier in the record acts alone. */
 constexpr Duration kRankDelay = std::chrono::milliseconds(150);
+/** Ranks of members that are not guardians, when no guardian is left. */
+constexpr size_t kRanks = 16;
 /** Time to let a takeover be written before it is asked for again. */
 constexpr Duration kReportInterval = std::chrono::milliseconds(700);
 /** Time in which guardians should have agreed; then the long lease is read. */
@@ -126,14 +128,16 @@
     if (!this->IsSilent(aNow, ward)) {
       continue;
     }
-    if (place == guardians.end()) {
+    if (guardians.empty()) {
       this->WatchLease(aNow, member, findings);
     } else {
       this->Pursue(aNow,
                    aView,
                    member,
                    aSelf,
-                   static_cast<size_t>(place - guardians.begin()),
+                   place != guardians.end()
+                     ? static_cast<size_t>(place - guardians.begin())
+                     : guardians.size() + HashKey(aSelf, HashKey(id)) % kRanks,
                    findings);
     }
   }
@@ -150,8 +154,10 @@
 {
   const auto& record = aMember.record;
   auto& ward = this->wards[record.id];
-  ward.condemned = true;
-  ward.consents.insert(aSelf);
+  if (aRank < record.guardians.size()) {
+    ward.condemned = true;
+    ward.consents.insert(aSelf);
+  }
   auto silentFor =
     aNow - ward.lastSeen - WithDrift(this->times.promise, this->times);
   if (silentFor < kRankDelay * static_cast<int>(aRank)) {
@@ -170,7 +176,8 @@
             guardian,
             record.id,
             aMember.version,
-            0 } });
+            0,
+            {} } });
     }
   }
   if (aNow >= ward.nextAskAt) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -50,6 +50,11 @@
 {
   boost::system::error_code ignored; // Closed is closed.
   this->acceptor.close(ignored);
+  this->limits.closing = true;
+  auto open = this->sessions;
+  for (const auto& session : open) {
+    session->CloseIfIdle();
+  }
 }
 
 void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -29,7 +29,8 @@
   /** Answers say from now on that the connection closes. */
   void AnnounceClose();
 
-  /** Takes no new connections; the open ones go on. */
+  /** Takes no new connections and closes those without a request; the others
+   * close after their answers. */
   void StopAccepting();
 
   /** Closes connections that idle or send too slowly. */
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -132,6 +132,14 @@
   this->ClientGone();
 }
 
+void
+ServerSession::CloseIfIdle()
+{
+  if (this->state == State::Idle) {
+    this->Close();
+  }
+}
+
 void
 ServerSession::ClientGone()
 {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -72,6 +72,8 @@
   void Sweep(Time aNow);
   bool IsClosed() const;
   void Close();
+  /** Closes the connection unless a part of a request has come. */
+  void CloseIfIdle();
 
   void Respond(HttpResponse aResponse);
   void StartBody(ResponseHead aHead);
--- a/src/node/controlnode.cpp
+++ b/src/node/controlnode.cpp
@@ -15,6 +15,10 @@
 /** Waits for changes of the cluster; daemons that act on an old view are
  * corrected by the others. */
 constexpr Duration kClusterWait = milliseconds(8000);
+/** Pauses after a change, so that changes in quick succession share a call.
+ * New owners of keys are told directly. */
+constexpr Duration kConfigurationPause = milliseconds(40);
+constexpr Duration kClusterPause = milliseconds(300);
 /** Two refused connections at least so far apart show that nothing listens. */
 constexpr Duration kRefusedAgain = milliseconds(60);
 /** Refusals that lie further apart do not belong together. */
@@ -81,20 +85,26 @@
       aLog,
       ConfigurationKey().table,
       kConfigurationWait,
+      kConfigurationPause,
       { [this](TableWatch::Loaded aLoaded) {
          this->LoadConfiguration(std::move(aLoaded));
        },
-        [this](const StoreRows& aRows) { this->OnConfigurationRows(aRows); } })
+        [this](const StoreRows& aRows) { this->OnConfigurationRows(aRows); },
+        [](bool) {} })
   , clusterWatch(
       aContext,
       store,
       aLog,
       kClusterTable,
       kClusterWait,
+      kClusterPause,
       { [this](TableWatch::Loaded aLoaded) {
          this->LoadCluster(std::move(aLoaded));
        },
-        [this](const StoreRows& aRows) { this->OnClusterRows(aRows); } })
+        [this](const StoreRows& aRows) { this->OnClusterRows(aRows); },
+        [this](bool aReachable) {
+          this->agent.SetStoreReachable(aReachable);
+        } })
 {
 }
 
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -40,6 +40,7 @@
   auto tie = [](const DispatchNote& aNote) {
     return std::tie(aNote.outcome,
                     aNote.reason,
+                    aNote.owner,
                     aNote.retryAfter,
                     aNote.load,
                     aNote.expected);
@@ -86,6 +87,9 @@
        << ToMilliseconds(aNote.retryAfter) << ' '
        << static_cast<int64_t>(aNote.load * kLoadUnit) << ' '
        << ToMilliseconds(aNote.expected);
+  if (!aNote.owner.empty()) {
+    text << ' ' << aNote.owner;
+  }
   return text.str();
 }
 
@@ -102,6 +106,7 @@
   if (!text || outcome < 0 || outcome > kLastOutcome) {
     return std::nullopt;
   }
+  text >> note.owner;
   note.outcome = static_cast<DispatchOutcome>(outcome);
   note.retryAfter = Milliseconds(retry);
   note.load = static_cast<double>(load) / kLoadUnit;
--- a/src/node/execution.cpp
+++ b/src/node/execution.cpp
@@ -125,11 +125,14 @@
   auto hold = this->shared_from_this();
   auto taker = this->Finish(false);
   auto response = TextResponse(503, aReason + "\n");
-  response.set(kNoteField,
-               Encode(this->executor.Note(DispatchOutcome::Refused,
-                                          this->dispatch.requestClass,
-                                          aReason,
-                                          aRetryAfter)));
+  auto note = this->executor.Note(DispatchOutcome::Refused,
+                                  this->dispatch.requestClass,
+                                  aReason,
+                                  aRetryAfter);
+  if (this->key) {
+    note.owner = this->executor.MovedTo(*this->key);
+  }
+  response.set(kNoteField, Encode(note));
   taker->OnWhole(std::move(response));
 }
 
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -18,6 +18,8 @@
 /** Time before a grant's end or the end of a drain within which nothing is
  * sent any more: the way to the server and its start. */
 constexpr Duration kSendMargin = milliseconds(30);
+/** Delay of a heartbeat from which on it is not expected any more. */
+constexpr Duration kHeartbeatDelay = milliseconds(300);
 /** When to come back while nothing better is known. */
 constexpr Duration kDefaultRetry = milliseconds(250);
 /** Expected time of a class before one has run. */
@@ -66,7 +68,9 @@
     }
   }
   for (const auto& execution : moved) {
-    execution->Refuse("not-owner", kDefaultRetry);
+    execution->Refuse(
+      this->MovedTo(*execution->key).empty() ? "not-owner" : "moved",
+      kDefaultRetry);
   }
 }
 
@@ -81,6 +85,19 @@
   return nullptr;
 }
 
+/** Member that the key went to lately; empty: unknown. */
+MemberId
+Executor::MovedTo(Key aKey) const
+{
+  const auto& moved = this->serving.moved;
+  for (auto move = moved.rbegin(); move != moved.rend(); ++move) {
+    if (move->range.Contains(aKey)) {
+      return move->target;
+    }
+  }
+  return "";
+}
+
 bool
 Executor::MayStart(uint64_t aId) const
 {
@@ -126,14 +143,21 @@
       key > kLastKey) {
     return "no-key";
   }
+  aKey = key;
+  if (this->serving.member.empty()) {
+    return "not-member";
+  }
   const auto* range = this->FindRange(key);
   if (range == nullptr) {
-    return "not-owner";
+    return this->MovedTo(key).empty() ? "not-owner" : "moved";
   }
   if (range->grantedUntil <= aNow + kSendMargin) {
+    if (this->serving.leaseUntil < this->serving.nextHeartbeat + kSendMargin ||
+        aNow > this->serving.nextHeartbeat + kHeartbeatDelay) {
+      return "no-grant";
+    }
     aSlot.notBefore = std::max(aNow, this->serving.nextHeartbeat);
   }
-  aKey = key;
   return "";
 }
 
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -64,6 +64,7 @@
                    std::optional<Key>& aKey);
   bool MayStart(uint64_t aId) const;
   const ServedRange* FindRange(Key aKey) const;
+  MemberId MovedTo(Key aKey) const;
   void RefuseMovedKeys();
   void Pump();
   void ArmTick();
--- a/src/node/ingressrequest.cpp
+++ b/src/node/ingressrequest.cpp
@@ -20,7 +20,7 @@
 constexpr Duration kAnswerSlack = milliseconds(20);
 /** Longest wait for a connection to another daemon: many times a round trip,
  * so that one lost packet does not count as a lost daemon. */
-constexpr Duration kConnectTimeout = milliseconds(400);
+constexpr Duration kConnectTimeout = milliseconds(250);
 /** Idle time of connections to other daemons; they keep theirs for longer. */
 constexpr Duration kPeerIdle = std::chrono::seconds(20);
 /** Pause before keys that are changing hands are looked up again. */
@@ -28,7 +28,7 @@
 /** Members that one request is sent to before it is refused. */
 constexpr uint32_t kMostHops = 3;
 /** Looks for the owner of keys that are changing hands. */
-constexpr uint32_t kMostOwnerHops = 12;
+constexpr uint32_t kMostOwnerHops = 8;
 /** Time that is not worth another attempt. */
 constexpr Duration kShortestLeft = milliseconds(15);
 /** When to come back while keys have no reachable owner. */
@@ -37,7 +37,7 @@
 /** Part of the target latency by which an answer from the own zone may be
  * later than one from another zone; more for large answers. */
 constexpr double kZoneShare = 0.25;
-constexpr double kZoneShareDownload = 0.6;
+constexpr double kZoneShareDownload = 0.8;
 
 /** Whether the keys are about to be served by another member. */
 bool
@@ -145,6 +145,10 @@
       aReason = "no-owner";
       return "";
     }
+    if (!this->ingress.peers.MayTry(BootClock::now(), range->owner)) {
+      aReason = "owner-unreachable";
+      return "";
+    }
     return range->owner;
   }
   std::vector<PeerCandidate> candidates;
@@ -160,8 +164,12 @@
   question.zonePreference = std::chrono::duration_cast<Duration>(
     this->route.targetLatency * share);
   question.tried = this->tried;
-  auto chosen =
-    this->ingress.peers.Pick(BootClock::now(), candidates, question);
+  auto now = BootClock::now();
+  auto chosen = this->ingress.peers.Pick(now, candidates, question);
+  if (!chosen.empty() && !this->ingress.peers.MayTry(now, chosen)) {
+    aReason = "all-unreachable";
+    return "";
+  }
   if (chosen.empty()) {
     aReason = candidates.empty() ? "no-server" : "all-tried";
   }
@@ -178,7 +186,8 @@
     this->GiveUp({ this->lastReason.empty() ? "no-time" : this->lastReason,
                    false,
                    false,
-                   kOwnerRetry });
+                   kOwnerRetry,
+                   "" });
     return;
   }
   std::string reason;
@@ -188,12 +197,13 @@
     return;
   }
   if (this->key) {
-    this->OnSetback({ reason, false, false, kOwnerRetry });
+    this->OnSetback({ reason, false, false, kOwnerRetry, "" });
   } else {
     this->GiveUp({ this->lastReason.empty() ? reason : this->lastReason,
                    false,
                    false,
-                   kOwnerRetry });
+                   kOwnerRetry,
+                   "" });
   }
 }
 
@@ -224,7 +234,7 @@
   auto address = ParseEndpoint(peer->record.address);
   if (!address) {
     this->EndCall();
-    this->OnSetback({ "bad-address", false, true, kOwnerRetry });
+    this->OnSetback({ "bad-address", false, true, kOwnerRetry, "" });
     return;
   }
   CallOptions options;
@@ -268,14 +278,15 @@
   this->EndCall();
   if (!note) {
     // Not from a daemon's request path: it cannot tell what became of it.
-    this->OnSetback({ "no-note", true, true, Duration(0) });
+    this->OnSetback({ "no-note", true, true, Duration(0), "" });
     return;
   }
   if (note->outcome != DispatchOutcome::Answered) {
     this->OnSetback({ note->reason,
                       note->outcome == DispatchOutcome::Failed,
                       false,
-                      note->retryAfter });
+                      note->retryAfter,
+                      note->owner });
     return;
   }
   this->ended = true;
@@ -326,7 +337,8 @@
   this->OnSetback({ "peer-" + aFailure.error.step,
                     aFailure.stage != CallStage::NotSent,
                     true,
-                    kOwnerRetry });
+                    kOwnerRetry,
+                    "" });
 }
 
 void
@@ -359,6 +371,11 @@
     return true;
   }
   if (this->key) {
+    if (!aSetback.owner.empty() && this->hops < kMostOwnerHops &&
+        this->ingress.view->FindMember(aSetback.owner) != nullptr) {
+      this->SendTo(aSetback.owner);
+      return true;
+    }
     if (!IsOwnerReason(aSetback.reason) || this->hops >= kMostOwnerHops) {
       return false;
     }
--- a/src/node/ingressrequest.h
+++ b/src/node/ingressrequest.h
@@ -34,6 +34,7 @@
     bool mayHaveRun = false;
     bool unreachable = false;
     Duration retryAfter = Duration(0);
+    std::string owner; ///< Where the keys went, if known.
   };
 
   bool ReadRequest();
--- a/src/node/nodeprocess.cpp
+++ b/src/node/nodeprocess.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kNoticeTime = milliseconds(2300);
 /** Kept of the stop time for ending the process itself. */
 constexpr Duration kEndMargin = milliseconds(400);
+/** Time after a stop signal in which the store should have taken a last change;
+ * without it the others notice the end by the missing renewals. */
+constexpr Duration kSettleTime = milliseconds(3500);
 constexpr Duration kIdleCheck = milliseconds(20);
 
 } // namespace
@@ -138,7 +141,9 @@
   asio::post(this->traffic, [this] {
     bool idle = this->trafficNode.Idle();
     asio::post(this->control, [this, idle] {
-      bool done = idle && this->controlNode.Settled();
+      bool settled = this->controlNode.Settled() ||
+                     BootClock::now() >= this->stopAt + kSettleTime;
+      bool done = idle && settled;
       if (done || BootClock::now() >= this->endAt) {
         this->End();
         return;
--- a/src/node/tablewatch.cpp
+++ b/src/node/tablewatch.cpp
@@ -12,8 +12,6 @@
  * is noticed. */
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(600);
-/** Pause after a change, so that changes in quick succession share a call. */
-constexpr Duration kGatherPause = milliseconds(40);
 
 } // namespace
 
@@ -22,11 +20,13 @@
                        EventLog& aLog,
                        std::string aTable,
                        Duration aWait,
+                       Duration aGatherPause,
                        Hooks aHooks)
   : store(aStore)
   , log(aLog)
   , table(std::move(aTable))
   , wait(aWait)
+  , gatherPause(aGatherPause)
   , hooks(std::move(aHooks))
   , timer(aContext)
 {
@@ -61,6 +61,7 @@
 {
   if (!this->lost) {
     this->lost = true;
+    this->hooks.reachable(false);
     this->log.Write({ "store-lost",
                       { { "table", this->table },
                         { "error", ToString(aError) },
@@ -86,6 +87,7 @@
                       { { "table", this->table },
                         { "version", std::to_string(this->version) } } });
     this->lost = false;
+    this->hooks.reachable(true);
     this->pause = Duration(0);
     this->Watch();
   });
@@ -107,6 +109,7 @@
       }
       if (this->lost) {
         this->lost = false;
+        this->hooks.reachable(true);
         this->log.Write({ "store-regained",
                           { { "table", this->table },
                             { "version", std::to_string(aRows->version) } } });
@@ -118,7 +121,7 @@
         return;
       }
       this->hooks.changed(*aRows);
-      this->Later(kGatherPause, [this] { this->Watch(); });
+      this->Later(this->gatherPause, [this] { this->Watch(); });
     });
 }
 
--- a/src/node/tablewatch.h
+++ b/src/node/tablewatch.h
@@ -23,6 +23,8 @@
   {
     std::function<void(Loaded)> load;
     std::function<void(const StoreRows&)> changed;
+    /** Called when the store is lost and when it is back. */
+    std::function<void(bool)> reachable;
   };
 
   TableWatch(asio::io_context& aContext,
@@ -30,6 +32,7 @@
              EventLog& aLog,
              std::string aTable,
              Duration aWait,
+             Duration aGatherPause,
              Hooks aHooks);
 
   void Start();
@@ -45,6 +48,7 @@
   EventLog& log;
   std::string table;
   Duration wait;
+  Duration gatherPause; ///< Lets changes in quick succession share a call.
   Hooks hooks;
   asio::steady_timer timer;
   RowVersion version = 0;
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -16,6 +16,8 @@
 /** Pause after a failure; doubles with each further one. */
 constexpr Duration kFirstPause = milliseconds(200);
 constexpr uint32_t kMostDoublings = 3;
+/** Time for one request to find out whether a failing peer is back. */
+constexpr Duration kProbeTime = milliseconds(300);
 /** Longer than any expected time: peers to avoid come last. */
 constexpr Duration kAvoided = std::chrono::hours(1);
 
@@ -45,22 +47,35 @@
   peer.expected = aExpected;
   peer.reportedAt = aNow;
   peer.failures = 0;
+  peer.probing = false;
+  peer.avoidUntil = Time();
 }
 
 void
 PeerTable::OnFailure(Time aNow, const std::string& aMember)
 {
   auto& peer = this->peers[aMember];
+  if (aNow < peer.avoidUntil && !peer.probing) {
+    return; // A request that was sent before the first failure was known.
+  }
+  peer.probing = false;
   auto doublings = std::min(peer.failures, kMostDoublings);
   ++peer.failures;
   peer.avoidUntil = aNow + kFirstPause * (1 << doublings);
 }
 
-void
-PeerTable::Avoid(const std::string& aMember, Time aUntil)
+bool
+PeerTable::MayTry(Time aNow, const std::string& aMember)
 {
   auto& peer = this->peers[aMember];
-  peer.avoidUntil = std::max(peer.avoidUntil, aUntil);
+  if (aNow < peer.avoidUntil) {
+    return false;
+  }
+  if (peer.failures > 0) {
+    peer.avoidUntil = aNow + kProbeTime;
+    peer.probing = true;
+  }
+  return true;
 }
 
 std::string
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -45,8 +45,9 @@
   /** The peer could not be reached or broke off. */
   void OnFailure(Time aNow, const std::string& aMember);
 
-  /** The peer takes no requests for a while. */
-  void Avoid(const std::string& aMember, Time aUntil);
+  /** Whether a request may be sent to the peer: not while it is known to fail,
+   * but for one request at a time that finds out whether it is back. */
+  bool MayTry(Time aNow, const std::string& aMember);
 
   /** Empty: every candidate was tried. */
   std::string Pick(Time aNow,
@@ -64,6 +65,7 @@
     Duration expected = Duration(0);
     Time reportedAt;
     Time avoidUntil;
+    bool probing = false; ///< One request finds out whether it is back.
     uint32_t failures = 0;
   };
 
