Move several slices of keys at a heartbeat, by excess over the mean

Cause: a hot server gave one slice each 1.2 s to one other member, and the keys waited for a heartbeat of the new owner's server, 0.75 s on average where these come each 1.5 s. The heartbeat interval was a constant.

The interval comes from the settings.

--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -14,7 +14,7 @@
 constexpr double kUnseenShare = 0.3;
 /** Half-life of the offered load: reacts within seconds, spans several
  * requests of each class. */
-constexpr Duration kOfferedHalfLife = milliseconds(1500);
+constexpr Duration kOfferedHalfLife = milliseconds(1000);
 /** Shortest time after which a refused client may come back. */
 constexpr Duration kShortestRetry = milliseconds(40);
 /** Spread of the return of refused clients, as a share of the wait. */
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -19,12 +19,12 @@
 /** Between attempts to join or to change the own record. */
 constexpr Duration kRecordInterval = milliseconds(700);
 /** Between moves for load: their effect shows in the loads only later. */
-constexpr Duration kMoveInterval = milliseconds(1200);
+constexpr Duration kMoveInterval = milliseconds(1000);
+/** Usual time from a server's release of keys to the new owner's record. */
+constexpr Duration kReleaseTime = milliseconds(150);
 /** A move for load is dropped if the store does not take it by then. */
 constexpr Duration kMovePatience = milliseconds(400);
 constexpr Duration kLeasePatience = std::chrono::seconds(2);
-/** Usual time between heartbeats of a backend server. */
-constexpr Duration kHeartbeatInterval = milliseconds(900);
 /** Parts that a lost member's ranges are divided into at most: all rows and
  * conditions must fit into one transaction. */
 constexpr size_t kMostParts = 30;
@@ -102,6 +102,7 @@
   , random(std::move(aRandom))
   , lease(aSettings.times)
   , watch(aSettings.times)
+  , server(aSettings.heartbeat)
 {
   this->self = this->newId();
 }
@@ -320,11 +321,9 @@
 }
 
 void
-OwnershipAgent::SetLoads(double aOwnLoad,
-                         std::vector<KeyWeight> aKeys,
-                         std::map<MemberId, double> aLoads)
+OwnershipAgent::SetLoads(std::vector<KeyWeight> aKeys,
+                         std::map<MemberId, PeerLoad> aLoads)
 {
-  this->ownLoad = aOwnLoad;
   this->keys = std::move(aKeys);
   this->loads = std::move(aLoads);
 }
@@ -659,8 +658,18 @@
   return ranges;
 }
 
+/** Time until keys that are let go now can be granted by a member: its next
+ * heartbeat after they are free. */
+Duration
+OwnershipAgent::UntilHeartbeat(Time aNow, const PeerLoad& aPeer) const
+{
+  auto period = this->settings.heartbeat;
+  auto until = (aPeer.nextHeartbeat - aNow - kReleaseTime) % period;
+  return until < Duration(0) ? until + period : until;
+}
+
 std::vector<MemberLoad>
-OwnershipAgent::Targets(const std::string& aService) const
+OwnershipAgent::Targets(Time aNow, const std::string& aService) const
 {
   std::map<MemberId, size_t> counts;
   for (const auto& [first, range] : this->view.RangesOf(aService)) {
@@ -671,9 +680,12 @@
     if (member->id != this->self && member->state == MemberState::Ready &&
         counts[member->id] < this->settings.rebalancing.mostRanges) {
       auto load = this->loads.find(member->id);
-      targets.push_back({ member->id,
-                          load == this->loads.end() ? 0 : load->second,
-                          counts[member->id] > 0 });
+      bool known = load != this->loads.end();
+      targets.push_back(
+        { member->id,
+          known ? load->second.load : 0,
+          counts[member->id] > 0,
+          known ? this->UntilHeartbeat(aNow, load->second) : Duration(0) });
     }
   }
   return targets;
@@ -747,26 +759,30 @@
     this->Evacuate(aNow);
     return;
   }
-  if (!this->moves.empty() || aNow < this->nextMoveAt ||
+  // Only right at a heartbeat, whose answer lets the keys go.
+  if (aNow != this->lastHeartbeat || !this->moves.empty() ||
+      aNow < this->nextMoveAt ||
       !this->StoreReachable() || !this->queue.Empty()) {
     return;
   }
-  auto plan = PlanMove(this->OwnedKeyRanges(),
-                       this->keys,
-                       this->ownLoad,
-                       this->Targets(this->identity.service),
-                       this->settings.rebalancing,
-                       this->random);
-  if (!plan) {
-    return;
+  auto owned = this->OwnedKeyRanges();
+  auto plans = ::fescuetiller::PlanMoves(
+    owned,
+    this->keys,
+    this->Targets(aNow, this->identity.service),
+    this->settings.rebalancing,
+    this->random);
+  for (const auto& plan : plans) {
+    this->nextMoveAt = aNow + kMoveInterval;
+    this->moves.push_back({ plan, false, false });
+    this->Say(
+      "move-planned",
+      { { "keys", ToString(plan.range) },
+        { "target", plan.target },
+        { "load", std::to_string(WorkOf(owned, this->keys)) },
+        { "moved_load", std::to_string(WorkOf({ plan.range }, this->keys)) },
+        { "target_load", std::to_string(this->loads[plan.target].load) } });
   }
-  this->nextMoveAt = aNow + kMoveInterval;
-  this->moves.push_back({ *plan, false, false });
-  this->Say("move-planned",
-            { { "keys", ToString(plan->range) },
-              { "target", plan->target },
-              { "load", std::to_string(this->ownLoad) },
-              { "target-load", std::to_string(this->loads[plan->target]) } });
 }
 
 void
@@ -784,7 +800,7 @@
   this->moves.clear();
   auto plans = Distribute(this->OwnedKeyRanges(),
                           this->keys,
-                          this->Targets(this->identity.service),
+                          this->Targets(aNow, this->identity.service),
                           kMostParts);
   for (const auto& plan : plans) {
     this->moves.push_back({ plan, true, false });
@@ -1037,10 +1053,13 @@
     change.removes.push_back(MemberKey(service, aLost.id));
     change.removes.push_back(LeaseKey(service, aLost.id));
   }
-  auto targets = this->Targets(service);
+  auto targets = this->Targets(aNow, service);
   if (service == this->identity.service &&
       this->DesiredState(aNow) == MemberState::Ready) {
-    targets.push_back({ this->self, this->ownLoad, true });
+    targets.push_back({ this->self,
+                        WorkOf(this->OwnedKeyRanges(), this->keys),
+                        true,
+                        Duration(0) });
   }
   targets.erase(std::remove_if(
                   targets.begin(),
@@ -1134,7 +1153,7 @@
   if (state.leaving) {
     state.sendUntil = this->server.LeavingSince() + this->settings.drainTime;
   }
-  state.nextHeartbeat = this->lastHeartbeat + kHeartbeatInterval;
+  state.nextHeartbeat = this->lastHeartbeat + this->settings.heartbeat;
   state.leaseUntil = this->LeaseEnd();
   if (!this->ownsKeys || this->phase != Phase::Inside) {
     return state;
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -33,6 +33,8 @@
 {
   LeaseTimes times;
   RebalancingPolicy rebalancing;
+  /** Usual time between heartbeats of a backend server. */
+  Duration heartbeat = std::chrono::milliseconds(1000);
   /** Longest grant that backend servers accept. */
   Duration longestHold = std::chrono::seconds(10);
   /** Time after a server's word that it leaves in which it may still get
@@ -40,6 +42,13 @@
   Duration drainTime = std::chrono::seconds(2);
 };
 
+/** What another member said of itself lately. */
+struct PeerLoad
+{
+  double load = 0;    ///< Work asked of its server; 1: all that it can do.
+  Time nextHeartbeat; ///< When its server calls it next.
+};
+
 /** Keys that the backend server beside the daemon serves or soon will. */
 struct ServedRange
 {
@@ -103,9 +112,9 @@
   /** Whether changes of the store are being seen. */
   void SetStoreReachable(bool aReachable);
 
-  void SetLoads(double aOwnLoad,
-                std::vector<KeyWeight> aKeys,
-                std::map<MemberId, double> aLoads);
+  /** @param aKeys Load of the own server by key. */
+  void SetLoads(std::vector<KeyWeight> aKeys,
+                std::map<MemberId, PeerLoad> aLoads);
 
   struct Output
   {
@@ -175,7 +184,8 @@
   StoreTransaction MoveTransaction(const std::vector<Move>& aMoves) const;
   OwnedRanges Owned() const;
   std::vector<KeyRange> OwnedKeyRanges() const;
-  std::vector<MemberLoad> Targets(const std::string& aService) const;
+  std::vector<MemberLoad> Targets(Time aNow, const std::string& aService) const;
+  Duration UntilHeartbeat(Time aNow, const PeerLoad& aPeer) const;
   std::vector<Grant> GrantList() const;
   MemberState DesiredState(Time aNow) const;
   void ApplySettled(Time aNow,
@@ -215,9 +225,8 @@
   Time grantedUntil;
   Time lastHeartbeat;
   std::vector<Grant> granted;
-  double ownLoad = 0;
   std::vector<KeyWeight> keys;
-  std::map<MemberId, double> loads;
+  std::map<MemberId, PeerLoad> loads;
   std::vector<Event> events;
 };
 
--- a/src/cluster/rebalancing.cpp
+++ b/src/cluster/rebalancing.cpp
@@ -8,10 +8,11 @@
 namespace {
 
 /** Work that an idle key counts for, so that idle keys are spread as well. */
-constexpr double kIdleKeyWork = 1e-4;
-/** Largest share of a member's work that moves at once: the rest goes on being
- * served while these keys wait. */
-constexpr double kMostShare = 0.5;
+constexpr double kIdleKeyWork = 1e-7;
+/** How much a long wait for the grant counts against a target. */
+constexpr double kWaitWeight = 0.7;
+/** Wait that counts fully. */
+constexpr double kLongWaitSeconds = 1.0;
 
 double
 WorkOf(const KeyRange& aRange, const std::vector<KeyWeight>& aKeys)
@@ -89,53 +90,90 @@
   return aLeft.range == aRight.range && aLeft.target == aRight.target;
 }
 
-std::optional<PlannedMove>
-PlanMove(const std::vector<KeyRange>& aOwn,
-         const std::vector<KeyWeight>& aKeys,
-         double aOwnLoad,
-         const std::vector<MemberLoad>& aOthers,
-         const RebalancingPolicy& aPolicy,
-         const RandomFunction& aRandom)
+double
+WorkOf(const std::vector<KeyRange>& aRanges,
+       const std::vector<KeyWeight>& aKeys)
 {
-  if (aOwn.empty() || aOwn.size() >= aPolicy.mostRanges) {
-    return std::nullopt;
+  double work = 0;
+  for (const auto& range : aRanges) {
+    work += WorkOf(range, aKeys);
   }
-  std::vector<const MemberLoad*> candidates;
-  double gaps = 0;
+  return work;
+}
+
+namespace {
+
+/** Members with less load than the mean, the preferred ones first. */
+std::vector<MemberLoad>
+ChooseTargets(const std::vector<MemberLoad>& aOthers,
+              double aMean,
+              bool aOnlyNew,
+              const RandomFunction& aRandom)
+{
+  std::vector<std::pair<double, const MemberLoad*>> ranked;
   for (const auto& other : aOthers) {
-    double gap = aOwnLoad - other.load;
-    bool relieves = aOwnLoad > aPolicy.busy && gap > aPolicy.difference;
-    bool fillsNew = !other.ownsKeys && aOwnLoad > aPolicy.shareWithNew &&
-                    gap > aPolicy.shareWithNew / 2;
-    if (relieves || fillsNew) {
-      candidates.push_back(&other);
-      gaps += gap;
+    if (other.load >= aMean || (aOnlyNew && other.ownsKeys)) {
+      continue;
     }
+    double seconds = static_cast<double>(other.untilGrant.count()) / 1e9;
+    double wait = std::min(1.0, seconds / kLongWaitSeconds);
+    double merit = (aMean - other.load) * (1 - kWaitWeight * wait);
+    ranked.emplace_back(-merit * (0.5 + aRandom()), &other);
   }
-  if (candidates.empty()) {
-    return std::nullopt;
+  std::sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  std::vector<MemberLoad> targets;
+  for (const auto& [rank, other] : ranked) {
+    targets.push_back(*other);
   }
-  // Drawn by gap, so that members do not all pick the same one.
-  double draw = aRandom() * gaps;
-  const MemberLoad* target = candidates.back();
-  for (const auto* candidate : candidates) {
-    draw -= aOwnLoad - candidate->load;
-    if (draw < 0) {
-      target = candidate;
-      break;
-    }
+  return targets;
+}
+
+} // namespace
+
+std::vector<PlannedMove>
+PlanMoves(const std::vector<KeyRange>& aOwn,
+          const std::vector<KeyWeight>& aKeys,
+          const std::vector<MemberLoad>& aOthers,
+          const RebalancingPolicy& aPolicy,
+          const RandomFunction& aRandom)
+{
+  std::vector<PlannedMove> moves;
+  double load = WorkOf(aOwn, aKeys);
+  double mean = load;
+  bool anyNew = false;
+  for (const auto& other : aOthers) {
+    mean += other.load;
+    anyNew = anyNew || !other.ownsKeys;
   }
-  double total = 0;
-  for (const auto& range : aOwn) {
-    total += WorkOf(range, aKeys);
+  mean /= static_cast<double>(aOthers.size() + 1);
+  double excess = load - mean;
+  bool relieve = load > aPolicy.busy && excess > aPolicy.difference;
+  if (!relieve && !(anyNew && excess > aPolicy.shareWithNew)) {
+    return moves;
   }
-  double part = (aOwnLoad - target->load) / 2 / aOwnLoad;
-  if (!target->ownsKeys) {
-    // Each member gives a new one its share of an even division.
-    part = std::min(part, 1.0 / static_cast<double>(aOthers.size() + 1));
+  auto own = aOwn;
+  for (const auto& target : ChooseTargets(aOthers, mean, !relieve, aRandom)) {
+    if (excess <= aPolicy.shareWithNew || own.empty() ||
+        moves.size() >= aPolicy.mostTargets ||
+        aOwn.size() + moves.size() >= aPolicy.mostRanges) {
+      break;
+    }
+    double room = mean - target.load;
+    double part =
+      std::min(excess, target.ownsKeys ? room * aPolicy.fill : room);
+    auto slice = Slice(own, aKeys, part);
+    moves.push_back({ slice, target.id });
+    excess -= WorkOf(slice, aKeys);
+    std::vector<KeyRange> rest;
+    for (const auto& range : own) {
+      auto pieces = Subtract(range, slice);
+      rest.insert(rest.end(), pieces.begin(), pieces.end());
+    }
+    own = std::move(rest);
   }
-  auto slice = Slice(aOwn, aKeys, total * std::min(part, kMostShare));
-  return PlannedMove{ slice, target->id };
+  return moves;
 }
 
 std::vector<PlannedMove>
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Silence after which a server counts as lost: three usual heartbeats. */
-constexpr Duration kSilence = std::chrono::milliseconds(2700);
+/** Heartbeats that may fail to come before a server counts as lost. */
+constexpr int kMissedHeartbeats = 3;
 /** Released ranges that are remembered for their handovers. */
 constexpr size_t kMostReleased = 256;
 
@@ -17,6 +17,11 @@
 
 } // namespace
 
+ServerState::ServerState(Duration aHeartbeat)
+  : silence(aHeartbeat * kMissedHeartbeats)
+{
+}
+
 void
 ServerState::Forget()
 {
@@ -177,7 +182,7 @@
 bool
 ServerState::Lost(Time aNow) const
 {
-  return !this->report || this->dead || aNow - this->lastHeartbeat > kSilence;
+  return !this->report || this->dead || aNow - this->lastHeartbeat > this->silence;
 }
 
 const std::optional<ServerReport>&
--- a/src/cluster/serverstate.h
+++ b/src/cluster/serverstate.h
@@ -16,6 +16,9 @@
 class ServerState
 {
 public:
+  /** @param aHeartbeat Usual time between two heartbeats. */
+  explicit ServerState(Duration aHeartbeat);
+
   enum class Seen
   {
     Stale,   ///< A late heartbeat, or one of an earlier life.
@@ -67,6 +70,7 @@
   void Forget();
   void TakeHolds(Time aNow, const ServerReport& aReport);
 
+  Duration silence; ///< After which the server counts as lost.
   std::optional<ServerReport> report;
   std::set<std::pair<std::string, int64_t>> endedLives;
   std::vector<Holding> holdings;
--- a/src/node/controlnode.cpp
+++ b/src/node/controlnode.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kRefusedAgain = milliseconds(60);
 /** Refusals that lie further apart do not belong together. */
 constexpr Duration kRefusedForget = milliseconds(1500);
+/** Heartbeats of a backend server that fit into a promise at least: one may be
+ * late without an end of the server's grants. */
+constexpr double kHeartbeatsInPromise = 2.4;
 /** A call of a backend server fits into this. */
 constexpr uint64_t kServerCallBytes = 1024 * 1024;
 
@@ -42,6 +45,10 @@
 ToAgentSettings(const NodeSettings& aSettings)
 {
   AgentSettings settings;
+  settings.heartbeat = aSettings.heartbeat;
+  settings.times.promise = std::max<Duration>(
+    settings.times.promise, std::chrono::duration_cast<Duration>(aSettings.heartbeat *
+                                          kHeartbeatsInPromise));
   settings.longestHold = aSettings.longestHold;
   settings.drainTime = aSettings.drainTime;
   return settings;
@@ -223,8 +230,7 @@
                           static_cast<double>(this->log.Dropped()));
   this->counters.SetGauge("fescuetiller_store_calls",
                           static_cast<double>(this->store.calls));
-  this->agent.SetLoads(
-    aReport.load, std::move(aReport.keys), std::move(aReport.peerLoads));
+  this->agent.SetLoads(std::move(aReport.keys), std::move(aReport.peerLoads));
 }
 
 void
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -43,7 +43,8 @@
                     aNote.owner,
                     aNote.retryAfter,
                     aNote.load,
-                    aNote.expected);
+                    aNote.expected,
+                    aNote.untilHeartbeat);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -86,7 +87,8 @@
        << (aNote.reason.empty() ? "-" : aNote.reason) << ' '
        << ToMilliseconds(aNote.retryAfter) << ' '
        << static_cast<int64_t>(aNote.load * kLoadUnit) << ' '
-       << ToMilliseconds(aNote.expected);
+       << ToMilliseconds(aNote.expected) << ' '
+       << ToMilliseconds(aNote.untilHeartbeat);
   if (!aNote.owner.empty()) {
     text << ' ' << aNote.owner;
   }
@@ -102,7 +104,8 @@
   int64_t retry = 0;
   int64_t load = 0;
   int64_t expected = 0;
-  text >> outcome >> note.reason >> retry >> load >> expected;
+  int64_t heartbeat = 0;
+  text >> outcome >> note.reason >> retry >> load >> expected >> heartbeat;
   if (!text || outcome < 0 || outcome > kLastOutcome) {
     return std::nullopt;
   }
@@ -111,6 +114,7 @@
   note.retryAfter = Milliseconds(retry);
   note.load = static_cast<double>(load) / kLoadUnit;
   note.expected = Milliseconds(expected);
+  note.untilHeartbeat = Milliseconds(heartbeat);
   return note;
 }
 
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -49,6 +49,7 @@
   Duration retryAfter = Duration(0);
   double load = 0;                ///< Offered to the backend server; 1: full.
   Duration expected = Duration(0); ///< Until a usual request would end.
+  Duration untilHeartbeat = Duration(0); ///< Of the backend server.
 
   friend bool operator==(const DispatchNote& aLeft, const DispatchNote& aRight);
 };
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -1,5 +1,8 @@
 #include "node/executor.h"
 
+#include <algorithm>
+#include <cmath>
+
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include "node/execution.h"
@@ -14,7 +17,7 @@
 /** Between looks at waiting requests that may have run out of time. */
 constexpr Duration kTickInterval = milliseconds(20);
 /** Half-life of the work of a key: a few seconds of traffic decide a move. */
-constexpr Duration kKeyHalfLife = milliseconds(2000);
+constexpr Duration kKeyHalfLife = milliseconds(1000);
 /** Time before a grant's end or the end of a drain within which nothing is
  * sent any more: the way to the server and its start. */
 constexpr Duration kSendMargin = milliseconds(30);
@@ -270,6 +273,7 @@
   note.retryAfter = aRetryAfter;
   note.load = this->queue.OfferedLoad(now);
   note.expected = this->queue.ExpectedTime(now, aClass);
+  note.untilHeartbeat = this->serving.nextHeartbeat - now;
   return note;
 }
 
@@ -282,7 +286,14 @@
 std::vector<KeyWeight>
 Executor::KeyWeights()
 {
-  return this->keyLoad.Snapshot(BootClock::now());
+  auto weights = this->keyLoad.Snapshot(BootClock::now());
+  // Work sums up over the half-life divided by ln 2 while it comes evenly.
+  double span =
+    static_cast<double>(kKeyHalfLife.count()) / 1e9 / std::log(2.0);
+  for (auto& weight : weights) {
+    weight.weight /= span * std::max<uint32_t>(1, this->serving.slots);
+  }
+  return weights;
 }
 
 bool
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -48,6 +48,8 @@
                                      std::shared_ptr<ResponseReceiver> aReceiver);
 
   double OfferedLoad();
+  /** Load that each key brings to the server; all keys of a server that is
+   * asked for all it can do add up to 1. */
   std::vector<KeyWeight> KeyWeights();
   bool Idle() const;
   /** Connections to the backend server opened so far. */
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -47,10 +47,14 @@
   std::make_shared<IngressRequest>(*this, std::move(aExchange))->Begin();
 }
 
-std::map<MemberId, double>
+std::map<MemberId, PeerLoad>
 Ingress::PeerLoads() const
 {
-  return this->peers.Loads(BootClock::now());
+  std::map<MemberId, PeerLoad> loads;
+  for (const auto& [id, report] : this->peers.Reports(BootClock::now())) {
+    loads[id] = { report.load, report.nextHeartbeat };
+  }
+  return loads;
 }
 
 size_t
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -40,7 +40,7 @@
 
   void OnRequest(std::shared_ptr<Exchange> aExchange);
 
-  std::map<MemberId, double> PeerLoads() const;
+  std::map<MemberId, PeerLoad> PeerLoads() const;
   size_t InFlight() const;
   void Sweep(Time aNow);
 
--- a/src/node/ingressrequest.cpp
+++ b/src/node/ingressrequest.cpp
@@ -266,7 +266,11 @@
   aFields.erase(kNoteField);
   if (note) {
     this->ingress.peers.OnReport(
-      BootClock::now(), this->member, note->load, note->expected);
+      BootClock::now(),
+      this->member,
+      note->load,
+      note->expected,
+      note->untilHeartbeat);
   }
   return note;
 }
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -23,6 +23,8 @@
   uint16_t firstPort = 0;        ///< Ports for talk among daemons.
   uint16_t lastPort = 0;
   std::string storeAddress;
+  /** Usual time between heartbeats of the backend server. */
+  Duration heartbeat = std::chrono::milliseconds(1000);
   Duration longestHold = std::chrono::seconds(10);
   Duration drainTime = std::chrono::seconds(2);
   Duration stopTime = std::chrono::seconds(6);
--- a/src/node/trafficnode.h
+++ b/src/node/trafficnode.h
@@ -13,7 +13,7 @@
 {
   double load = 0;
   std::vector<KeyWeight> keys;
-  std::map<MemberId, double> peerLoads;
+  std::map<MemberId, PeerLoad> peerLoads;
 };
 
 /**
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -40,11 +40,13 @@
 PeerTable::OnReport(Time aNow,
                     const std::string& aMember,
                     double aLoad,
-                    Duration aExpected)
+                    Duration aExpected,
+                    Duration aUntilHeartbeat)
 {
   auto& peer = this->peers[aMember];
   peer.load = aLoad;
   peer.expected = aExpected;
+  peer.nextHeartbeat = aNow + aUntilHeartbeat;
   peer.reportedAt = aNow;
   peer.failures = 0;
   peer.probing = false;
@@ -109,16 +111,16 @@
   return best;
 }
 
-std::map<std::string, double>
-PeerTable::Loads(Time aNow) const
+std::map<std::string, PeerTable::Report>
+PeerTable::Reports(Time aNow) const
 {
-  std::map<std::string, double> loads;
+  std::map<std::string, Report> reports;
   for (const auto& [member, peer] : this->peers) {
     if (aNow - peer.reportedAt < kReportAge) {
-      loads[member] = peer.load;
+      reports[member] = { peer.load, peer.nextHeartbeat };
     }
   }
-  return loads;
+  return reports;
 }
 
 } // namespace fescuetiller
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -40,7 +40,8 @@
   void OnReport(Time aNow,
                 const std::string& aMember,
                 double aLoad,
-                Duration aExpected);
+                Duration aExpected,
+                Duration aUntilHeartbeat);
 
   /** The peer could not be reached or broke off. */
   void OnFailure(Time aNow, const std::string& aMember);
@@ -54,8 +55,13 @@
                    const std::vector<PeerCandidate>& aCandidates,
                    const PeerQuestion& aQuestion) const;
 
-  /** Last reported load of each peer that reported recently. */
-  std::map<std::string, double> Loads(Time aNow) const;
+  /** What each peer said of itself that reported recently. */
+  struct Report
+  {
+    double load = 0;
+    Time nextHeartbeat;
+  };
+  std::map<std::string, Report> Reports(Time aNow) const;
 
 private:
   struct Peer
@@ -63,6 +69,7 @@
     uint32_t inFlight = 0;
     double load = 0;
     Duration expected = Duration(0);
+    Time nextHeartbeat;
     Time reportedAt;
     Time avoidUntil;
     bool probing = false; ///< One request finds out whether it is back.
