--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -15,6 +15,10 @@
 /** Half-life of the offered load: reacts within seconds, spans several
  * requests of each class. */
 constexpr Duration kOfferedHalfLife = milliseconds(1000);
+/** Half-life of the counts by which classes of one priority are kept even. */
+constexpr Duration kShareHalfLife = std::chrono::seconds(3);
+/** Steps of the share; within one, requests go by arrival. */
+constexpr double kShareSteps = 10;
 /** Shortest time after which a refused client may come back. */
 constexpr Duration kShortestRetry = milliseconds(40);
 /** Spread of the return of refused clients, as a share of the wait. */
@@ -69,6 +73,7 @@
     return std::tuple(!this->CanBeInTime(aNow, aRequest),
                       !aRequest.nested,
                       aRequest.priority,
+                      this->ShareStep(aRequest.requestClass),
                       aRequest.arrivedAt,
                       aRequest.id);
   };
@@ -138,11 +143,37 @@
   this->offeredAt = aNow;
 }
 
+SlotQueue::ClassShare&
+SlotQueue::DecayedShare(Time aNow, const std::string& aClass)
+{
+  auto& share = this->shares[aClass];
+  double factor =
+    std::exp2(-static_cast<double>((aNow - share.at).count()) /
+              static_cast<double>(kShareHalfLife.count()));
+  share.offered *= factor;
+  share.started *= factor;
+  share.at = aNow;
+  return share;
+}
+
+/** Share of its requests that a class got started lately, in steps. */
+int
+SlotQueue::ShareStep(const std::string& aClass) const
+{
+  auto found = this->shares.find(aClass);
+  if (found == this->shares.end() || found->second.offered <= 0) {
+    return 0;
+  }
+  return static_cast<int>(found->second.started / found->second.offered *
+                          kShareSteps);
+}
+
 std::vector<SlotRefusal>
 SlotQueue::Offer(Time aNow, const SlotRequest& aRequest)
 {
   auto usual = this->TimeOf(aRequest);
   this->CountOffered(aNow, usual);
+  this->DecayedShare(aNow, aRequest.requestClass).offered += 1;
   bool inTime = this->CanBeInTime(aNow, aRequest);
   auto wait = std::max(this->WaitFor(aNow, &aRequest),
                        Duration(aRequest.notBefore - aNow));
@@ -181,6 +212,7 @@
       break;
     }
     started.push_back(best->id);
+    this->DecayedShare(aNow, best->requestClass).started += 1;
     this->running[best->id] = { *best, aNow };
     this->waiting.erase(best);
   }
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -38,7 +38,8 @@
 /**
  * Requests that wait for a slot of one backend server. Those that can be
  * answered in time come first: calls of running requests, then by priority,
- * then by arrival; the others use what is left. A request that is not expected
+ * then those of classes that got less of what they asked for, then by arrival;
+ * the others use what is left. A request that is not expected
  * to end before its deadline is refused at once. Pure, not thread-safe.
  */
 class SlotQueue
@@ -82,6 +83,13 @@
   ServiceTimes& Times();
 
 private:
+  /** Decaying counts of what a class asked for and got. */
+  struct ClassShare
+  {
+    double offered = 0;
+    double started = 0;
+    Time at;
+  };
   struct RunningRequest
   {
     SlotRequest request;
@@ -98,12 +106,15 @@
   Duration RetryAfter(Time aNow, uint64_t aId) const;
   double OfferedDecay(Time aNow) const;
   void CountOffered(Time aNow, Duration aWork);
+  ClassShare& DecayedShare(Time aNow, const std::string& aClass);
+  int ShareStep(const std::string& aClass) const;
 
   Eligible eligible;
   uint32_t slots = 1;
   std::vector<SlotRequest> waiting;
   std::map<uint64_t, RunningRequest> running;
   ServiceTimes times;
+  std::map<std::string, ClassShare> shares;
   double offered = 0; ///< Decaying sum of slot seconds.
   Time offeredAt;
 };
--- a/src/node/execution.cpp
+++ b/src/node/execution.cpp
@@ -51,6 +51,7 @@
 Execution::Run(Time aNow)
 {
   this->startedAt = aNow;
+  this->executor.runningIds.insert(this->requestId);
   auto left = this->deadline - aNow;
   auto forwarded = this->request;
   RemoveConnectionFields(forwarded);
@@ -76,6 +77,7 @@
   this->receiver.reset();
   this->executor.queue.Finished(BootClock::now(), this->id, aLearn);
   this->executor.executions.erase(this->id);
+  this->executor.runningIds.erase(this->requestId);
   this->executor.Pump();
   return taker;
 }
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -277,6 +277,12 @@
   return note;
 }
 
+bool
+Executor::IsRunning(const std::string& aRequestId) const
+{
+  return this->runningIds.count(aRequestId) > 0;
+}
+
 double
 Executor::OfferedLoad()
 {
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "admission/admission.h"
 #include "cluster/cluster.h"
@@ -47,6 +48,9 @@
                                      const Dispatch& aDispatch,
                                      std::shared_ptr<ResponseReceiver> aReceiver);
 
+  /** Whether a request with this id holds a slot here. */
+  bool IsRunning(const std::string& aRequestId) const;
+
   double OfferedLoad();
   /** Load that each key brings to the server; all keys of a server that is
    * asked for all it can do add up to 1. */
@@ -88,6 +92,7 @@
   bool ticking = false;
   uint64_t nextId = 1;
   std::map<uint64_t, std::shared_ptr<Execution>> executions;
+  std::set<std::string> runningIds;
 };
 
 } // namespace fescuetiller
--- a/src/node/ingressrequest.cpp
+++ b/src/node/ingressrequest.cpp
@@ -116,6 +116,10 @@
   this->dispatch.requestClass = this->route.name;
   this->dispatch.priority = this->route.priority;
   this->dispatch.kind = this->route.kind;
+  auto parentEnd = this->requestId.find(headers::kCallSeparator);
+  this->dispatch.nested =
+    parentEnd != std::string::npos &&
+    this->ingress.executor.IsRunning(this->requestId.substr(0, parentEnd));
   const auto* service = this->ingress.routes->Source().FindService(
     this->dispatch.service);
   if (service == nullptr) {
--- a/src/platform/headers.h
+++ b/src/platform/headers.h
@@ -24,4 +24,8 @@
 /** Answer to the question whether a daemon takes new clients. */
 constexpr const char* kReadinessPath = "/v1/ready";
 
+/** Between the id of a running request and the rest of the id of a call that it
+ * makes. */
+constexpr char kCallSeparator = '.';
+
 } // namespace fescuetiller::headers
