--- a/src/cluster/rebalancing.cpp
+++ b/src/cluster/rebalancing.cpp
@@ -28,7 +28,7 @@
   return work;
 }
 
-/** First key after which the range's front part holds the work. */
+/** Last key of the front part of a range that holds about the work. */
 Key
 CutAfter(const KeyRange& aRange,
          const std::vector<KeyWeight>& aKeys,
@@ -52,8 +52,9 @@
     }
   }
   auto idleKeys = static_cast<Key>(std::max(0.0, (aWork - work) / kIdleKeyWork));
-  Key cut = from + idleKeys;
-  return std::min(cut > 0 ? cut - 1 : 0, aRange.last);
+  // At least one key, so that neither part is empty.
+  Key cut = std::max<Key>(from + idleKeys, aRange.first + 1) - 1;
+  return std::min(cut, aRange.last);
 }
 
 /** The part of a member's ranges, from one end, that holds about the work. */
