Send once more what a server turned away; explain a request from its logs

Change: what has reached a server is repeated within the route's attempts and a budget for each service. Daemons serve metrics, and fescuetillerctl explain gathers a request's lines from several logs.

--- a/src/fescuetillerctl/command.cpp
+++ b/src/fescuetillerctl/command.cpp
@@ -24,7 +24,7 @@
     add(DrainCommands());
     add({ AuditCommand() });
     add(CheckCommands());
-    add({ MetricsCommand() });
+    add({ MetricsCommand(), ExplainCommand() });
     return all;
   }();
   return kCommands;
@@ -139,8 +139,15 @@
   all.add(visible);
   options::positional_options_description positions;
   for (const auto& position : aCommand.positions) {
-    all.add_options()(position.c_str(), options::value<std::string>());
-    positions.add(position.c_str(), 1);
+    bool repeats =
+      aCommand.lastRepeats && position == aCommand.positions.back();
+    if (repeats) {
+      all.add_options()(position.c_str(),
+                        options::value<std::vector<std::string>>());
+    } else {
+      all.add_options()(position.c_str(), options::value<std::string>());
+    }
+    positions.add(position.c_str(), repeats ? -1 : 1);
   }
   options::variables_map values;
   options::store(options::command_line_parser(aArguments)
--- a/src/fescuetillerctl/command.h
+++ b/src/fescuetillerctl/command.h
@@ -32,6 +32,7 @@
   std::function<
     ExitCode(Session&, const CommonOptions&, const options::variables_map&)>
     run;
+  bool lastRepeats = false; ///< The last position takes one value or more.
 };
 
 std::vector<Command>
@@ -55,6 +56,9 @@
 Command
 MetricsCommand();
 
+Command
+ExplainCommand();
+
 /** Parses the arguments, runs the command, prints errors on one line. */
 ExitCode
 RunCommand(Session& aSession, const std::vector<std::string>& aArguments);
--- a/src/node/controlnode.cpp
+++ b/src/node/controlnode.cpp
@@ -87,6 +87,10 @@
                [this](const std::shared_ptr<Exchange>& aExchange) {
                  this->OnReadyCall(aExchange);
                })
+  , metricsCalls(aContext,
+                 [this](const std::shared_ptr<Exchange>& aExchange) {
+                   this->OnMetricsCall(aExchange);
+                 })
   , beacons(aContext)
   , timer(aContext)
   , configurationWatch(
@@ -123,9 +127,14 @@
   limits.maxBodyBytes = kServerCallBytes;
   this->serverCalls.SetLimits(limits);
   this->readyCalls.SetLimits(limits);
+  this->metricsCalls.SetLimits(limits);
   for (auto [server, text] :
        { std::pair(&this->serverCalls, this->settings.serverCallAddress),
-         std::pair(&this->readyCalls, this->settings.readyAddress) }) {
+         std::pair(&this->readyCalls, this->settings.readyAddress),
+         std::pair(&this->metricsCalls, this->settings.metricsAddress) }) {
+    if (text.empty()) {
+      continue;
+    }
     auto address = ParseEndpoint(text);
     if (!address) {
       return tl::unexpected(address.error());
@@ -295,6 +304,15 @@
     TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
 }
 
+void
+ControlNode::OnMetricsCall(const std::shared_ptr<Exchange>& aExchange)
+{
+  bool known = aExchange->request.target() == "/metrics";
+  aExchange->Respond(
+    TextResponse(known ? 200 : 404,
+                 known ? this->counters.Text() : "only /metrics is here\n"));
+}
+
 void
 ControlNode::LoadConfiguration(TableWatch::Loaded aLoaded)
 {
--- a/src/node/controlnode.h
+++ b/src/node/controlnode.h
@@ -49,6 +49,7 @@
   void Tick();
   void Advance();
   void OnServerCall(const std::shared_ptr<Exchange>& aExchange);
+  void OnMetricsCall(const std::shared_ptr<Exchange>& aExchange);
   void OnReadyCall(const std::shared_ptr<Exchange>& aExchange);
   void OnConfigurationRows(const StoreRows& aRows);
   void OnClusterRows(const StoreRows& aRows);
@@ -75,6 +76,7 @@
   OwnershipAgent agent;
   HttpServer serverCalls;
   HttpServer readyCalls;
+  HttpServer metricsCalls;
   asio::ip::udp::socket beacons;
   asio::ip::udp::endpoint beaconSender;
   std::array<char, 2048> beaconBuffer{};
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -41,6 +41,7 @@
     return std::tie(aNote.outcome,
                     aNote.reason,
                     aNote.owner,
+                    aNote.reachedServer,
                     aNote.retryAfter,
                     aNote.load,
                     aNote.expected,
@@ -88,7 +89,7 @@
        << ToMilliseconds(aNote.retryAfter) << ' '
        << static_cast<int64_t>(aNote.load * kLoadUnit) << ' '
        << ToMilliseconds(aNote.expected) << ' '
-       << ToMilliseconds(aNote.untilHeartbeat);
+       << ToMilliseconds(aNote.untilHeartbeat) << ' ' << aNote.reachedServer;
   if (!aNote.owner.empty()) {
     text << ' ' << aNote.owner;
   }
@@ -105,7 +106,8 @@
   int64_t load = 0;
   int64_t expected = 0;
   int64_t heartbeat = 0;
-  text >> outcome >> note.reason >> retry >> load >> expected >> heartbeat;
+  text >> outcome >> note.reason >> retry >> load >> expected >> heartbeat >>
+    note.reachedServer;
   if (!text || outcome < 0 || outcome > kLastOutcome) {
     return std::nullopt;
   }
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -44,8 +44,9 @@
 struct DispatchNote
 {
   DispatchOutcome outcome = DispatchOutcome::Answered;
-  std::string reason; ///< One word; "-" when answered.
-  std::string owner;  ///< Member that the keys went to, if known.
+  std::string reason;         ///< One word; "-" when answered.
+  std::string owner;          ///< Member that the keys went to, if known.
+  bool reachedServer = false; ///< The backend server itself refused it.
   Duration retryAfter = Duration(0);
   double load = 0;                 ///< Offered to the backend server; 1: full.
   Duration expected = Duration(0); ///< Until a usual request would end.
--- a/src/node/execution.cpp
+++ b/src/node/execution.cpp
@@ -114,9 +114,9 @@
   auto taker = this->Finish(false);
   auto response = TextResponse(aOutcome == DispatchOutcome::Refused ? 503 : 502,
                                aReason + "\n");
-  response.set(
-    kNoteField,
-    Encode(this->executor.Note(aOutcome, requestClass, aReason, retry)));
+  auto note = this->executor.Note(aOutcome, requestClass, aReason, retry);
+  note.reachedServer = aReason != "server-unreachable";
+  response.set(kNoteField, Encode(note));
   taker->OnWhole(std::move(response));
 }
 
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -24,10 +24,17 @@
   , counters(aCounters)
   , pool(aContext)
   , view(std::make_shared<ClusterView>())
-  , budget(identity.retryShare, kMostSavedRetries)
 {
 }
 
+RetryBudget&
+Ingress::BudgetOf(const std::string& aService)
+{
+  return this->budgets
+    .try_emplace(aService, this->identity.retryShare, kMostSavedRetries)
+    .first->second;
+}
+
 void
 Ingress::SetConfiguration(std::shared_ptr<const Configuration> aConfiguration)
 {
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -47,6 +47,8 @@
 private:
   friend class IngressRequest;
 
+  RetryBudget& BudgetOf(const std::string& aService);
+
   asio::io_context& context;
   Executor& executor;
   IngressIdentity identity;
@@ -58,7 +60,7 @@
   MemberId self;
   DestinationPicker destinations;
   PeerTable peers;
-  RetryBudget budget;
+  std::map<std::string, RetryBudget> budgets; ///< By service.
   size_t inFlight = 0;
 };
 
--- a/src/node/ingressrequest.cpp
+++ b/src/node/ingressrequest.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kPeerIdle = std::chrono::seconds(20);
 /** Pause before keys that are changing hands are looked up again. */
 constexpr Duration kOwnerPause = milliseconds(60);
+/** Pause before the same backend server is asked again. */
+constexpr Duration kRepeatPause = milliseconds(15);
 /** Members that one request is sent to before it is refused. */
 constexpr uint32_t kMostHops = 3;
 /** Looks for the owner of keys that are changing hands. */
@@ -79,7 +81,7 @@
     }
   };
   if (this->ReadRequest()) {
-    this->ingress.budget.CountRequest();
+    this->ingress.BudgetOf(this->dispatch.service).CountRequest();
     this->Send();
   }
 }
@@ -191,7 +193,8 @@
                    false,
                    false,
                    kOwnerRetry,
-                   "" });
+                   "",
+                   false });
     return;
   }
   std::string reason;
@@ -201,13 +204,14 @@
     return;
   }
   if (this->key) {
-    this->OnSetback({ reason, false, false, kOwnerRetry, "" });
+    this->OnSetback({ reason, false, false, kOwnerRetry, "", false });
   } else {
     this->GiveUp({ this->lastReason.empty() ? reason : this->lastReason,
                    false,
                    false,
                    kOwnerRetry,
-                   "" });
+                   "",
+                   false });
   }
 }
 
@@ -238,7 +242,7 @@
   auto address = ParseEndpoint(peer->record.address);
   if (!address) {
     this->EndCall();
-    this->OnSetback({ "bad-address", false, true, kOwnerRetry, "" });
+    this->OnSetback({ "bad-address", false, true, kOwnerRetry, "", false });
     return;
   }
   CallOptions options;
@@ -285,7 +289,7 @@
   this->EndCall();
   if (!note) {
     // Not from a daemon's request path: it cannot tell what became of it.
-    this->OnSetback({ "no-note", true, true, Duration(0), "" });
+    this->OnSetback({ "no-note", true, true, Duration(0), "", false });
     return;
   }
   if (note->outcome != DispatchOutcome::Answered) {
@@ -293,7 +297,8 @@
                       note->outcome == DispatchOutcome::Failed,
                       false,
                       note->retryAfter,
-                      note->owner });
+                      note->owner,
+                      note->reachedServer });
     return;
   }
   this->ended = true;
@@ -345,7 +350,8 @@
                     aFailure.stage != CallStage::NotSent,
                     true,
                     kOwnerRetry,
-                    "" });
+                    "",
+                    false });
 }
 
 void
@@ -366,16 +372,8 @@
   if (this->Left() < kShortestLeft) {
     return false;
   }
-  if (aSetback.mayHaveRun) {
-    ++this->sends;
-    bool repeatable = this->route.kind != RequestKind::NonIdempotent;
-    if (!repeatable || this->sends >= this->route.attempts ||
-        !this->ingress.budget.TakeRetry()) {
-      return false;
-    }
-    this->tried.insert(this->member);
-    this->Send();
-    return true;
+  if (aSetback.mayHaveRun || aSetback.reachedServer) {
+    return this->Repeat(aSetback);
   }
   if (this->key) {
     if (!aSetback.owner.empty() && this->hops < kMostOwnerHops &&
@@ -398,6 +396,28 @@
   return true;
 }
 
+/** Sends a request once more that has reached a backend server, if the operator
+ * and the budget that all daemons share allow it. */
+bool
+IngressRequest::Repeat(const Setback& aSetback)
+{
+  ++this->arrivals;
+  this->mayHaveRun = this->mayHaveRun || aSetback.mayHaveRun;
+  bool repeatable =
+    !aSetback.mayHaveRun || this->route.kind != RequestKind::NonIdempotent;
+  if (!repeatable || this->arrivals >= this->route.attempts ||
+      !this->ingress.BudgetOf(this->dispatch.service).TakeRetry()) {
+    return false;
+  }
+  if (this->key) {
+    this->WaitAndSend(kRepeatPause);
+  } else {
+    this->tried.insert(this->member);
+    this->Send();
+  }
+  return true;
+}
+
 void
 IngressRequest::WaitAndSend(Duration aWait)
 {
@@ -434,7 +454,7 @@
 {
   auto retry =
     this->leastRetry == Duration::max() ? kOwnerRetry : this->leastRetry;
-  if (!aSetback.mayHaveRun && this->sends == 0) {
+  if (!aSetback.mayHaveRun && !this->mayHaveRun) {
     this->Reply(503, aSetback.reason, retry);
     return;
   }
--- a/src/node/ingressrequest.h
+++ b/src/node/ingressrequest.h
@@ -34,7 +34,8 @@
     bool mayHaveRun = false;
     bool unreachable = false;
     Duration retryAfter = Duration(0);
-    std::string owner; ///< Where the keys went, if known.
+    std::string owner;          ///< Where the keys went, if known.
+    bool reachedServer = false; ///< A backend server turned it away.
   };
 
   bool ReadRequest();
@@ -43,6 +44,7 @@
   void SendTo(const std::string& aMember);
   void OnSetback(const Setback& aSetback);
   bool RetryElsewhere(const Setback& aSetback);
+  bool Repeat(const Setback& aSetback);
   void WaitAndSend(Duration aWait);
   void EndCall();
   void OnClientGone();
@@ -65,7 +67,8 @@
   std::shared_ptr<UpstreamCall> remote;
   std::shared_ptr<Cancellable> local;
   asio::steady_timer timer;
-  uint32_t sends = 0; ///< That may have reached a backend server.
+  uint32_t arrivals = 0; ///< At backend servers, as far as is known.
+  bool mayHaveRun = false;
   uint32_t hops = 0;
   std::string lastReason;
   Duration leastRetry = Duration::max();
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -20,6 +20,7 @@
   std::string peerAddress;   ///< Takes requests of other daemons.
   std::string readyAddress;
   std::string serverCallAddress; ///< Takes the backend server's heartbeats.
+  std::string metricsAddress;    ///< Serves metrics; empty: nowhere.
   uint16_t firstPort = 0;        ///< Ports for talk among daemons.
   uint16_t lastPort = 0;
   std::string storeAddress;
--- a/src/node/trafficnode.cpp
+++ b/src/node/trafficnode.cpp
@@ -16,7 +16,7 @@
 constexpr uint32_t kPeerHeaderBytes = 128 * 1024;
 /** Share of the allowed retries that one daemon uses, since its own count of
  * requests may differ from the service's. */
-constexpr double kRetrySafety = 0.5;
+constexpr double kRetrySafety = 0.7;
 
 } // namespace
 
--- /dev/null
+++ b/tests/explain/storytest.cpp
@@ -0,0 +1,65 @@
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "explain/explain.h"
+
+using namespace fescuetiller; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr const char* kLog =
+  R"({"time_ms":1000,"node":"n1","event":"store-lost","table":"op"}
+  2.5 n2 {"time_ms":9000,"node":"n2","event":"execution","request":"r1","outcome":"refused","reason":"no-time"}
+{"time_ms":8000,"node":"n2","event":"keys-moved","keys":"0-9"}
+{"time_ms":9010,"node":"n1","event":"request","request":"r1","outcome":"refused"}
+{"time_ms":9005,"node":"n3","event":"keys-moved","keys":"0-9"}
+{"time_ms":9020,"node":"n1","event":"request","request":"r1.7","outcome":"answered"}
+{"time_ms":9030,"node":"n1","event":"request","request":"r10","outcome":"answered"}
+{"time_ms":"soon","node":"n1","event":"request","request":"r1"}
+{"time_ms":9040,"node":"n1","event":"request","request":"r1"
+not a line of ours
+{"time_ms":99000,"node":"n1","event":"stop"}
+)";
+
+std::vector<std::string>
+Events(const std::vector<LogLine>& aStory)
+{
+  std::vector<std::string> events;
+  events.reserve(aStory.size());
+  for (const auto& line : aStory) {
+    events.push_back(line.node + " " + line.event + " " +
+                     line.Field("request"));
+  }
+  return events;
+}
+
+} // namespace
+
+SCENARIO("A request's story is put together from several logs", "[explain]")
+{
+  std::istringstream log(kLog);
+  auto lines = ReadLog(log);
+  CHECK(lines.size() == 8);
+
+  GIVEN("a request's id")
+  {
+    auto story = TellStory(lines, "r1");
+    THEN("its lines, its calls and what changed around it are in order")
+    {
+      CHECK(Events(story) == std::vector<std::string>{ "n2 keys-moved ",
+                                                       "n2 execution r1",
+                                                       "n1 request r1",
+                                                       "n1 request r1.7" });
+    }
+    THEN("each field is as it was written")
+    {
+      CHECK(story[1].Field("reason") == "no-time");
+      CHECK(story[1].Field("other").empty());
+    }
+  }
+  GIVEN("an id that is in no line")
+  {
+    CHECK(TellStory(lines, "r2").empty());
+  }
+}
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -85,9 +85,10 @@
   CHECK_FALSE(DecodeDispatch("huvo r-a x 0 0 1 1"));
   CHECK_FALSE(DecodeDispatch("huvo r-a 1 9 0 1 1"));
 
-  DispatchNote note{ DispatchOutcome::Refused, "moved", "0123abcd",
-                     milliseconds(250),        0.5,     milliseconds(90),
-                     milliseconds(400) };
+  DispatchNote note{
+    DispatchOutcome::Refused, "moved", "0123abcd",       true,
+    milliseconds(250),        0.5,     milliseconds(90), milliseconds(400)
+  };
   CHECK(DecodeNote(Encode(note)) == note);
   note.owner.clear();
   CHECK(DecodeNote(Encode(note)) == note);
