--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 20
 PACKAGES = $(shell cat deploy/packages.txt)
 
-.PHONY: all setup configure test demo bench lint format
+.PHONY: all setup configure test demo demo-node bench lint format
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -26,6 +26,9 @@
 demo: all
 	tests/demo/demo.sh $(abspath $(BUILD)) $(DEPLOYMENT) $(SECONDS)
 
+demo-node: all
+	tests/node/processes.sh $(abspath $(BUILD)) $(SECONDS)
+
 bench: all
 	cmake --build $(BUILD) --target bench
 
--- /dev/null
+++ b/src/platform/base64.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace fescuetiller {
+
+std::string
+EncodeBase64(const std::string& aBytes);
+
+/** Nothing for a text that is not base64. */
+std::optional<std::string>
+DecodeBase64(std::string aText);
+
+} // namespace fescuetiller
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -3,6 +3,7 @@
 /** Public header of the platform library: names and formats of the platform,
  * and the client of its store. Nothing here decides. */
 
+#include "platform/base64.h"
 #include "platform/configurationcodec.h"
 #include "platform/headers.h"
 #include "platform/heartbeatcodec.h"
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -2,10 +2,7 @@
 
 #include <algorithm>
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/binary_from_base64.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
-
+#include "platform/base64.h"
 #include "platform/jsonvalue.h"
 
 namespace fescuetiller {
@@ -13,7 +10,6 @@
 namespace {
 
 using nlohmann::json;
-namespace iterators = boost::archive::iterators;
 
 constexpr const char* kStep = "call store";
 constexpr unsigned kOk = 200;
@@ -22,33 +18,6 @@
 constexpr unsigned kTooMany = 429;
 constexpr unsigned kUnavailable = 503;
 
-std::string
-EncodeBase64(const std::string& aBytes)
-{
-  using Encoder = iterators::base64_from_binary<
-    iterators::transform_width<std::string::const_iterator, 6, 8>>;
-  std::string text(Encoder(aBytes.begin()), Encoder(aBytes.end()));
-  return text.append((3 - aBytes.size() % 3) % 3, '=');
-}
-
-std::string
-DecodeBase64(std::string aText)
-{
-  using Decoder = iterators::transform_width<
-    iterators::binary_from_base64<std::string::const_iterator>,
-    8,
-    6>;
-  auto padding = std::count(aText.begin(), aText.end(), '=');
-  std::replace(aText.begin(), aText.end(), '=', 'A');
-  try {
-    std::string bytes(Decoder(aText.cbegin()), Decoder(aText.cend()));
-    bytes.resize(bytes.size() - std::min<size_t>(padding, bytes.size()));
-    return bytes;
-  } catch (const iterators::dataflow_exception&) {
-    throw JsonMismatch{ "a value is not base64" };
-  }
-}
-
 std::string
 EscapeQuery(const std::string& aText)
 {
@@ -83,7 +52,11 @@
   row.removed = object.Has("removed") && object.Get("removed") != json(false);
   row.version = object.Has("ver") ? object.Number("ver") : 0;
   if (!row.removed && object.Has("value")) {
-    row.value = DecodeBase64(object.Text("value"));
+    auto value = DecodeBase64(object.Text("value"));
+    if (!value) {
+      throw JsonMismatch{ "a value is not base64" };
+    }
+    row.value = *value;
   }
   return row;
 }
--- /dev/null
+++ b/tests/standins/storestandin.cpp
@@ -0,0 +1,310 @@
+#include <iostream>
+#include <list>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <nlohmann/json.hpp>
+
+#include "http/http.h"
+#include "platform/platform.h"
+#include "standins/standin.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMostRows = 500;
+
+/** Parameters of a query; percent-encoded bytes are decoded. */
+std::map<std::string, std::string>
+ParseQuery(const std::string& aTarget)
+{
+  std::map<std::string, std::string> parameters;
+  auto mark = aTarget.find('?');
+  if (mark == std::string::npos) {
+    return parameters;
+  }
+  std::vector<std::string> pairs;
+  auto query = aTarget.substr(mark + 1);
+  boost::split(pairs, query, boost::is_any_of("&"));
+  for (const auto& pair : pairs) {
+    auto equals = pair.find('=');
+    std::string value;
+    for (size_t at = equals + 1; at < pair.size(); ++at) {
+      if (pair[at] == '%' && at + 2 < pair.size()) {
+        value.push_back(
+          static_cast<char>(std::stoi(pair.substr(at + 1, 2), nullptr, 16)));
+        at += 2;
+      } else {
+        value.push_back(pair[at]);
+      }
+    }
+    parameters[pair.substr(0, equals)] = value;
+  }
+  return parameters;
+}
+
+} // namespace
+
+/**
+ * The platform's store as its published protocol describes it: rows, atomic
+ * changes under conditions, and a watch. POST /standin/config puts the
+ * operator's configuration; POST /standin/faults with "down", "silent", "lose"
+ * or "none" lets it fail.
+ */
+class StoreStandIn
+{
+public:
+  explicit StoreStandIn(asio::io_context& aContext)
+    : context(aContext)
+    , server(aContext, [this](std::shared_ptr<Exchange> aExchange) {
+      this->Handle(aExchange);
+    })
+  {
+  }
+
+  Result<void> Listen(uint16_t aPort)
+  {
+    return this->server.Listen(
+      Tcp::endpoint(asio::ip::address_v4::loopback(), aPort));
+  }
+
+  uint16_t Port() const { return this->server.Address().port(); }
+
+private:
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  struct Row
+  {
+    std::string value; ///< Base64, as it was sent.
+    uint64_t version = 0;
+  };
+
+  struct Watcher
+  {
+    std::string table;
+    uint64_t after = 0;
+    std::shared_ptr<Exchange> exchange;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+
+  static json ToJson(const Key& aKey, const Row& aRow)
+  {
+    const auto& [table, part, key] = aKey;
+    return { { "table", table },
+             { "part", part },
+             { "key", key },
+             { "value", aRow.value },
+             { "ver", aRow.version } };
+  }
+
+  static Key KeyOf(const json& aEntry)
+  {
+    return { aEntry.at("table").get<std::string>(),
+             aEntry.value("part", ""),
+             aEntry.at("key").get<std::string>() };
+  }
+
+  static void Reply(const std::shared_ptr<Exchange>& aExchange,
+                    unsigned aStatus,
+                    const json& aBody)
+  {
+    auto response = TextResponse(aStatus, aBody.dump());
+    response.set(http::field::content_type, "application/json");
+    aExchange->Respond(response);
+  }
+
+  void Handle(const std::shared_ptr<Exchange>& aExchange)
+  {
+    std::string target(aExchange->request.target());
+    auto path = target.substr(0, target.find('?'));
+    try {
+      if (path == "/standin/faults") {
+        this->fault = aExchange->request.body();
+        Reply(aExchange, 200, json::object());
+      } else if (path == "/standin/config") {
+        this->Put({ "op", "", "config" },
+                  EncodeBase64(aExchange->request.body()));
+        Reply(aExchange, 200, json::object());
+      } else if (this->fault == "silent") {
+        this->unanswered.push_back(aExchange);
+      } else if (this->fault == "down") {
+        Reply(aExchange, 503, json::object());
+      } else if (path == "/v1/rows-tx") {
+        this->Change(aExchange);
+      } else if (path == "/v1/rows-get") {
+        this->Read(aExchange, ParseQuery(target));
+      } else if (path == "/v1/rows-feed") {
+        this->Watch(aExchange, ParseQuery(target));
+      } else {
+        Reply(aExchange, 404, json::object());
+      }
+    } catch (const std::exception& error) {
+      Reply(aExchange, 400, { { "error", error.what() } });
+    }
+  }
+
+  void Put(const Key& aKey, const std::string& aValue)
+  {
+    this->rows[aKey] = { aValue, ++this->version };
+    auto change = ToJson(aKey, this->rows[aKey]);
+    this->changes.emplace_back(this->version, change);
+    this->TellWatchers();
+  }
+
+  void Change(const std::shared_ptr<Exchange>& aExchange)
+  {
+    auto body = json::parse(aExchange->request.body());
+    json current = json::array();
+    bool holds = true;
+    for (const auto& condition : body.at("expected-rev")) {
+      auto found = this->rows.find(KeyOf(condition));
+      uint64_t present = found == this->rows.end() ? 0 : found->second.version;
+      holds = holds && present == condition.at("ver").get<uint64_t>();
+      if (found != this->rows.end()) {
+        current.push_back(ToJson(found->first, found->second));
+      }
+    }
+    if (!holds) {
+      Reply(aExchange, 412, { { "ver", this->version }, { "rows", current } });
+      return;
+    }
+    ++this->version;
+    for (const auto& entry : body.at("set-keys")) {
+      auto key = KeyOf(entry);
+      this->rows[key] = { entry.at("value").get<std::string>(), this->version };
+      this->changes.emplace_back(this->version, ToJson(key, this->rows[key]));
+    }
+    for (const auto& entry : body.at("remove")) {
+      auto key = KeyOf(entry);
+      if (this->rows.erase(key) > 0) {
+        auto change = ToJson(key, { "", this->version });
+        change["removed"] = true;
+        this->changes.emplace_back(this->version, change);
+      }
+    }
+    if (this->fault == "lose") {
+      aExchange->Abort();
+    } else {
+      Reply(aExchange, 200, { { "ver", this->version } });
+    }
+    this->TellWatchers();
+  }
+
+  void Read(const std::shared_ptr<Exchange>& aExchange,
+            std::map<std::string, std::string> aQuery)
+  {
+    json found = json::array();
+    bool more = false;
+    Key from{ aQuery["table"], aQuery["part"], aQuery["from"] };
+    for (auto row = this->rows.lower_bound(from);
+         row != this->rows.end() &&
+         std::get<0>(row->first) == aQuery["table"] &&
+         std::get<1>(row->first) == aQuery["part"];
+         ++row) {
+      if (found.size() == kMostRows) {
+        more = true;
+        break;
+      }
+      found.push_back(ToJson(row->first, row->second));
+    }
+    Reply(
+      aExchange,
+      200,
+      { { "rows", found }, { "has-more", more }, { "ver", this->version } });
+  }
+
+  json ChangesOf(const std::string& aTable, uint64_t aAfter) const
+  {
+    json found = json::array();
+    for (const auto& [changedAt, change] : this->changes) {
+      if (changedAt > aAfter && change.at("table") == aTable) {
+        found.push_back(change);
+      }
+    }
+    return found;
+  }
+
+  void Watch(const std::shared_ptr<Exchange>& aExchange,
+             std::map<std::string, std::string> aQuery)
+  {
+    Watcher watcher{ aQuery["table"],
+                     std::stoull(aQuery["after"]),
+                     aExchange,
+                     std::make_shared<asio::steady_timer>(this->context) };
+    watcher.timer->expires_after(
+      std::chrono::milliseconds(std::stoull(aQuery["wait-ms"])));
+    this->watchers.push_back(watcher);
+    watcher.timer->async_wait(
+      [this, exchange = aExchange](boost::system::error_code aError) {
+        if (!aError) {
+          this->EndWatch(exchange);
+        }
+      });
+    this->TellWatchers();
+  }
+
+  void EndWatch(const std::shared_ptr<Exchange>& aExchange)
+  {
+    this->watchers.remove_if(
+      [&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
+    Reply(
+      aExchange, 200, { { "rows", json::array() }, { "ver", this->version } });
+  }
+
+  void TellWatchers()
+  {
+    for (auto watcher = this->watchers.begin();
+         watcher != this->watchers.end();) {
+      auto found = this->ChangesOf(watcher->table, watcher->after);
+      if (found.empty()) {
+        ++watcher;
+        continue;
+      }
+      watcher->timer->cancel();
+      Reply(watcher->exchange,
+            200,
+            { { "rows", found }, { "ver", this->version } });
+      watcher = this->watchers.erase(watcher);
+    }
+  }
+
+  asio::io_context& context;
+  HttpServer server;
+  std::map<Key, Row> rows;
+  std::vector<std::pair<uint64_t, json>> changes;
+  std::list<Watcher> watchers;
+  std::vector<std::shared_ptr<Exchange>> unanswered;
+  uint64_t version = 1;
+  std::string fault = "none";
+};
+
+} // namespace fescuetiller
+
+int
+main(int aCount, char** aArguments)
+{
+  namespace options = boost::program_options;
+  options::options_description description("Stand-in of the platform's store.");
+  auto add = description.add_options();
+  add("help,h", "print this text");
+  add("port", options::value<uint16_t>()->default_value(0), "0: any free port");
+  add("ports-file",
+      options::value<std::string>()->required(),
+      "where the port is written");
+  auto values = fescuetiller::ParseOptions(aCount, aArguments, description);
+  fescuetiller::asio::io_context context(1);
+  fescuetiller::StoreStandIn store(context);
+  auto listening = store.Listen(values["port"].as<uint16_t>());
+  if (!listening) {
+    std::cerr << listening.error() << std::endl;
+    return 1;
+  }
+  fescuetiller::WritePort(values["ports-file"].as<std::string>(), store.Port());
+  fescuetiller::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) { context.stop(); });
+  context.run();
+  return 0;
+}
