Divide the first ranges among a whole fleet; tell loads with lease messages

Cause: on a grown deployment 36 of 66 members began without keys, since the first ranges were bounded by the parts of a takeover; and a member hears of most others too seldom by answers, so that members of unknown load were taken to be idle.

Change: one condition guards the first ranges, so that 98 fit into a transaction.

--- a/src/cluster/messages.cpp
+++ b/src/cluster/messages.cpp
@@ -24,7 +24,9 @@
                     aMessage.ward,
                     aMessage.version,
                     aMessage.sentAt,
-                    aMessage.rows);
+                    aMessage.rows,
+                    aMessage.load,
+                    aMessage.untilHeartbeat);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -48,6 +50,8 @@
                      row.removed });
   }
   value.push_back(rows);
+  value.push_back(aMessage.load);
+  value.push_back(ToMilliseconds(aMessage.untilHeartbeat));
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
 }
@@ -76,7 +80,10 @@
                           value.at(3).get<std::string>(),
                           value.at(4).get<RowVersion>(),
                           value.at(5).get<int64_t>(),
-                          std::move(rows) };
+                          std::move(rows),
+                          value.at(7).get<double>(),
+                          std::chrono::milliseconds(
+                            value.at(8).get<int64_t>()) };
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/cluster/messages.h
+++ b/src/cluster/messages.h
@@ -28,6 +28,9 @@
   RowVersion version = 0;
   int64_t sentAt = 0; ///< Sender's clock; echoed by an acknowledgement.
   std::vector<StoreRow> rows;
+  /** Work asked of the sender's server, and the time until it calls next. */
+  double load = 0;
+  Duration untilHeartbeat = Duration(0);
 
   friend bool operator==(const BeaconMessage& aLeft,
                          const BeaconMessage& aRight);
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -28,6 +28,9 @@
 /** Parts that a lost member's ranges are divided into at most: all rows and
  * conditions must fit into one transaction. */
 constexpr size_t kMostParts = 30;
+/** First ranges that fit into one transaction; further members get keys by
+ * moves. */
+constexpr size_t kMostFirstRanges = 98;
 /** Ranges of a lost member that one transaction takes. */
 constexpr size_t kMostTaken = 40;
 /** Time after which keys whose owner is no member are taken by another: longer
@@ -41,6 +44,8 @@
 constexpr size_t kDatagramBytes = 1100;
 /** Bytes of a row beside its value and key. */
 constexpr size_t kRowOverhead = 40;
+/** Age from which on a load that was told says nothing about now. */
+constexpr Duration kHeardMemory = milliseconds(3000);
 /** How long a member tells where keys went; the others know by then. */
 constexpr Duration kMovedMemory = milliseconds(3000);
 /** Lives of a server that get fences within one epoch. */
@@ -268,14 +273,18 @@
   }
   using Kind = BeaconMessage::Kind;
   auto reply = [&](Kind aKind) {
-    return BeaconMessage{ aKind,
-                          this->self,
-                          aMessage.from,
-                          aMessage.ward,
-                          aMessage.version,
-                          aMessage.sentAt,
-                          {} };
+    return this->Beacon(aNow,
+                        aKind,
+                        aMessage.from,
+                        aMessage.ward,
+                        aMessage.version,
+                        aMessage.sentAt);
   };
+  if (aMessage.kind == Kind::Renew || aMessage.kind == Kind::Acknowledge) {
+    this->heard[aMessage.from] = {
+      { aMessage.load, aNow + aMessage.untilHeartbeat }, aNow
+    };
+  }
   switch (aMessage.kind) {
     case Kind::Rows:
       for (const auto& row : aMessage.rows) {
@@ -626,17 +635,38 @@
     const auto* member = this->view.FindMember(guardian);
     if (member != nullptr) {
       aOutput.beacons.push_back({ member->record.beacon,
-                                  { BeaconMessage::Kind::Renew,
-                                    this->self,
-                                    guardian,
-                                    this->self,
-                                    0,
-                                    ToBootNanoseconds(aNow),
-                                    {} } });
+                                  this->Beacon(aNow,
+                                               BeaconMessage::Kind::Renew,
+                                               guardian,
+                                               this->self,
+                                               0,
+                                               ToBootNanoseconds(aNow)) });
     }
   }
 }
 
+/** A lease message with what this member says of itself. */
+BeaconMessage
+OwnershipAgent::Beacon(Time aNow,
+                       BeaconMessage::Kind aKind,
+                       const MemberId& aTo,
+                       const MemberId& aWard,
+                       RowVersion aVersion,
+                       int64_t aSentAt) const
+{
+  BeaconMessage message;
+  message.kind = aKind;
+  message.from = this->self;
+  message.to = aTo;
+  message.ward = aWard;
+  message.version = aVersion;
+  message.sentAt = aSentAt;
+  message.load = WorkOf(this->OwnedKeyRanges(), this->keys);
+  message.untilHeartbeat =
+    this->lastHeartbeat + this->settings.heartbeat - aNow;
+  return message;
+}
+
 OwnershipAgent::OwnedRanges
 OwnershipAgent::Owned() const
 {
@@ -670,8 +700,25 @@
   return until < Duration(0) ? until + period : until;
 }
 
+/** What a member said lately, with an answer or with a lease message. */
+std::optional<PeerLoad>
+OwnershipAgent::LoadOf(Time aNow, const MemberId& aMember) const
+{
+  auto answered = this->loads.find(aMember);
+  if (answered != this->loads.end()) {
+    return answered->second;
+  }
+  auto told = this->heard.find(aMember);
+  if (told != this->heard.end() && aNow - told->second.at < kHeardMemory) {
+    return told->second.load;
+  }
+  return std::nullopt;
+}
+
 std::vector<MemberLoad>
-OwnershipAgent::Targets(Time aNow, const std::string& aService) const
+OwnershipAgent::Targets(Time aNow,
+                        const std::string& aService,
+                        bool aWithUnknown) const
 {
   std::map<MemberId, size_t> counts;
   for (const auto& [first, range] : this->view.RangesOf(aService)) {
@@ -679,16 +726,19 @@
   }
   std::vector<MemberLoad> targets;
   for (const auto* member : this->view.MembersOf(aService)) {
-    if (member->id != this->self && member->state == MemberState::Ready &&
-        counts[member->id] < this->settings.rebalancing.mostRanges) {
-      auto load = this->loads.find(member->id);
-      bool known = load != this->loads.end();
-      targets.push_back(
-        { member->id,
-          known ? load->second.load : 0,
-          counts[member->id] > 0,
-          known ? this->UntilHeartbeat(aNow, load->second) : Duration(0) });
+    auto load = this->LoadOf(aNow, member->id);
+    // Nothing is known of a member: it is new, or cannot be judged.
+    bool unknown = !load && counts[member->id] > 0;
+    if (member->id == this->self || member->state != MemberState::Ready ||
+        counts[member->id] >= this->settings.rebalancing.mostRanges ||
+        (unknown && !aWithUnknown)) {
+      continue;
     }
+    targets.push_back(
+      { member->id,
+        load ? load->load : 0,
+        counts[member->id] > 0,
+        load ? this->UntilHeartbeat(aNow, *load) : Duration(0) });
   }
   return targets;
 }
@@ -716,14 +766,15 @@
       aNow < this->gatheredAt + kGatherTime + rank * kGatherTime) {
     return;
   }
-  ready.resize(std::min(ready.size(), kMostParts));
+  ready.resize(std::min(ready.size(), kMostFirstRanges));
   StoreTransaction change;
+  // No range exists without the first one, so that one condition is enough.
+  AddCondition(change, RangeKey(service, 0), 0);
   Key next = 0;
   for (size_t index = 0; index < ready.size(); ++index) {
     Key last =
       static_cast<Key>((kLastKey + 1) * (index + 1) / ready.size() - 1);
     RangeRecord record{ service, { next, last }, ready[index], 1, "" };
-    AddCondition(change, RangeKey(service, next), 0);
     change.sets.push_back(ToRow(record));
     next = last + 1;
   }
@@ -776,7 +827,7 @@
   auto plans =
     ::fescuetiller::PlanMoves(owned,
                               this->keys,
-                              this->Targets(aNow, this->identity.service),
+                              this->Targets(aNow, this->identity.service, true),
                               this->settings.rebalancing,
                               this->random);
   for (const auto& plan : plans) {
@@ -788,7 +839,9 @@
         { "target", plan.target },
         { "load", std::to_string(WorkOf(owned, this->keys)) },
         { "moved_load", std::to_string(WorkOf({ plan.range }, this->keys)) },
-        { "target_load", std::to_string(this->loads[plan.target].load) } });
+        { "target_load",
+          std::to_string(
+            this->LoadOf(aNow, plan.target).value_or(PeerLoad()).load) } });
   }
 }
 
@@ -808,7 +861,7 @@
   this->moves.clear();
   auto plans = Distribute(this->OwnedKeyRanges(),
                           this->keys,
-                          this->Targets(aNow, this->identity.service),
+                          this->Targets(aNow, this->identity.service, true),
                           kMostParts);
   for (const auto& plan : plans) {
     this->moves.push_back({ plan, true, false });
@@ -935,9 +988,13 @@
   for (const auto& [id, member] : this->view.AllMembers()) {
     for (const auto& rows : datagrams) {
       if (id != this->self && !rows.empty()) {
+        BeaconMessage message;
+        message.kind = BeaconMessage::Kind::Rows;
+        message.from = this->self;
+        message.to = id;
+        message.rows = rows;
         this->pendingBeacons.push_back(
-          { member.record.beacon,
-            { BeaconMessage::Kind::Rows, this->self, id, "", 0, 0, rows } });
+          { member.record.beacon, std::move(message) });
       }
     }
   }
@@ -1058,7 +1115,7 @@
     change.removes.push_back(MemberKey(service, aLost.id));
     change.removes.push_back(LeaseKey(service, aLost.id));
   }
-  auto targets = this->Targets(aNow, service);
+  auto targets = this->Targets(aNow, service, true);
   if (service == this->identity.service &&
       this->DesiredState(aNow) == MemberState::Ready) {
     targets.push_back({ this->self,
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -149,6 +149,11 @@
     bool forced = false; ///< The server leaves or is lost.
     bool writing = false;
   };
+  struct HeardLoad
+  {
+    PeerLoad load;
+    Time at;
+  };
   struct FinishedMove
   {
     PlannedMove plan;
@@ -182,7 +187,18 @@
   StoreTransaction MoveTransaction(const std::vector<Move>& aMoves) const;
   OwnedRanges Owned() const;
   std::vector<KeyRange> OwnedKeyRanges() const;
-  std::vector<MemberLoad> Targets(Time aNow, const std::string& aService) const;
+  /** @param aWithUnknown Whether members count of whose load nothing is known.
+   */
+  std::vector<MemberLoad> Targets(Time aNow,
+                                  const std::string& aService,
+                                  bool aWithUnknown) const;
+  std::optional<PeerLoad> LoadOf(Time aNow, const MemberId& aMember) const;
+  BeaconMessage Beacon(Time aNow,
+                       BeaconMessage::Kind aKind,
+                       const MemberId& aTo,
+                       const MemberId& aWard,
+                       RowVersion aVersion,
+                       int64_t aSentAt) const;
   Duration UntilHeartbeat(Time aNow, const PeerLoad& aPeer) const;
   std::vector<Grant> GrantList() const;
   MemberState DesiredState(Time aNow) const;
@@ -226,7 +242,8 @@
   Time lastHeartbeat;
   std::vector<Grant> granted;
   std::vector<KeyWeight> keys;
-  std::map<MemberId, PeerLoad> loads;
+  std::map<MemberId, PeerLoad> loads;  ///< From answers.
+  std::map<MemberId, HeardLoad> heard; ///< From lease messages.
   std::vector<Event> events;
 };
 
--- a/src/cluster/wardwatch.cpp
+++ b/src/cluster/wardwatch.cpp
@@ -169,14 +169,13 @@
     if (this->Agrees(aNow, aView, ward, guardian)) {
       ++agreed;
     } else if (aNow >= ward.nextAskAt && other != nullptr) {
-      aFindings.messages.push_back({ other->record.beacon,
-                                     { BeaconMessage::Kind::AskConsent,
-                                       aSelf,
-                                       guardian,
-                                       record.id,
-                                       aMember.version,
-                                       0,
-                                       {} } });
+      BeaconMessage question;
+      question.kind = BeaconMessage::Kind::AskConsent;
+      question.from = aSelf;
+      question.to = guardian;
+      question.ward = record.id;
+      question.version = aMember.version;
+      aFindings.messages.push_back({ other->record.beacon, question });
     }
   }
   if (aNow >= ward.nextAskAt) {
--- a/src/fescuetillerctl/explaincommand.cpp
+++ b/src/fescuetillerctl/explaincommand.cpp
@@ -14,7 +14,8 @@
   std::string text;
   for (const auto& [name, value] : aLine.fields) {
     if (!value.empty()) {
-      text += (text.empty() ? "" : " ") + name + "=" + value;
+      text.append(text.empty() ? "" : " ");
+      text.append(name).append("=").append(value);
     }
   }
   return text;
--- a/src/node/controlnode.cpp
+++ b/src/node/controlnode.cpp
@@ -19,8 +19,8 @@
  * Members tell each other directly what they change in the cluster, so that the
  * pause there grows with their number and the calls do not. */
 constexpr Duration kConfigurationPause = milliseconds(40);
-constexpr Duration kClusterPausePerMember = milliseconds(25);
-constexpr Duration kLongestClusterPause = milliseconds(2000);
+constexpr Duration kClusterPausePerMember = milliseconds(50);
+constexpr Duration kLongestClusterPause = milliseconds(5000);
 /** Two refused connections at least so far apart show that nothing listens. */
 constexpr Duration kRefusedAgain = milliseconds(60);
 /** Refusals that lie further apart do not belong together. */
--- a/tests/cluster/clusterviewtest.cpp
+++ b/tests/cluster/clusterviewtest.cpp
@@ -66,14 +66,14 @@
   }
   GIVEN("rows of other writers")
   {
-    for (const char* value :
-         { "",
-           "7",
-           "{}",
-           R"({"last":"x","owner":"a","epoch":1})",
-           R"({"last":5,"owner":7,"epoch":1,"handover":""})",
-           R"({"last":70000,"owner":"a","epoch":1,)"
-           R"("handover":""})" }) {
+    const char* const tooFar =
+      R"({"last":70000,"owner":"a","epoch":1,"handover":""})";
+    for (const char* value : { "",
+                               "7",
+                               "{}",
+                               R"({"last":"x","owner":"a","epoch":1})",
+                               R"({"last":5,"owner":7,"epoch":1})",
+                               tooFar }) {
       INFO(value);
       view.Apply({ RangeKey("agenda", 500), value, 30, false });
       CHECK(view.FindRange("agenda", 500) == nullptr);
@@ -96,6 +96,8 @@
   message.sentAt = -5;
   message.rows = { RangeRow(0, 99, "a", 10),
                    { RangeKey("agenda", 100), "", 11, true } };
+  message.load = 0.75;
+  message.untilHeartbeat = std::chrono::milliseconds(-30);
   CHECK(DecodeBeacon(Encode(message)) == message);
   auto bytes = Encode(message);
   for (size_t length = 0; length < bytes.size(); ++length) {
--- a/tests/cluster/clusterworld.cpp
+++ b/tests/cluster/clusterworld.cpp
@@ -781,6 +781,15 @@
   return this->nodes.size();
 }
 
+size_t
+ClusterWorld::Holders() const
+{
+  return static_cast<size_t>(std::count_if(
+    this->nodes.begin(), this->nodes.end(), [](const auto& aNode) {
+      return !aNode->held.empty();
+    }));
+}
+
 size_t
 ClusterWorld::Busiest() const
 {
--- a/tests/cluster/clusterworld.h
+++ b/tests/cluster/clusterworld.h
@@ -78,6 +78,8 @@
   std::string DescribeUnheld() const;
 
   size_t Nodes() const;
+  /** Nodes whose servers hold any key. */
+  size_t Holders() const;
   /** Node whose server holds most keys. */
   size_t Busiest() const;
   Time Now() const;
--- a/tests/cluster/ownershipmatrixtest.cpp
+++ b/tests/cluster/ownershipmatrixtest.cpp
@@ -174,6 +174,17 @@
   }
 }
 
+SCENARIO("Every member of a fleet gets its part of the first ranges", "[fleet]")
+{
+  // Found on a grown deployment: 36 of 66 members began without keys.
+  constexpr size_t kFleet = 60;
+  ClusterWorld world(kFleet, 3);
+  world.RunFor(seconds(12));
+  CHECK(FirstOf(world).empty());
+  CHECK(world.HeldShare() == 1.0);
+  CHECK(world.Holders() == kFleet);
+}
+
 SCENARIO("The checker sees broken rules", "[matrix][broken]")
 {
   auto violated = [](BrokenRules aBroken, ClusterFault aFault) {
--- a/tests/standins/keyserverstandin.cpp
+++ b/tests/standins/keyserverstandin.cpp
@@ -43,8 +43,8 @@
     : context(aContext)
     , options(std::move(aOptions))
     , server(aContext,
-             [this](std::shared_ptr<Exchange> aExchange) {
-               this->Serve(std::move(aExchange));
+             [this](const std::shared_ptr<Exchange>& aExchange) {
+               this->Serve(aExchange);
              })
     , pool(aContext)
     , timer(aContext)
@@ -92,7 +92,7 @@
     aExchange->Respond(response);
   }
 
-  void Serve(std::shared_ptr<Exchange> aExchange)
+  void Serve(const std::shared_ptr<Exchange>& aExchange)
   {
     const auto& request = aExchange->request;
     Key key = 0;
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -59,7 +59,7 @@
 public:
   explicit StoreStandIn(asio::io_context& aContext)
     : context(aContext)
-    , server(aContext, [this](std::shared_ptr<Exchange> aExchange) {
+    , server(aContext, [this](const std::shared_ptr<Exchange>& aExchange) {
       this->Handle(aExchange);
     })
   {
