Build the ownership agent's changes in functions of their own

Changes of rows are built from the view alone (src/cluster/changes), and ranges are subtracted from lists in one place.

--- /dev/null
+++ b/src/cluster/changes.cpp
@@ -0,0 +1,210 @@
+#include "cluster/changes.h"
+
+#include <algorithm>
+
+namespace fescuetiller {
+
+namespace {
+
+void
+AddCondition(StoreTransaction& aChange,
+             const StoreKey& aKey,
+             RowVersion aVersion)
+{
+  aChange.conditions.push_back({ aKey, aVersion });
+}
+
+void
+RemoveMember(StoreTransaction& aChange,
+             const std::string& aService,
+             const MemberId& aId)
+{
+  aChange.removes.push_back(MemberKey(aService, aId));
+  aChange.removes.push_back(LeaseKey(aService, aId));
+}
+
+/** Writes parts of a range; only its first part has a row already. */
+void
+AddParts(StoreTransaction& aChange,
+         const Versioned<RangeRecord>& aWhole,
+         const std::vector<RangeRecord>& aParts)
+{
+  for (const auto& part : aParts) {
+    bool first = part.range.first == aWhole.record.range.first;
+    AddCondition(aChange,
+                 RangeKey(part.service, part.range.first),
+                 first ? aWhole.version : 0);
+    aChange.sets.push_back(ToRow(part));
+  }
+}
+
+std::vector<const Versioned<RangeRecord>*>
+RangesOwnedBy(const ClusterView& aView,
+              const std::string& aService,
+              const MemberId& aOwner)
+{
+  std::vector<const Versioned<RangeRecord>*> owned;
+  for (const auto& [first, range] : aView.RangesOf(aService)) {
+    if (range.record.owner == aOwner) {
+      owned.push_back(&range);
+    }
+  }
+  return owned;
+}
+
+} // namespace
+
+void
+AddAdoption(StoreTransaction& aChange,
+            const Versioned<RangeRecord>& aRange,
+            const MemberId& aOwner)
+{
+  auto adopted = aRange.record;
+  adopted.owner = aOwner;
+  adopted.epoch += 1;
+  adopted.handover.clear();
+  AddParts(aChange, aRange, { adopted });
+}
+
+StoreTransaction
+JoinChange(const ClusterView& aView, const MemberRecord& aRecord)
+{
+  StoreTransaction change;
+  auto leaseKey = LeaseKey(aRecord.service, aRecord.id);
+  AddCondition(change, MemberKey(aRecord.service, aRecord.id), 0);
+  AddCondition(change, leaseKey, 0);
+  change.sets.push_back(ToRow(aRecord));
+  change.sets.push_back({ leaseKey, "0", 0, false });
+  for (const auto& [id, member] : aView.AllMembers()) {
+    if (member.record.address != aRecord.address ||
+        member.record.service != aRecord.service) {
+      continue;
+    }
+    AddCondition(change, MemberKey(aRecord.service, id), member.version);
+    RemoveMember(change, aRecord.service, id);
+    for (const auto* range : RangesOwnedBy(aView, aRecord.service, id)) {
+      if (change.sets.size() < kMostTaken) {
+        AddAdoption(change, *range, aRecord.id);
+      }
+    }
+  }
+  return change;
+}
+
+StoreTransaction
+FirstRangesChange(const std::string& aService, std::vector<MemberId> aMembers)
+{
+  aMembers.resize(std::min(aMembers.size(), kMostFirstRanges));
+  StoreTransaction change;
+  // No range exists without the first one, so that one condition is enough.
+  AddCondition(change, RangeKey(aService, 0), 0);
+  Key next = 0;
+  for (size_t index = 0; index < aMembers.size(); ++index) {
+    Key last =
+      static_cast<Key>((kLastKey + 1) * (index + 1) / aMembers.size() - 1);
+    change.sets.push_back(
+      ToRow(RangeRecord{ aService, { next, last }, aMembers[index], 1, "" }));
+    next = last + 1;
+  }
+  return change;
+}
+
+StoreTransaction
+MoveChange(const ClusterView& aView,
+           const std::string& aService,
+           const MemberId& aOwner,
+           const std::vector<HandedKeys>& aKeys)
+{
+  StoreTransaction change;
+  std::map<MemberId, RowVersion> targets;
+  for (const auto* owned : RangesOwnedBy(aView, aService, aOwner)) {
+    const auto& record = owned->record;
+    std::vector<KeyRange> rest{ record.range };
+    std::vector<RangeRecord> parts;
+    for (const auto& [plan, handover] : aKeys) {
+      if (record.range.Contains(plan.range)) {
+        rest = Subtract(rest, plan.range);
+        parts.push_back(
+          { aService, plan.range, plan.target, record.epoch + 1, handover });
+        targets[plan.target] = aView.FindMember(plan.target)->version;
+      }
+    }
+    if (parts.empty()) {
+      continue;
+    }
+    for (const auto& range : rest) {
+      parts.push_back(
+        { aService, range, aOwner, record.epoch, record.handover });
+    }
+    AddParts(change, *owned, parts);
+  }
+  for (const auto& [id, version] : targets) {
+    AddCondition(change, MemberKey(aService, id), version);
+  }
+  return change;
+}
+
+StoreTransaction
+MergeChange(const ClusterView& aView,
+            const std::string& aService,
+            const MemberId& aOwner)
+{
+  StoreTransaction change;
+  auto owned = RangesOwnedBy(aView, aService, aOwner);
+  for (size_t index = 1; index < owned.size(); ++index) {
+    const auto& left = *owned[index - 1];
+    const auto& right = *owned[index];
+    if (left.record.range.last + 1 != right.record.range.first) {
+      continue;
+    }
+    RangeRecord merged = left.record;
+    merged.range.last = right.record.range.last;
+    merged.epoch = std::max(left.record.epoch, right.record.epoch) + 1;
+    merged.handover.clear();
+    auto rightKey = RangeKey(aService, right.record.range.first);
+    AddParts(change, left, { merged });
+    AddCondition(change, rightKey, right.version);
+    change.removes.push_back(rightKey);
+    break;
+  }
+  return change;
+}
+
+StoreTransaction
+TakeoverChange(const ClusterView& aView,
+               const LostMember& aLost,
+               const std::vector<KeyWeight>& aKeys,
+               const std::vector<MemberLoad>& aTargets)
+{
+  StoreTransaction change;
+  const auto& service = aView.FindMember(aLost.id)->record.service;
+  AddCondition(change, MemberKey(service, aLost.id), aLost.version);
+  if (aLost.leaseVersion) {
+    AddCondition(change, LeaseKey(service, aLost.id), *aLost.leaseVersion);
+  }
+  auto ranges = RangesOwnedBy(aView, service, aLost.id);
+  if (ranges.size() < kMostTaken) {
+    RemoveMember(change, service, aLost.id);
+  } else {
+    ranges.resize(kMostTaken); // The others follow with the next change.
+  }
+  std::vector<KeyRange> keyRanges;
+  keyRanges.reserve(ranges.size());
+  for (const auto* range : ranges) {
+    keyRanges.push_back(range->record.range);
+  }
+  auto plans = Distribute(keyRanges, aKeys, aTargets, kMostParts);
+  for (const auto* range : ranges) {
+    std::vector<RangeRecord> parts;
+    for (const auto& plan : plans) {
+      if (range->record.range.Contains(plan.range)) {
+        parts.push_back(
+          { service, plan.range, plan.target, range->record.epoch + 1, "" });
+      }
+    }
+    AddParts(change, *range, parts);
+  }
+  return change;
+}
+
+} // namespace fescuetiller
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -4,6 +4,7 @@
  * owns which keys, and every decision about that. Pure: time and messages in,
  * messages out. */
 
+#include "cluster/changes.h"
 #include "cluster/clusterview.h"
 #include "cluster/keyload.h"
 #include "cluster/messages.h"
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -25,14 +25,6 @@
 /** A move for load is dropped if the store does not take it by then. */
 constexpr Duration kMovePatience = milliseconds(400);
 constexpr Duration kLeasePatience = std::chrono::seconds(2);
-/** Parts that a lost member's ranges are divided into at most: all rows and
- * conditions must fit into one transaction. */
-constexpr size_t kMostParts = 30;
-/** First ranges that fit into one transaction; further members get keys by
- * moves. */
-constexpr size_t kMostFirstRanges = 98;
-/** Ranges of a lost member that one transaction takes. */
-constexpr size_t kMostTaken = 40;
 /** Time after which keys whose owner is no member are taken by another: longer
  * than any grant that the owner may have given. */
 constexpr Duration kOrphanTime = milliseconds(4000);
@@ -229,12 +221,7 @@
   for (const auto* owned : this->Owned()) {
     std::vector<KeyRange> parts{ owned->record.range };
     for (const auto& move : this->moves) {
-      std::vector<KeyRange> rest;
-      for (const auto& part : parts) {
-        auto pieces = Subtract(part, move.plan.range);
-        rest.insert(rest.end(), pieces.begin(), pieces.end());
-      }
-      parts = std::move(rest);
+      parts = Subtract(parts, move.plan.range);
     }
     for (const auto& part : parts) {
       grants.push_back({ part,
@@ -381,7 +368,6 @@
       !this->server.Usable(aNow)) {
     return;
   }
-  StoreTransaction change;
   MemberRecord record{ this->self,
                        this->identity.service,
                        this->identity.zone,
@@ -389,31 +375,7 @@
                        this->identity.beacon,
                        MemberState::Ready,
                        this->ChooseGuardians(aNow) };
-  AddCondition(change, MemberKey(record.service, this->self), 0);
-  AddCondition(change, LeaseKey(record.service, this->self), 0);
-  change.sets.push_back(ToRow(record));
-  change.sets.push_back(
-    { LeaseKey(record.service, this->self), "0", 0, false });
-  // This process has bound the address, so an earlier one there has ended, and
-  // its grants are this server's own.
-  for (const auto& [id, member] : this->view.AllMembers()) {
-    if (member.record.address != this->identity.address ||
-        member.record.service != record.service) {
-      continue;
-    }
-    AddCondition(change, MemberKey(record.service, id), member.version);
-    change.removes.push_back(MemberKey(record.service, id));
-    change.removes.push_back(LeaseKey(record.service, id));
-    for (const auto& [first, range] : this->view.RangesOf(record.service)) {
-      if (range.record.owner == id && change.sets.size() < kMostTaken) {
-        auto adopted = range.record;
-        adopted.owner = this->self;
-        adopted.epoch += 1;
-        AddCondition(change, RangeKey(record.service, first), range.version);
-        change.sets.push_back(ToRow(adopted));
-      }
-    }
-  }
+  auto change = JoinChange(this->view, record);
   this->phase = Phase::Joining;
   this->nextJoinAt = aNow + kRecordInterval;
   this->queue.Add(change,
@@ -766,18 +728,7 @@
       aNow < this->gatheredAt + kGatherTime + rank * kGatherTime) {
     return;
   }
-  ready.resize(std::min(ready.size(), kMostFirstRanges));
-  StoreTransaction change;
-  // No range exists without the first one, so that one condition is enough.
-  AddCondition(change, RangeKey(service, 0), 0);
-  Key next = 0;
-  for (size_t index = 0; index < ready.size(); ++index) {
-    Key last =
-      static_cast<Key>((kLastKey + 1) * (index + 1) / ready.size() - 1);
-    RangeRecord record{ service, { next, last }, ready[index], 1, "" };
-    change.sets.push_back(ToRow(record));
-    next = last + 1;
-  }
+  auto change = FirstRangesChange(service, ready);
   this->Say("ranges-created", { { "members", std::to_string(ready.size()) } });
   this->queue.Add(
     change,
@@ -871,53 +822,6 @@
   }
 }
 
-StoreTransaction
-OwnershipAgent::MoveTransaction(const std::vector<Move>& aMoves) const
-{
-  StoreTransaction change;
-  std::map<MemberId, RowVersion> targets;
-  for (const auto* owned : this->Owned()) {
-    const auto& record = owned->record;
-    std::vector<KeyRange> rest{ record.range };
-    std::vector<RangeRecord> parts;
-    for (const auto& move : aMoves) {
-      if (!record.range.Contains(move.plan.range)) {
-        continue;
-      }
-      std::vector<KeyRange> left;
-      for (const auto& range : rest) {
-        auto pieces = Subtract(range, move.plan.range);
-        left.insert(left.end(), pieces.begin(), pieces.end());
-      }
-      rest = std::move(left);
-      parts.push_back({ record.service,
-                        move.plan.range,
-                        move.plan.target,
-                        record.epoch + 1,
-                        this->server.HandoverOf(move.plan.range) });
-      targets[move.plan.target] =
-        this->view.FindMember(move.plan.target)->version;
-    }
-    if (parts.empty()) {
-      continue;
-    }
-    for (const auto& range : rest) {
-      parts.push_back(
-        { record.service, range, this->self, record.epoch, record.handover });
-    }
-    for (const auto& part : parts) {
-      AddCondition(change,
-                   RangeKey(record.service, part.range.first),
-                   part.range.first == record.range.first ? owned->version : 0);
-      change.sets.push_back(ToRow(part));
-    }
-  }
-  for (const auto& [id, version] : targets) {
-    AddCondition(change, MemberKey(this->identity.service, id), version);
-  }
-  return change;
-}
-
 void
 OwnershipAgent::WriteMoves(Time aNow)
 {
@@ -937,7 +841,13 @@
   if (ready.empty()) {
     return;
   }
-  auto change = this->MoveTransaction(ready);
+  std::vector<HandedKeys> handed;
+  handed.reserve(ready.size());
+  for (const auto& move : ready) {
+    handed.push_back({ move.plan, this->server.HandoverOf(move.plan.range) });
+  }
+  auto change =
+    MoveChange(this->view, this->identity.service, this->self, handed);
   const auto& report = this->server.Report();
   for (const auto& move : ready) {
     this->Say(
@@ -1008,31 +918,16 @@
       !this->queue.Empty()) {
     return;
   }
-  for (size_t index = 1; index < owned.size(); ++index) {
-    const auto& left = *owned[index - 1];
-    const auto& right = *owned[index];
-    if (left.record.range.last + 1 != right.record.range.first) {
-      continue;
-    }
-    RangeRecord merged = left.record;
-    merged.range.last = right.record.range.last;
-    merged.epoch = std::max(left.record.epoch, right.record.epoch) + 1;
-    merged.handover.clear();
-    StoreTransaction change;
-    auto leftKey = RangeKey(merged.service, left.record.range.first);
-    auto rightKey = RangeKey(merged.service, right.record.range.first);
-    AddCondition(change, leftKey, left.version);
-    AddCondition(change, rightKey, right.version);
-    change.sets.push_back(ToRow(merged));
-    change.removes.push_back(rightKey);
-    this->queue.Add(
-      change,
-      [this, change](Time aDoneAt, const SettledTransaction& aDone) {
-        this->ApplySettled(aDoneAt, change, aDone);
-      },
-      aNow + kMovePatience);
+  auto change = MergeChange(this->view, this->identity.service, this->self);
+  if (change.sets.empty()) {
     return;
   }
+  this->queue.Add(
+    change,
+    [this, change](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, change, aDone);
+    },
+    aNow + kMovePatience);
 }
 
 void
@@ -1048,12 +943,7 @@
     auto known = this->orphans.find(first);
     still[first] = known == this->orphans.end() ? aNow : known->second;
     if (aNow - still[first] > kOrphanTime && change.sets.size() < kMostTaken) {
-      auto adopted = range.record;
-      adopted.owner = this->self;
-      adopted.epoch += 1;
-      adopted.handover.clear();
-      AddCondition(change, RangeKey(adopted.service, first), range.version);
-      change.sets.push_back(ToRow(adopted));
+      AddAdoption(change, range, this->self);
     }
   }
   this->orphans = std::move(still);
@@ -1098,23 +988,6 @@
     return;
   }
   const auto& service = lost->record.service;
-  StoreTransaction change;
-  AddCondition(change, MemberKey(service, aLost.id), lost->version);
-  if (aLost.leaseVersion) {
-    AddCondition(change, LeaseKey(service, aLost.id), *aLost.leaseVersion);
-  }
-  std::vector<const Versioned<RangeRecord>*> ranges;
-  std::vector<KeyRange> keyRanges;
-  for (const auto& [first, range] : this->view.RangesOf(service)) {
-    if (range.record.owner == aLost.id && ranges.size() < kMostTaken) {
-      ranges.push_back(&range);
-      keyRanges.push_back(range.record.range);
-    }
-  }
-  if (ranges.size() < kMostTaken) {
-    change.removes.push_back(MemberKey(service, aLost.id));
-    change.removes.push_back(LeaseKey(service, aLost.id));
-  }
   auto targets = this->Targets(aNow, service, true);
   if (service == this->identity.service &&
       this->DesiredState(aNow) == MemberState::Ready) {
@@ -1128,23 +1001,14 @@
                    targets.end(),
                    [&](const auto& aTarget) { return aTarget.id == aLost.id; }),
     targets.end());
-  if (!ranges.empty() && targets.empty()) {
-    return; // Nobody could serve the keys; the member may come back.
+  bool ownsAny = false;
+  for (const auto& [first, range] : this->view.RangesOf(service)) {
+    ownsAny = ownsAny || range.record.owner == aLost.id;
   }
-  for (const auto& plan :
-       Distribute(keyRanges, this->keys, targets, kMostParts)) {
-    for (const auto* range : ranges) {
-      if (!range->record.range.Contains(plan.range)) {
-        continue;
-      }
-      bool starts = range->record.range.first == plan.range.first;
-      AddCondition(change,
-                   RangeKey(service, plan.range.first),
-                   starts ? range->version : 0);
-      change.sets.push_back(ToRow(RangeRecord{
-        service, plan.range, plan.target, range->record.epoch + 1, "" }));
-    }
+  if (ownsAny && targets.empty()) {
+    return; // Nobody could serve the keys; the member may come back.
   }
+  auto change = TakeoverChange(this->view, aLost, this->keys, targets);
   this->queue.Add(
     change,
     [this, change, aLost, aBasis](Time aDoneAt,
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/changes.h"
 #include "cluster/clusterview.h"
 #include "cluster/keyload.h"
 #include "cluster/leasetimes.h"
@@ -184,7 +185,6 @@
   void TakeOrphans(Time aNow);
   void TakeOverPredecessors(Time aNow);
   void TakeOver(Time aNow, const LostMember& aLost, const std::string& aBasis);
-  StoreTransaction MoveTransaction(const std::vector<Move>& aMoves) const;
   OwnedRanges Owned() const;
   std::vector<KeyRange> OwnedKeyRanges() const;
   /** @param aWithUnknown Whether members count of whose load nothing is known.
--- a/src/cluster/rebalancing.cpp
+++ b/src/cluster/rebalancing.cpp
@@ -212,12 +212,7 @@
     }
     moves.push_back({ *slice, target.id });
     excess -= WorkOf({ *slice }, aKeys);
-    std::vector<KeyRange> rest;
-    for (const auto& range : own) {
-      auto pieces = Subtract(range, *slice);
-      rest.insert(rest.end(), pieces.begin(), pieces.end());
-    }
-    own = std::move(rest);
+    own = Subtract(own, *slice);
   }
   return moves;
 }
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -86,12 +86,7 @@
         continue;
       }
       this->holdings.push_back({ part, holding.until });
-      std::vector<KeyRange> rest;
-      for (const auto& range : unknown) {
-        auto parts = Subtract(range, part);
-        rest.insert(rest.end(), parts.begin(), parts.end());
-      }
-      unknown = std::move(rest);
+      unknown = Subtract(unknown, part);
     }
     for (const auto& range : unknown) {
       this->holdings.push_back({ range, aNow + kForeignHold });
--- a/src/model/keyrange.cpp
+++ b/src/model/keyrange.cpp
@@ -63,4 +63,15 @@
   return rest;
 }
 
+std::vector<KeyRange>
+Subtract(const std::vector<KeyRange>& aRanges, const KeyRange& aRemoved)
+{
+  std::vector<KeyRange> rest;
+  for (const auto& range : aRanges) {
+    auto parts = Subtract(range, aRemoved);
+    rest.insert(rest.end(), parts.begin(), parts.end());
+  }
+  return rest;
+}
+
 } // namespace fescuetiller
--- a/src/model/keyrange.h
+++ b/src/model/keyrange.h
@@ -36,4 +36,8 @@
 std::vector<KeyRange>
 Subtract(const KeyRange& aRange, const KeyRange& aRemoved);
 
+/** The parts of ranges that another one leaves. */
+std::vector<KeyRange>
+Subtract(const std::vector<KeyRange>& aRanges, const KeyRange& aRemoved);
+
 } // namespace fescuetiller
--- a/tests/cluster/clusterworld.cpp
+++ b/tests/cluster/clusterworld.cpp
@@ -529,12 +529,7 @@
   for (const auto& held : node.held) {
     std::vector<KeyRange> left{ held.range };
     for (const auto& other : taken) {
-      std::vector<KeyRange> rest;
-      for (const auto& range : left) {
-        auto pieces = Subtract(range, other.range);
-        rest.insert(rest.end(), pieces.begin(), pieces.end());
-      }
-      left = std::move(rest);
+      left = Subtract(left, other.range);
     }
     for (const auto& range : left) {
       releasing = true;
--- a/tests/standins/keyserverstandin.cpp
+++ b/tests/standins/keyserverstandin.cpp
@@ -193,12 +193,7 @@
     for (const auto& each : this->held) {
       std::vector<KeyRange> left{ each.range };
       for (const auto& other : taken) {
-        std::vector<KeyRange> rest;
-        for (const auto& range : left) {
-          auto pieces = Subtract(range, other.range);
-          rest.insert(rest.end(), pieces.begin(), pieces.end());
-        }
-        left = std::move(rest);
+        left = Subtract(left, other.range);
       }
       this->freed.insert(this->freed.end(), left.begin(), left.end());
     }
