--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -83,7 +83,6 @@
                     aState.usable,
                     aState.leaving,
                     aState.sendUntil,
-                    aState.coldUntil,
                     aState.nextHeartbeat,
                     aState.leaseUntil,
                     aState.ownsKeys,
@@ -1075,7 +1074,6 @@
     state.slots = report.slots;
     state.usable = !this->server.Lost(aNow);
     state.leaving = this->server.Leaving();
-    state.coldUntil = this->lastHeartbeat + report.coldFor;
   }
   if (state.leaving) {
     state.sendUntil = this->server.LeavingSince() + this->settings.drainTime;
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -68,9 +68,8 @@
   bool usable = false;
   bool leaving = false;
   Time sendUntil = Time::max(); ///< No request is sent to it later.
-  Time coldUntil;
-  Time nextHeartbeat; ///< When new grants can be expected.
-  Time leaseUntil;    ///< End of the time in which there are new grants.
+  Time nextHeartbeat;           ///< When new grants can be expected.
+  Time leaseUntil; ///< End of the time in which there are new grants.
   bool ownsKeys = false;
   std::vector<ServedRange> ranges; ///< In ascending order.
   std::vector<PlannedMove> moved;  ///< Keys that went to others lately.
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -18,12 +18,9 @@
 
 } // namespace
 
-Exchange::Exchange(HttpRequest aRequest,
-                   bool aFromSameMachine,
-                   std::weak_ptr<ServerSession> aSession)
+Exchange::Exchange(HttpRequest aRequest, std::weak_ptr<ServerSession> aSession)
   : request(std::move(aRequest))
   , receivedAt(BootClock::now())
-  , local(aFromSameMachine)
   , session(std::move(aSession))
 {
 }
@@ -294,12 +291,8 @@
   this->parser.reset();
   this->keepAlive = request.keep_alive();
   this->headRequest = request.method() == http::verb::head;
-  this->version = request.version();
-  error_code ignored; // A closed socket is noticed by the watch below.
-  bool local = this->socket.remote_endpoint(ignored).address() ==
-               this->socket.local_endpoint(ignored).address();
-  auto current = std::make_shared<Exchange>(
-    std::move(request), local, this->weak_from_this());
+  auto current =
+    std::make_shared<Exchange>(std::move(request), this->weak_from_this());
   this->exchange = current;
   if (this->buffer.size() > 0) {
     this->pipelined = true;
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -29,14 +29,11 @@
 class Exchange
 {
 public:
-  Exchange(HttpRequest aRequest,
-           bool aFromSameMachine,
-           std::weak_ptr<ServerSession> aSession);
+  Exchange(HttpRequest aRequest, std::weak_ptr<ServerSession> aSession);
   ~Exchange();
 
   HttpRequest request;
   Time receivedAt;
-  bool local = false;           ///< The client's address is our own.
   std::function<void()> onGone; ///< Cleared before it is called.
 
   void Respond(HttpResponse aResponse);
@@ -116,7 +113,6 @@
   bool pipelined = false;
   bool keepAlive = true;
   bool headRequest = false;
-  unsigned version = 11;
 };
 
 } // namespace fescuetiller
--- a/src/node/controlnode.cpp
+++ b/src/node/controlnode.cpp
@@ -236,6 +236,8 @@
 ControlNode::OnReport(TrafficReport aReport)
 {
   this->counters.SetGauge("fescuetiller_offered_load", aReport.load);
+  this->counters.SetGauge("fescuetiller_server_connections",
+                          static_cast<double>(aReport.serverConnections));
   this->counters.SetGauge("fescuetiller_log_lines_dropped",
                           static_cast<double>(this->log.Dropped()));
   this->counters.SetGauge("fescuetiller_store_calls",
--- a/src/node/trafficnode.cpp
+++ b/src/node/trafficnode.cpp
@@ -149,6 +149,7 @@
   this->ingress.Sweep(now);
   if (this->onReport) {
     this->onReport({ this->executor.OfferedLoad(),
+                     this->executor.ConnectionsOpened(),
                      this->executor.KeyWeights(),
                      this->ingress.PeerLoads() });
   }
--- a/src/node/trafficnode.h
+++ b/src/node/trafficnode.h
@@ -12,6 +12,7 @@
 struct TrafficReport
 {
   double load = 0;
+  uint64_t serverConnections = 0; ///< Opened to the server so far.
   std::vector<KeyWeight> keys;
   std::map<MemberId, PeerLoad> peerLoads;
 };
