--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include <algorithm>
+
 namespace fescuetiller {
 
 HttpServer::HttpServer(asio::io_context& aContext, Handler aHandler)
@@ -57,6 +59,23 @@
   }
 }
 
+bool
+HttpServer::Answering() const
+{
+  return std::any_of(this->sessions.begin(),
+                     this->sessions.end(),
+                     [](const auto& aSession) { return aSession->IsBusy(); });
+}
+
+void
+HttpServer::CloseAll()
+{
+  auto open = this->sessions;
+  for (const auto& session : open) {
+    session->Close();
+  }
+}
+
 void
 HttpServer::Sweep(Time aNow)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -33,6 +33,12 @@
    * close after their answers. */
   void StopAccepting();
 
+  /** Whether a request waits for its answer or an answer is being written. */
+  bool Answering() const;
+
+  /** Closes every connection, also those on which a part of a request came. */
+  void CloseAll();
+
   /** Closes connections that idle or send too slowly. */
   void Sweep(Time aNow);
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -105,6 +105,12 @@
   return this->state == State::Closed;
 }
 
+bool
+ServerSession::IsBusy() const
+{
+  return this->state == State::Busy;
+}
+
 void
 ServerSession::Sweep(Time aNow)
 {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -68,6 +68,8 @@
   void Start();
   void Sweep(Time aNow);
   bool IsClosed() const;
+  /** Whether a request waits for its answer or the answer is being written. */
+  bool IsBusy() const;
   void Close();
   /** Closes the connection unless a part of a request has come. */
   void CloseIfIdle();
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -332,6 +332,12 @@
   {
     this->context.restart();
     this->context.run_for(milliseconds(30));
+    return this->Take();
+  }
+
+  /** Takes what the server wrote. @return Whether the connection is open. */
+  bool Take()
+  {
     char bytes[65536];
     boost::system::error_code error;
     auto size = this->client.read_some(asio::buffer(bytes), error);
@@ -449,4 +455,36 @@
       CHECK_FALSE(fixture.Run());
     }
   }
+  GIVEN("a long answer to a client that reads slowly")
+  {
+    constexpr size_t kLong = 32 * 1024 * 1024;
+    fixture.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(fixture.server.Answering());
+    fixture.exchanges[0]->Respond(TextResponse(200, std::string(kLong, 'x')));
+    fixture.exchanges.clear();
+    fixture.Run();
+    THEN("the server is not done before the whole answer is out")
+    {
+      CHECK(fixture.server.Answering());
+      for (int round = 0; fixture.received.size() < kLong && round < 5000;
+           ++round) {
+        fixture.context.restart();
+        fixture.context.run_for(std::chrono::microseconds(200));
+        fixture.Take();
+      }
+      CHECK(fixture.received.size() > kLong);
+      fixture.Run();
+      CHECK_FALSE(fixture.server.Answering());
+    }
+  }
+  GIVEN("a part of a request when the server closes all connections")
+  {
+    fixture.Send("GET /1 HTTP/1.1\r\nHo");
+    fixture.server.CloseAll();
+    THEN("the connection is closed and the request never comes in")
+    {
+      CHECK_FALSE(fixture.Run());
+      CHECK(fixture.exchanges.empty());
+    }
+  }
 }
