Put the router's own caller API in front of the one traffic path

POST /v1/request/SERVICE/CLASS?key=KEY on `[listen] callers` becomes the request that the configuration's route asks for and goes the way of all others; answers carry X-Outcome. Query parsing and percent-encoding stand once, in src/http.

--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -1,5 +1,6 @@
 #include "fescuetillerd/ingress.h"
 
+#include "fescuetillerd/callerapi.h"
 #include "fescuetillerd/ingressrequest.h"
 
 namespace fescuetiller {
@@ -54,6 +55,27 @@
   std::make_shared<IngressRequest>(*this, std::move(aExchange))->Begin();
 }
 
+void
+Ingress::OnCallerRequest(std::shared_ptr<Exchange> aExchange)
+{
+  aExchange->onAnswer = AddOutcome;
+  if (this->routes == nullptr) {
+    this->OnRequest(std::move(aExchange)); // It tells when to come back.
+    return;
+  }
+  auto request = ParseCallerRequest(aExchange->request, this->routes->Source());
+  if (!request) {
+    bool unknown = request.error().code == ErrorCode::Refused;
+    auto response =
+      TextResponse(unknown ? 404 : 400, request.error().message + "\n");
+    AddOutcome(response, "refused");
+    aExchange->Respond(std::move(response));
+    return;
+  }
+  aExchange->request = std::move(*request);
+  this->OnRequest(std::move(aExchange));
+}
+
 std::map<MemberId, PeerLoad>
 Ingress::PeerLoads() const
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -39,6 +39,8 @@
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
 
   void OnRequest(std::shared_ptr<Exchange> aExchange);
+  /** A request by the router's own interface; see ParseCallerRequest. */
+  void OnCallerRequest(std::shared_ptr<Exchange> aExchange);
 
   std::map<MemberId, PeerLoad> PeerLoads() const;
   size_t InFlight() const;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -41,6 +41,14 @@
 constexpr double kZoneShare = 0.25;
 constexpr double kZoneShareDownload = 0.8;
 
+/** Whether a status of our own says that the request never runs. */
+bool
+IsPromise(unsigned aStatus)
+{
+  constexpr unsigned kFirstServerError = 500;
+  return aStatus == 503 || aStatus < kFirstServerError;
+}
+
 /** Whether the keys are about to be served by another member. */
 bool
 IsOwnerReason(const std::string& aReason)
@@ -304,6 +312,7 @@
   this->ended = true;
   this->Log("answered", std::to_string(aResponse.result_int()));
   RemoveConnectionFields(aResponse);
+  this->TellOutcome(aResponse, "answered");
   this->exchange->onGone = nullptr;
   this->exchange->Respond(std::move(aResponse));
 }
@@ -313,9 +322,18 @@
 {
   this->TakeNote(aHead.message);
   RemoveConnectionFields(aHead.message);
+  this->TellOutcome(aHead.message, "answered");
   this->exchange->StartBody(std::move(aHead));
 }
 
+void
+IngressRequest::TellOutcome(http::fields& aFields, const std::string& aOutcome)
+{
+  if (this->exchange->onAnswer) {
+    this->exchange->onAnswer(aFields, aOutcome);
+  }
+}
+
 void
 IngressRequest::OnPiece(asio::const_buffer aPiece, std::function<void()> aNext)
 {
@@ -469,8 +487,10 @@
 {
   this->ended = true;
   this->timer.cancel();
-  this->Log(aStatus == 503 ? "refused" : "failed", aReason);
+  std::string outcome = IsPromise(aStatus) ? "refused" : "failed";
+  this->Log(outcome, aReason);
   auto response = TextResponse(aStatus, aReason + "\n");
+  this->TellOutcome(response, outcome);
   if (!this->requestId.empty()) {
     response.set(headers::kRequestId, this->requestId);
   }
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -50,6 +50,7 @@
   void OnClientGone();
   void GiveUp(const Setback& aSetback);
   void Reply(unsigned aStatus, const std::string& aReason, Duration aRetry);
+  void TellOutcome(http::fields& aFields, const std::string& aOutcome);
   void Log(const std::string& aOutcome, const std::string& aReason);
   Duration Left() const;
   std::optional<DispatchNote> TakeNote(http::fields& aFields);
--- a/src/fescuetillerd/nodesettings.h
+++ b/src/fescuetillerd/nodesettings.h
@@ -17,6 +17,7 @@
   std::string service;       ///< Of the backend server beside the daemon.
   std::string server;        ///< Address of that backend server.
   std::string clientAddress; ///< Takes requests of clients.
+  std::string callerAddress; ///< Serves the own interface; empty: nowhere.
   std::string peerAddress;   ///< Takes requests of other daemons.
   std::string readyAddress;
   std::string serverCallAddress; ///< Takes the backend server's heartbeats.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -41,6 +41,10 @@
             [this](std::shared_ptr<Exchange> aExchange) {
               this->ingress.OnRequest(std::move(aExchange));
             })
+  , callers(aContext,
+            [this](std::shared_ptr<Exchange> aExchange) {
+              this->ingress.OnCallerRequest(std::move(aExchange));
+            })
   , peers(aContext,
           [this](const std::shared_ptr<Exchange>& aExchange) {
             this->OnPeerRequest(aExchange);
@@ -64,7 +68,11 @@
   this->peers.SetLimits(peerLimits);
   for (auto [server, text] :
        { std::pair(&this->clients, this->settings.clientAddress),
+         std::pair(&this->callers, this->settings.callerAddress),
          std::pair(&this->peers, this->settings.peerAddress) }) {
+    if (text.empty()) {
+      continue;
+    }
     auto address = ParseEndpoint(text);
     if (!address) {
       return tl::unexpected(address.error());
@@ -89,6 +97,7 @@
   sessions.headerTimeout = limits.headerTimeout;
   sessions.idleTimeout = limits.idleTimeout;
   this->clients.SetLimits(sessions);
+  this->callers.SetLimits(sessions);
   this->ingress.SetConfiguration(std::move(aConfiguration));
 }
 
@@ -104,29 +113,41 @@
   this->executor.SetServing(aServing);
 }
 
+std::array<HttpServer*, 3>
+TrafficNode::Servers()
+{
+  return { &this->clients, &this->callers, &this->peers };
+}
+
 void
 TrafficNode::AnnounceClose()
 {
-  this->clients.AnnounceClose();
-  this->peers.AnnounceClose();
+  for (auto* server : this->Servers()) {
+    server->AnnounceClose();
+  }
 }
 
 void
 TrafficNode::StopAccepting()
 {
-  this->clients.StopAccepting();
-  this->peers.StopAccepting();
+  for (auto* server : this->Servers()) {
+    server->StopAccepting();
+  }
 }
 
 bool
 TrafficNode::CloseIfIdle()
 {
-  if (this->ingress.InFlight() > 0 || !this->executor.Idle() ||
-      this->clients.Answering() || this->peers.Answering()) {
+  bool answering = false;
+  for (auto* server : this->Servers()) {
+    answering = answering || server->Answering();
+  }
+  if (answering || this->ingress.InFlight() > 0 || !this->executor.Idle()) {
     return false;
   }
-  this->clients.CloseAll();
-  this->peers.CloseAll();
+  for (auto* server : this->Servers()) {
+    server->CloseAll();
+  }
   return true;
 }
 
@@ -149,8 +170,9 @@
 TrafficNode::Tick()
 {
   auto now = BootClock::now();
-  this->clients.Sweep(now);
-  this->peers.Sweep(now);
+  for (auto* server : this->Servers()) {
+    server->Sweep(now);
+  }
   this->executor.Sweep(now);
   this->ingress.Sweep(now);
   if (this->onReport) {
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 
@@ -48,6 +49,7 @@
   bool CloseIfIdle();
 
 private:
+  std::array<HttpServer*, 3> Servers();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void Tick();
 
@@ -56,6 +58,7 @@
   Executor executor;
   Ingress ingress;
   HttpServer clients;
+  HttpServer callers; ///< Unless the settings name no address for them.
   HttpServer peers;
   asio::steady_timer timer;
 };
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -7,3 +7,4 @@
 #include "http/messages.h"
 #include "http/server.h"
 #include "http/upstreamcall.h"
+#include "http/urlquery.h"
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -35,6 +35,8 @@
   HttpRequest request;
   Time receivedAt;
   std::function<void()> onGone; ///< Cleared before it is called.
+  /** Adds fields to the answer's head; gets the outcome as the log names it. */
+  std::function<void(http::fields&, const std::string&)> onAnswer;
 
   void Respond(HttpResponse aResponse);
   void StartBody(ResponseHead aHead);
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "http/urlquery.h"
 #include "platform/base64.h"
 #include "platform/jsonvalue.h"
 
@@ -18,21 +19,6 @@
 constexpr unsigned kTooMany = 429;
 constexpr unsigned kUnavailable = 503;
 
-std::string
-EscapeQuery(const std::string& aText)
-{
-  static const char* const kDigits = "0123456789ABCDEF";
-  std::string escaped;
-  for (unsigned char byte : aText) {
-    if (std::isalnum(byte) != 0 || byte == '-' || byte == '_' || byte == '.') {
-      escaped += static_cast<char>(byte);
-    } else {
-      escaped += { '%', kDigits[byte >> 4], kDigits[byte & 15] };
-    }
-  }
-  return escaped;
-}
-
 json
 ToJson(const StoreKey& aKey)
 {
@@ -118,10 +104,10 @@
            const std::string& aPart,
            const std::string& aFrom)
 {
-  std::string target =
-    "/v1/rows-get?table=" + EscapeQuery(aTable) + "&part=" + EscapeQuery(aPart);
+  std::string target = "/v1/rows-get?table=" + PercentEncode(aTable) +
+                       "&part=" + PercentEncode(aPart);
   if (!aFrom.empty()) {
-    target += "&from=" + EscapeQuery(aFrom);
+    target += "&from=" + PercentEncode(aFrom);
   }
   return { "GET", target, "" };
 }
@@ -130,7 +116,7 @@
 EncodeWatch(const std::string& aTable, RowVersion aAfter, Duration aWait)
 {
   return { "GET",
-           "/v1/rows-feed?table=" + EscapeQuery(aTable) +
+           "/v1/rows-feed?table=" + PercentEncode(aTable) +
              "&after=" + std::to_string(aAfter) +
              "&wait-ms=" + std::to_string(ToMilliseconds(aWait)),
            "" };
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -39,6 +39,7 @@
     std::make_shared<Configuration>();
 
   Tcp::endpoint clientAddress;
+  Tcp::endpoint callerAddress;
 
   Path()
   {
@@ -49,6 +50,8 @@
     settings.server = ToString(this->server.Address());
     settings.clientAddress = FreeAddress();
     settings.peerAddress = FreeAddress();
+    settings.callerAddress = FreeAddress();
+    this->callerAddress = *ParseEndpoint(settings.callerAddress);
     settings.retryRatio = 0.9;
     this->clientAddress = *ParseEndpoint(settings.clientAddress);
     this->node = std::make_unique<TrafficNode>(
@@ -84,13 +87,13 @@
   }
 
   /** Gives the daemon its configuration, view and server. */
-  void Begin(const MemberId& aOwner = "me")
+  void Begin(const MemberId& aOwner = "me", Key aLast = 999)
   {
     ClusterView view;
     for (auto row :
          { ToRow(MemberRecord{
              "me", "agenda", "a", "127.0.0.1:1", "", MemberState::Ready, {} }),
-           ToRow(RangeRecord{ "agenda", { 0, 999 }, aOwner, 1, "" }) }) {
+           ToRow(RangeRecord{ "agenda", { 0, aLast }, aOwner, 1, "" }) }) {
       row.version = 1;
       view.Apply(row);
     }
@@ -109,13 +112,26 @@
     request.set(headers::kTimeLeft, "500");
     request.set(headers::kKey, aKey);
     request.body() = "body";
-    request.prepare_payload();
+    return this->Send(this->clientAddress, std::move(request));
+  }
+
+  /** Asks by the router's own interface. */
+  HttpResponse AskAsCaller(const std::string& aPath)
+  {
+    HttpRequest request(http::verb::post, aPath, 11);
+    request.set(headers::kRequestId, "r1");
+    return this->Send(this->callerAddress, std::move(request));
+  }
+
+private:
+  HttpResponse Send(const Tcp::endpoint& aAddress, HttpRequest aRequest)
+  {
+    aRequest.prepare_payload();
     std::optional<Result<HttpResponse>> answer;
-    CallOptions options;
     Fetch(this->pool,
-          this->clientAddress,
-          request,
-          options,
+          aAddress,
+          std::move(aRequest),
+          CallOptions(),
           [&](Result<HttpResponse> aAnswer) { answer = std::move(aAnswer); });
     auto end = std::chrono::steady_clock::now() + seconds(5);
     while (!answer && std::chrono::steady_clock::now() < end) {
@@ -126,7 +142,6 @@
     return **answer;
   }
 
-private:
   static Tcp::endpoint Loopback(uint16_t aPort)
   {
     return { asio::ip::address_v4::loopback(), aPort };
@@ -361,3 +376,43 @@
     }
   }
 }
+
+SCENARIO("Callers of the router's own interface are told the outcome", "[path]")
+{
+  Path path;
+  path.serving.ranges = { { { 0, kLastKey }, BootClock::now() + seconds(60) } };
+
+  GIVEN("no configuration yet")
+  {
+    auto answer = path.AskAsCaller("/v1/request/agenda/look?key=a");
+    CHECK(answer.result_int() == 503);
+    CHECK(answer["X-Outcome"] == "not-run");
+    CHECK_FALSE(answer[http::field::retry_after].empty());
+  }
+  GIVEN("a request that is answered")
+  {
+    path.Begin("me", kLastKey);
+    auto answer = path.AskAsCaller("/v1/request/agenda/look?key=a");
+    CHECK(answer["X-Outcome"] == "done");
+    CHECK(answer.body() == "answer");
+    REQUIRE(path.arrived.size() == 1);
+    CHECK(path.arrived[0].target() == "/look/");
+  }
+  GIVEN("a request that may have run")
+  {
+    path.Begin("me", kLastKey);
+    path.script = { Act::BreakOff };
+    auto answer = path.AskAsCaller("/v1/request/agenda/book?key=a");
+    CHECK(answer["X-Outcome"] == "unknown");
+  }
+  GIVEN("requests that never run")
+  {
+    path.Begin("gone", kLastKey);
+    CHECK(path.AskAsCaller("/v1/request/agenda/look?key=a")["X-Outcome"] ==
+          "not-run");
+    auto unknown = path.AskAsCaller("/v1/request/agenda/other?key=a");
+    CHECK(unknown.result_int() == 404);
+    CHECK(unknown["X-Outcome"] == "not-run");
+    CHECK(path.AskAsCaller("/v1/request/agenda/look").result_int() == 400);
+  }
+}
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -1,8 +1,6 @@
 #include <iostream>
 #include <list>
 
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <nlohmann/json.hpp>
 
 #include "http/http.h"
@@ -17,35 +15,6 @@
 
 constexpr size_t kMostRows = 500;
 
-/** Parameters of a query; percent-encoded bytes are decoded. */
-std::map<std::string, std::string>
-ParseQuery(const std::string& aTarget)
-{
-  std::map<std::string, std::string> parameters;
-  auto mark = aTarget.find('?');
-  if (mark == std::string::npos) {
-    return parameters;
-  }
-  std::vector<std::string> pairs;
-  auto query = aTarget.substr(mark + 1);
-  boost::split(pairs, query, boost::is_any_of("&"));
-  for (const auto& pair : pairs) {
-    auto equals = pair.find('=');
-    std::string value;
-    for (size_t at = equals + 1; at < pair.size(); ++at) {
-      if (pair[at] == '%' && at + 2 < pair.size()) {
-        value.push_back(
-          static_cast<char>(std::stoi(pair.substr(at + 1, 2), nullptr, 16)));
-        at += 2;
-      } else {
-        value.push_back(pair[at]);
-      }
-    }
-    parameters[pair.substr(0, equals)] = value;
-  }
-  return parameters;
-}
-
 } // namespace
 
 /**
