Let a daemon that starts in an outage of the store learn from the others

It hears them, since they ask the member that ran at its address whether it lives, and reads configuration and cluster from whom it hears: a daemon answers reads of the store with what it knows, over the same client. It routes requests then; owning keys waits for the store.

The control thread's servers are swept now. Before, connections that had ended (one each second for the readiness check) were kept until the process ended.

--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -147,6 +147,39 @@
   return this->drains;
 }
 
+StoreRows
+ClusterView::RowsOf(const StoreKey& aFrom, size_t aMost) const
+{
+  std::map<StoreKey, StoreRow> rows;
+  auto add = [&](StoreRow aRow, RowVersion aVersion) {
+    bool asked = aRow.key.table == aFrom.table && aRow.key.part == aFrom.part &&
+                 aRow.key.key >= aFrom.key;
+    if (asked) {
+      aRow.version = aVersion;
+      rows[aRow.key] = std::move(aRow);
+    }
+  };
+  for (const auto& [id, member] : this->members) {
+    add(ToRow(member.record), member.version);
+  }
+  for (const auto& [first, range] : this->RangesOf(aFrom.part)) {
+    add(ToRow(range.record), range.version);
+  }
+  for (const auto& [place, drain] : this->drains) {
+    add(ToRow(drain.record), drain.version);
+  }
+  StoreRows read;
+  read.version = this->newest;
+  for (auto& [key, row] : rows) {
+    if (read.rows.size() == aMost) {
+      read.more = true;
+      break;
+    }
+    read.rows.push_back(std::move(row));
+  }
+  return read;
+}
+
 RowVersion
 ClusterView::Version() const
 {
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -55,6 +55,10 @@
 
   const Drains& AllDrains() const;
 
+  /** Rows of a service in the order of their keys, from a key on, as the store
+   * would give them; at most aMost. */
+  StoreRows RowsOf(const StoreKey& aFrom, size_t aMost) const;
+
   /** Newest version of any row applied. Rows of older versions may still come.
    */
   RowVersion Version() const;
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -91,6 +91,10 @@
                  [this](const std::shared_ptr<Exchange>& aExchange) {
                    this->OnMetricsCall(aExchange);
                  })
+  , peerCalls(aContext,
+              [this](const std::shared_ptr<Exchange>& aExchange) {
+                this->OnPeerCall(aExchange);
+              })
   , beacons(aContext)
   , timer(aContext)
   , configurationWatch(
@@ -117,6 +121,13 @@
         [this](const StoreRows& aRows) { this->OnClusterRows(aRows); },
         [this](bool aReachable) { this->agent.SetStoreReachable(aReachable); },
         [this] { return this->ClusterPause(); } })
+  , learner(
+      pool,
+      aLog,
+      { [this] { return !this->clusterWatch.IsLoaded(); },
+        [this](const StoreRows& aRows) { this->OnConfigurationRows(aRows); },
+        [this] { return this->Services(); },
+        [this](const StoreRows& aRows) { this->OnClusterRows(aRows); } })
 {
 }
 
@@ -128,9 +139,12 @@
   this->serverCalls.SetLimits(limits);
   this->readyCalls.SetLimits(limits);
   this->metricsCalls.SetLimits(limits);
+  this->peerCalls.SetLimits(limits);
+  auto own = this->settings.ip + ":" + std::to_string(this->settings.firstPort);
   for (auto [server, text] :
        { std::pair(&this->serverCalls, this->settings.serverCallAddress),
          std::pair(&this->readyCalls, this->settings.readyAddress),
+         std::pair(&this->peerCalls, own),
          std::pair(&this->metricsCalls, this->settings.metricsAddress) }) {
     if (text.empty()) {
       continue;
@@ -144,8 +158,7 @@
       return listening;
     }
   }
-  auto beacon = ParseEndpoint(this->settings.ip + ":" +
-                              std::to_string(this->settings.firstPort));
+  auto beacon = ParseEndpoint(own);
   if (!beacon) {
     return tl::unexpected(beacon.error());
   }
@@ -169,7 +182,14 @@
 void
 ControlNode::Tick()
 {
-  this->pool.Sweep(BootClock::now());
+  auto now = BootClock::now();
+  this->pool.Sweep(now);
+  for (auto* server : { &this->serverCalls,
+                        &this->readyCalls,
+                        &this->metricsCalls,
+                        &this->peerCalls }) {
+    server->Sweep(now);
+  }
   this->Advance();
   this->timer.expires_after(kTickInterval);
   this->timer.async_wait([this](boost::system::error_code aError) {
@@ -296,11 +316,39 @@
   this->Advance();
 }
 
+/** Answers a read of the store with what is known here. */
+void
+ControlNode::OnPeerCall(const std::shared_ptr<Exchange>& aExchange)
+{
+  const auto& request = aExchange->request;
+  auto from = ParseRead(std::string(request.method_string()),
+                        std::string(request.target()));
+  if (!from) {
+    aExchange->Respond(TextResponse(404, "unknown call\n"));
+    return;
+  }
+  if (this->configuration == nullptr || !this->clusterWatch.IsLoaded()) {
+    aExchange->Respond(TextResponse(503, "nothing is known yet\n"));
+    return;
+  }
+  StoreRows rows;
+  if (*from == ConfigurationKey()) {
+    rows.rows = { this->configurationRow };
+    rows.version = this->configurationRow.version;
+  } else {
+    rows = this->agent.View().RowsOf(*from, kMostRowsRead);
+  }
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = EncodeRows(rows);
+  aExchange->Respond(std::move(response));
+}
+
 void
 ControlNode::OnReadyCall(const std::shared_ptr<Exchange>& aExchange)
 {
-  bool ready = !this->stopping && this->configuration != nullptr &&
-               this->clusterWatch.IsLoaded() &&
+  bool knows = this->clusterWatch.IsLoaded() || this->learner.HasLearned();
+  bool ready = !this->stopping && this->configuration != nullptr && knows &&
                aExchange->request.target() == headers::kReadinessPath;
   aExchange->Respond(
     TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
@@ -361,6 +409,7 @@
         { "before", first ? "" : std::to_string(this->configuration->version) },
         { "routes", std::to_string(parsed->routes.size()) } } });
   this->configuration = std::make_shared<Configuration>(std::move(*parsed));
+  this->configurationRow = aRow;
   const auto* own = this->configuration->FindService(this->settings.service);
   this->agent.SetOwnsKeys(own != nullptr && own->ownsKeys);
   this->onConfiguration(this->configuration);
@@ -372,11 +421,22 @@
 void
 ControlNode::LoadCluster(TableWatch::Loaded aLoaded)
 {
-  auto services = std::make_shared<std::vector<std::string>>();
-  for (const auto& [name, service] : this->configuration->services) {
-    services->push_back(name);
+  this->LoadServices(
+    std::make_shared<std::vector<std::string>>(this->Services()),
+    0,
+    std::move(aLoaded));
+}
+
+std::vector<std::string>
+ControlNode::Services() const
+{
+  std::vector<std::string> services;
+  if (this->configuration != nullptr) {
+    for (const auto& [name, service] : this->configuration->services) {
+      services.push_back(name);
+    }
   }
-  this->LoadServices(services, 0, std::move(aLoaded));
+  return services;
 }
 
 /** Reads the services' parts one after the other; changes are then followed
@@ -455,6 +515,11 @@
       if (aError == asio::error::operation_aborted) {
         return;
       }
+      if (!aError) {
+        this->learner.OnPeerHeard(
+          BootClock::now(),
+          { this->beaconSender.address(), this->beaconSender.port() });
+      }
       auto message =
         aError ? std::nullopt
                : DecodeBeacon(std::string(this->beaconBuffer.data(), aSize));
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -9,6 +9,7 @@
 #include "fescuetillerd/counters.h"
 #include "fescuetillerd/eventlog.h"
 #include "fescuetillerd/nodesettings.h"
+#include "fescuetillerd/peerlearner.h"
 #include "fescuetillerd/tablewatch.h"
 #include "fescuetillerd/trafficnode.h"
 #include "http/http.h"
@@ -50,6 +51,7 @@
   void Advance();
   void OnServerCall(const std::shared_ptr<Exchange>& aExchange);
   void OnMetricsCall(const std::shared_ptr<Exchange>& aExchange);
+  void OnPeerCall(const std::shared_ptr<Exchange>& aExchange);
   void OnReadyCall(const std::shared_ptr<Exchange>& aExchange);
   void OnConfigurationRows(const StoreRows& aRows);
   void OnClusterRows(const StoreRows& aRows);
@@ -63,6 +65,7 @@
   void ReadLease(const StoreKey& aKey);
   void ReceiveBeacon();
   void SendBeacon(const std::string& aAddress, const BeaconMessage& aMessage);
+  std::vector<std::string> Services() const;
   void Publish();
   void WriteEvents();
 
@@ -77,13 +80,16 @@
   HttpServer serverCalls;
   HttpServer readyCalls;
   HttpServer metricsCalls;
+  HttpServer peerCalls; ///< Of daemons that cannot reach the store.
   asio::ip::udp::socket beacons;
   asio::ip::udp::endpoint beaconSender;
   std::array<char, 2048> beaconBuffer{};
   asio::steady_timer timer;
   TableWatch configurationWatch;
   TableWatch clusterWatch;
+  PeerLearner learner;
   std::shared_ptr<const Configuration> configuration;
+  StoreRow configurationRow; ///< What the configuration was read from.
   uint64_t publishedChanges = 0;
   MemberId publishedSelf;
   ServingState publishedServing;
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr const char* kStep = "call store";
+constexpr const char* kReadPath = "/v1/rows-get";
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
 constexpr unsigned kConflict = 412;
@@ -104,7 +105,8 @@
            const std::string& aPart,
            const std::string& aFrom)
 {
-  std::string target = "/v1/rows-get?table=" + PercentEncode(aTable) +
+  std::string target = std::string(kReadPath) +
+                       "?table=" + PercentEncode(aTable) +
                        "&part=" + PercentEncode(aPart);
   if (!aFrom.empty()) {
     target += "&from=" + PercentEncode(aFrom);
@@ -122,6 +124,32 @@
            "" };
 }
 
+std::optional<StoreKey>
+ParseRead(const std::string& aMethod, const std::string& aTarget)
+{
+  if (aMethod != "GET" || aTarget.substr(0, aTarget.find('?')) != kReadPath) {
+    return std::nullopt;
+  }
+  auto query = ParseQuery(aTarget);
+  return StoreKey{ query["table"], query["part"], query["from"] };
+}
+
+std::string
+EncodeRows(const StoreRows& aRows)
+{
+  json rows = json::array();
+  for (const auto& row : aRows.rows) {
+    auto entry = ToJson(row.key);
+    entry["value"] = EncodeBase64(row.value);
+    entry["ver"] = row.version;
+    rows.push_back(std::move(entry));
+  }
+  json body = { { "rows", rows },
+                { "ver", aRows.version },
+                { "has-more", aRows.more } };
+  return body.dump();
+}
+
 Result<StoreOutcome>
 ParseOutcome(unsigned aStatus, const std::string& aBody)
 {
--- a/src/platform/storecodec.h
+++ b/src/platform/storecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "model/model.h"
@@ -9,6 +10,9 @@
 /** Most rows and conditions of one transaction. */
 constexpr size_t kMostTransactionEntries = 100;
 
+/** Most rows of one answer to a read. */
+constexpr size_t kMostRowsRead = 500;
+
 /** Method, path and body of a call on the store. */
 struct StoreCall
 {
@@ -30,6 +34,15 @@
 StoreCall
 EncodeWatch(const std::string& aTable, RowVersion aAfter, Duration aWait);
 
+/** The other end of EncodeRead: table, part and first key that are asked for.
+ * Nothing for another call. */
+std::optional<StoreKey>
+ParseRead(const std::string& aMethod, const std::string& aTarget);
+
+/** The other end of ParseRows. */
+std::string
+EncodeRows(const StoreRows& aRows);
+
 /** Conflict is an outcome, not an error; Unavailable: nothing was done;
  * Unknown: it may have been done or may still be. */
 Result<StoreOutcome>
--- a/tests/daemon/processes.sh
+++ b/tests/daemon/processes.sh
@@ -122,4 +122,60 @@
 fault none
 start_daemon 1
 start_server 1
-wait "$load"
+wait "$load" || exit 1
+
+# until_true SECONDS COMMAND...: tries again until the command succeeds.
+until_true() {
+  local tries=$(($1 * 5))
+  shift
+  until "$@"; do
+    sleep 0.2
+    tries=$((tries - 1))
+    if [ $tries -le 0 ]; then
+      echo "$0: never succeeded: $*" >&2
+      return 1
+    fi
+  done
+}
+is_ready() {
+  curl -sf -o /dev/null -m 1 "http://$(address "$1" 7303)/v1/ready"
+}
+# asks NODE KEY...: whether one of the keys is answered there.
+asks() {
+  local node=$1 key
+  shift
+  for key in "$@"; do
+    curl -sf -o /dev/null -m 1 -H "Host: a.example" -H "X-Request-Id: n$key" \
+      -H "X-Timeout-Ms: 500" -H "X-Shard-Key: $key" \
+      "http://$(address "$node" 7301)/look/r" && return 0
+  done
+  return 1
+}
+
+# A daemon that starts while the store is down learns from the others.
+fault down
+kill -KILL "${daemon[2]}"
+start_daemon 2
+until_true 10 is_ready 2 || exit 1
+until_true 2 asks 2 100 9000 20000 30000 40000 50000 60000 || exit 1
+grep -q learned-from-peer "$folder/node-2.log" || exit 1
+fault none
+echo "a daemon that started in an outage has routed requests"
+
+# Operators' commands against this deployment.
+export FESCUETILLER_STORE=$store
+ctl=$build/src/fescuetillerctl
+until_true 30 sh -c "$ctl status | grep -q 'nothing is degraded'" || exit 1
+$ctl drain "$(address 3 7302)" || exit 1
+owns_nothing() {
+  $ctl status | grep "$(address 3 7302)" | grep -q 'drained *0 *0%'
+}
+until_true 13 owns_nothing || exit 1
+$ctl key locate agenda 100 || exit 1
+$ctl class list | grep -q book || exit 1
+$ctl undrain "$(address 3 7302)" --revision 0 2>/dev/null
+[ $? -eq 3 ] || exit 1
+$ctl undrain "$(address 3 7302)" --revision 1 || exit 1
+$ctl audit | grep -q 'refused: conflict' || exit 1
+until_true 13 sh -c "$ctl status | grep -q 'nothing is degraded'" || exit 1
+echo "operators' commands did what they say"
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -13,8 +13,6 @@
 
 using nlohmann::json;
 
-constexpr size_t kMostRows = 500;
-
 } // namespace
 
 /**
@@ -173,7 +171,7 @@
          std::get<0>(row->first) == aQuery["table"] &&
          std::get<1>(row->first) == aQuery["part"];
          ++row) {
-      if (found.size() == kMostRows) {
+      if (found.size() == kMostRowsRead) {
         more = true;
         break;
       }
