Read changed settings again, on SIGHUP and by themselves

Bounds, the retry ratio and the store's address take effect at once; what only a restart can change is named in the log, and a file with a mistake changes nothing.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -115,6 +115,13 @@
   this->events.push_back({ std::move(aName), std::move(aFields) });
 }
 
+void
+OwnershipAgent::SetBounds(Duration aLongestHold, Duration aDrainTime)
+{
+  this->settings.longestHold = aLongestHold;
+  this->settings.drainTime = aDrainTime;
+}
+
 void
 OwnershipAgent::SetOwnsKeys(bool aOwnsKeys)
 {
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -94,6 +94,9 @@
                  IdFunction aNewId,
                  RandomFunction aRandom);
 
+  /** Bounds of the platform, which may change while the daemon runs. */
+  void SetBounds(Duration aLongestHold, Duration aDrainTime);
+
   /** What the configuration says of the own service. */
   void SetOwnsKeys(bool aOwnsKeys);
 
--- a/src/fescuetillerctl/checkcommand.cpp
+++ b/src/fescuetillerctl/checkcommand.cpp
@@ -2,22 +2,11 @@
 
 #include "fescuetillerctl/command.h"
 #include "fescuetillerd/nodesettings.h"
-#include "ini/ini.h"
 
 namespace fescuetiller {
 
 namespace {
 
-Result<NodeSettings>
-ReadSettings(const std::string& aFile)
-{
-  auto text = ReadTextFile(aFile);
-  if (!text) {
-    return tl::unexpected(text.error());
-  }
-  return ParseNodeSettings(*text, aFile);
-}
-
 ExitCode
 CheckSettings(Session& aSession,
               const CommonOptions& aOptions,
@@ -27,7 +16,7 @@
   if (file.empty()) {
     return Fail(aSession, ExitCode::Usage, "check settings needs FILE");
   }
-  auto read = ReadSettings(file);
+  auto read = ReadNodeSettings(file);
   if (aOptions.json) {
     nlohmann::json report = { { "outcome", read ? "valid" : "invalid" },
                               { "message",
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -179,6 +179,15 @@
   return {};
 }
 
+void
+ControlNode::SetSettings(const NodeSettings& aSettings)
+{
+  this->settings = aSettings;
+  this->agent.SetBounds(aSettings.longestHold, aSettings.drainTime);
+  this->store.SetAddress(
+    ParseEndpoint(aSettings.storeAddress).value_or(Tcp::endpoint()));
+}
+
 void
 ControlNode::Tick()
 {
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -37,6 +37,9 @@
 
   Result<void> Listen();
 
+  /** Settings that were read again; see Reload for what may differ. */
+  void SetSettings(const NodeSettings& aSettings);
+
   void OnReport(TrafficReport aReport);
   void OnServerRefused();
 
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -36,6 +36,15 @@
     .first->second;
 }
 
+void
+Ingress::SetRetryShare(double aShare)
+{
+  this->identity.retryShare = aShare;
+  for (auto& [service, budget] : this->budgets) {
+    budget.SetShare(aShare);
+  }
+}
+
 void
 Ingress::SetConfiguration(std::shared_ptr<const Configuration> aConfiguration)
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -35,6 +35,8 @@
           EventLog& aLog,
           Counters& aCounters);
 
+  /** Retries that may be added to the requests from now on. */
+  void SetRetryShare(double aShare);
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
 
--- a/src/fescuetillerd/main.cpp
+++ b/src/fescuetillerd/main.cpp
@@ -4,7 +4,6 @@
 #include <boost/program_options.hpp>
 
 #include "fescuetillerd/nodeprocess.h"
-#include "ini/ini.h"
 
 namespace {
 
@@ -27,10 +26,7 @@
 int
 RunNode(const std::string& aPath, bool aCheckOnly)
 {
-  auto text = fescuetiller::ReadTextFile(aPath);
-  auto settings = text ? fescuetiller::ParseNodeSettings(*text, aPath)
-                       : fescuetiller::Result<fescuetiller::NodeSettings>(
-                           tl::unexpected(text.error()));
+  auto settings = fescuetiller::ReadNodeSettings(aPath);
   if (!settings) {
     std::cerr << settings.error() << std::endl;
     return kWrongUse;
@@ -39,7 +35,8 @@
     std::cout << "settings are valid" << std::endl;
     return 0;
   }
-  fescuetiller::NodeProcess process(*settings);
+  fescuetiller::NodeProcess process(
+    *settings, [aPath] { return fescuetiller::ReadNodeSettings(aPath); });
   auto ended = process.Run();
   if (!ended) {
     std::cerr << ended.error() << std::endl;
--- a/src/fescuetillerd/nodeprocess.cpp
+++ b/src/fescuetillerd/nodeprocess.cpp
@@ -2,6 +2,10 @@
 
 #include <csignal>
 
+#include <boost/algorithm/string/join.hpp>
+
+#include "fescuetillerd/settingsreload.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -16,12 +20,17 @@
 /** Time after a stop signal in which the store should have taken a last change;
  * without it the others notice the end by the missing renewals. */
 constexpr Duration kSettleTime = milliseconds(3500);
+/** Between looks at the settings file, which may change without a signal. */
+constexpr Duration kSettingsCheck = std::chrono::seconds(5);
 constexpr Duration kIdleCheck = milliseconds(20);
 
 } // namespace
 
-NodeProcess::NodeProcess(const NodeSettings& aSettings)
+NodeProcess::NodeProcess(const NodeSettings& aSettings,
+                         ReadSettings aReadSettings)
   : settings(aSettings)
+  , readSettings(std::move(aReadSettings))
+  , lastRead(aSettings)
   , log(aSettings.name, {})
   , traffic(1)
   , control(1)
@@ -29,6 +38,7 @@
   , controlNode(control, aSettings, log, counters)
   , signals(control)
   , stopTimer(control)
+  , reloadTimer(control)
 {
   this->Connect();
 }
@@ -80,6 +90,7 @@
     return listening;
   }
   this->WaitForSignal();
+  this->ReloadLater();
   std::thread trafficThread([this] { this->traffic.run(); });
   this->control.run();
   this->traffic.stop();
@@ -97,8 +108,8 @@
         return;
       }
       if (aSignal == SIGHUP) {
-        // Settings are read at start; nothing here depends on what may change.
         this->log.Write({ "reload", {} });
+        this->ReloadSettings();
       } else if (this->stopAt == Time()) {
         this->BeginStop();
       }
@@ -106,6 +117,42 @@
     });
 }
 
+void
+NodeProcess::ReloadLater()
+{
+  this->reloadTimer.expires_after(kSettingsCheck);
+  this->reloadTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->ReloadSettings();
+      this->ReloadLater();
+    }
+  });
+}
+
+void
+NodeProcess::ReloadSettings()
+{
+  auto read = this->readSettings();
+  if (read == this->lastRead) {
+    return;
+  }
+  this->lastRead = read;
+  if (!read) {
+    this->log.Write(
+      { "settings-refused", { { "reason", ToString(read.error()) } } });
+    return;
+  }
+  auto reload = Reload(this->settings, *read);
+  this->log.Write({ "settings-changed",
+                    { { "applied", boost::join(reload.applied, " ") },
+                      { "need_restart", boost::join(reload.ignored, " ") } } });
+  this->settings = reload.settings;
+  this->controlNode.SetSettings(this->settings);
+  asio::post(this->traffic, [this, changed = this->settings] {
+    this->trafficNode.SetSettings(changed);
+  });
+}
+
 void
 NodeProcess::BeginStop()
 {
--- a/src/fescuetillerd/nodeprocess.h
+++ b/src/fescuetillerd/nodeprocess.h
@@ -13,7 +13,10 @@
 class NodeProcess
 {
 public:
-  explicit NodeProcess(const NodeSettings& aSettings);
+  /** Reads the settings again, for a reload. */
+  using ReadSettings = std::function<Result<NodeSettings>()>;
+
+  NodeProcess(const NodeSettings& aSettings, ReadSettings aReadSettings);
   ~NodeProcess();
 
   /** Runs until a stop signal has been served. */
@@ -22,12 +25,16 @@
 private:
   void Connect();
   void WaitForSignal();
+  void ReloadLater();
+  void ReloadSettings();
   void BeginStop();
   void ContinueStop();
   void CheckIdle();
   void End();
 
   NodeSettings settings;
+  ReadSettings readSettings;
+  Result<NodeSettings> lastRead; ///< So that each change is told once.
   EventLog log;
   Counters counters;
   asio::io_context traffic;
@@ -36,6 +43,7 @@
   ControlNode controlNode;
   asio::signal_set signals;
   asio::steady_timer stopTimer;
+  asio::steady_timer reloadTimer;
   Time stopAt;
   Time endAt;
 };
--- a/src/fescuetillerd/nodesettings.cpp
+++ b/src/fescuetillerd/nodesettings.cpp
@@ -179,4 +179,14 @@
   return settings;
 }
 
+Result<NodeSettings>
+ReadNodeSettings(const std::string& aFile)
+{
+  auto text = ReadTextFile(aFile);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  return ParseNodeSettings(*text, aFile);
+}
+
 } // namespace fescuetiller
--- a/src/fescuetillerd/nodesettings.h
+++ b/src/fescuetillerd/nodesettings.h
@@ -40,4 +40,7 @@
 Result<NodeSettings>
 ParseNodeSettings(const std::string& aText, const std::string& aFile);
 
+Result<NodeSettings>
+ReadNodeSettings(const std::string& aFile);
+
 } // namespace fescuetiller
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -86,6 +86,13 @@
   return {};
 }
 
+void
+TrafficNode::SetSettings(const NodeSettings& aSettings)
+{
+  this->settings = aSettings;
+  this->ingress.SetRetryShare(aSettings.retryRatio * kRetrySafety);
+}
+
 void
 TrafficNode::SetConfiguration(
   std::shared_ptr<const Configuration> aConfiguration)
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -22,6 +22,12 @@
 {
 }
 
+void
+StoreClient::SetAddress(const Tcp::endpoint& aAddress)
+{
+  this->address = aAddress;
+}
+
 void
 StoreClient::Call(const StoreCall& aCall, Duration aTimeout, FetchDone aDone)
 {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -30,6 +30,9 @@
               const Tcp::endpoint& aAddress,
               Duration aTimeout = kUsualTimeout);
 
+  /** Where calls go from now on. */
+  void SetAddress(const Tcp::endpoint& aAddress);
+
   void Transact(const StoreTransaction& aTransaction, OutcomeDone aDone);
 
   /** All rows of a part of a table, over as many calls as it takes. The version
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -11,6 +11,12 @@
 {
 }
 
+void
+RetryBudget::SetShare(double aShare)
+{
+  this->share = aShare;
+}
+
 void
 RetryBudget::CountRequest()
 {
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -15,6 +15,8 @@
    * @param aLargest Tokens that may be saved up. */
   RetryBudget(double aShare, double aLargest);
 
+  void SetShare(double aShare);
+
   void CountRequest();
 
   /** @return Whether a retry is allowed; takes its token. */
--- a/tests/daemon/nodetest.cpp
+++ b/tests/daemon/nodetest.cpp
@@ -3,6 +3,7 @@
 #include "fescuetillerd/counters.h"
 #include "fescuetillerd/dispatch.h"
 #include "fescuetillerd/nodesettings.h"
+#include "fescuetillerd/settingsreload.h"
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
 
@@ -112,3 +113,42 @@
         std::string::npos);
   CHECK(text.find("fescuetiller_offered_load 0.5") != std::string::npos);
 }
+
+SCENARIO("Settings that were read again", "[settings]")
+{
+  auto current = *ParseNodeSettings(kSettings, "node.ini");
+
+  GIVEN("the same settings")
+  {
+    auto reload = Reload(current, current);
+    CHECK(reload.applied.empty());
+    CHECK(reload.ignored.empty());
+    CHECK(reload.settings == current);
+  }
+  GIVEN("other bounds")
+  {
+    auto read = current;
+    read.drainTime = milliseconds(3000);
+    read.retryRatio = 0.1;
+    auto reload = Reload(current, read);
+    THEN("they are in force")
+    {
+      CHECK(reload.settings == read);
+      CHECK(reload.applied ==
+            std::vector<std::string>{ "drain-time", "retry-ratio" });
+    }
+  }
+  GIVEN("an address that is listened on, and another bound")
+  {
+    auto read = current;
+    read.clientAddress = "10.1.0.9:9000";
+    read.longestHold = milliseconds(5000);
+    auto reload = Reload(current, read);
+    THEN("the address stays until a restart, and the bound is in force")
+    {
+      CHECK(reload.settings.clientAddress == current.clientAddress);
+      CHECK(reload.settings.longestHold == milliseconds(5000));
+      CHECK(reload.ignored == std::vector<std::string>{ "clients" });
+    }
+  }
+}
--- a/tests/daemon/processes.sh
+++ b/tests/daemon/processes.sh
@@ -152,6 +152,19 @@
   return 1
 }
 
+# In steady state each member has its guardians, all of them alive.
+export FESCUETILLER_STORE=$store
+ctl=$build/src/fescuetillerctl
+is_settled() {
+  local status
+  status=$($ctl status) || return 1
+  grep -q 'nothing is degraded' <<<"$status" &&
+    [ "$(grep -c 'zone-.* 3$' <<<"$status")" -eq $pairs ]
+}
+until_true 40 is_settled || exit 1
+sleep 2 # Longer than a guardian's silence is left alone.
+until_true 40 is_settled || exit 1
+
 # A daemon that starts while the store is down learns from the others.
 fault down
 kill -KILL "${daemon[2]}"
@@ -162,9 +175,15 @@
 fault none
 echo "a daemon that started in an outage has routed requests"
 
+# Settings are read again: a wrong file changes nothing, a good one is in force.
+echo "drain-time = soon" >>"$folder/node-3.ini"
+kill -HUP "${daemon[3]}"
+until_true 2 grep -q settings-refused "$folder/node-3.log" || exit 1
+sed -i 's/^drain-time = .*/drain-time = 2500ms/' "$folder/node-3.ini"
+kill -HUP "${daemon[3]}"
+until_true 2 grep -q 'settings-changed.*drain-time' "$folder/node-3.log" || exit 1
+
 # Operators' commands against this deployment.
-export FESCUETILLER_STORE=$store
-ctl=$build/src/fescuetillerctl
 until_true 30 sh -c "$ctl status | grep -q 'nothing is degraded'" || exit 1
 $ctl drain "$(address 3 7302)" || exit 1
 owns_nothing() {
