--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,10 @@
 # The commands of the README; each does all the set-up it needs itself.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-DEPLOYMENT ?= qc-east
 SECONDS ?= 20
 PACKAGES = $(shell cat deploy/packages.txt)
 
-.PHONY: all setup configure test demo demo-node bench lint format
+.PHONY: all setup configure test demo bench lint format
 
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
@@ -24,17 +23,13 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 demo: all
-	tests/demo/demo.sh $(abspath $(BUILD)) $(DEPLOYMENT) $(SECONDS)
-
-demo-node: all
-	tests/node/processes.sh $(abspath $(BUILD)) $(SECONDS)
+	tests/daemon/processes.sh $(abspath $(BUILD)) $(SECONDS)
 
 bench: all
 	cmake --build $(BUILD) --target bench
 
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
-  'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' \
-  ':!src/wire/generated')
+  'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h')
 
 format: setup
 	clang-format -i $(SOURCES)
--- a/tests/daemon/processes.sh
+++ b/tests/daemon/processes.sh
@@ -6,85 +6,10 @@
 set -u
 build=$1
 seconds=${2:-16}
-pairs=4
 here=$(cd "$(dirname "$0")" && pwd)
-. "$here/../standins/waiting.sh"
-folder=$(mktemp -d)
-trap 'kill -KILL $(jobs -p) 2>/dev/null; wait 2>/dev/null; rm -rf "$folder"' EXIT
-
-"$build/tests/storestandin" --ports-file "$folder/store" &
-wait_for "$folder/store"
-store=127.0.0.1:$(port "$folder/store" port)
-
-# address NUMBER PORT: each pair has a loopback address of its own.
-address() { echo "127.0.1.$1:$2"; }
-
-start_daemon() {
-  "$build/src/fescuetillerd" --settings "$folder/node-$1.ini" \
-    >>"$folder/node-$1.log" 2>&1 &
-  daemon[$1]=$!
-}
-
-start_server() {
-  "$build/tests/keyserverstandin" --service agenda \
-    --daemon "$(address "$1" 7304)" --address "$(address "$1" 7305)" \
-    --run-log "$folder/server-$1.runs" >>"$folder/server-$1.log" 2>&1 &
-  server[$1]=$!
-}
-
-curl -sf -o /dev/null --data-binary @- "http://$store/standin/config" <<'JSON'
-{"version":"r1","routes":{
-"book":{"host":"a.example","prefix":"/book/","kind":"unsafe","timeout":"800ms",
-"target-latency":"200ms","priority":1,"service":"agenda","attempts":2},
-"look":{"host":"a.example","prefix":"/look/","kind":"safe","timeout":"800ms",
-"target-latency":"200ms","priority":2,"service":"agenda","attempts":2}},
-"services":{"agenda":{"health-check":"/h","max-connections":100,
-"protocol":"h1","tls":false,"sharded":true}}}
-JSON
-
-for number in $(seq $pairs); do
-  cat >"$folder/node-$number.ini" <<INI
-[node]
-name = node-$number
-ip = 127.0.1.$number
-zone = zone-$((number % 3))
-service = agenda
-server = $(address "$number" 7305)
-[listen]
-clients = $(address "$number" 7301)
-peers = $(address "$number" 7302)
-ready = $(address "$number" 7303)
-server-calls = $(address "$number" 7304)
-first-port = 7306
-last-port = 7310
-[platform]
-store = $store
-[bounds]
-heartbeat = 300ms
-INI
-  start_daemon "$number"
-  start_server "$number"
-done
-
-# The whole key space is granted once a request for each quarter is answered.
-ready() {
-  local key
-  for key in 100 20000 40000 60000; do
-    curl -sf -o /dev/null -m 1 -H "Host: a.example" -H "X-Request-Id: r$key" \
-      -H "X-Timeout-Ms: 500" -H "X-Shard-Key: $key" \
-      "http://$(address 1 7301)/look/r" || return 1
-  done
-}
-tries=0
-until ready; do
-  sleep 0.2
-  tries=$((tries + 1))
-  if [ $tries -gt 100 ]; then
-    echo "$0: the keys are not served" >&2
-    tail -n 5 "$folder"/*.log >&2
-    exit 1
-  fi
-done
+network=127.0.1
+. "$here/deployment.sh"
+start_deployment
 
 arguments=()
 for number in $(seq $pairs); do
@@ -124,19 +49,6 @@
 start_server 1
 wait "$load" || exit 1
 
-# until_true SECONDS COMMAND...: tries again until the command succeeds.
-until_true() {
-  local tries=$(($1 * 5))
-  shift
-  until "$@"; do
-    sleep 0.2
-    tries=$((tries - 1))
-    if [ $tries -le 0 ]; then
-      echo "$0: never succeeded: $*" >&2
-      return 1
-    fi
-  done
-}
 is_ready() {
   curl -sf -o /dev/null -m 1 "http://$(address "$1" 7303)/v1/ready"
 }
--- a/tests/standins/waiting.sh
+++ b/tests/standins/waiting.sh
@@ -15,3 +15,17 @@
 
 # port FILE KEY: a bound port.
 port() { sed -n "s/^$2=//p" "$1"; }
+
+# until_true SECONDS COMMAND...: tries again until the command succeeds.
+until_true() {
+  local tries=$(($1 * 5))
+  shift
+  until "$@"; do
+    sleep 0.2
+    tries=$((tries - 1))
+    if [ $tries -le 0 ]; then
+      echo "$0: never succeeded: $*" >&2
+      return 1
+    fi
+  done
+}
