End in time with a log that nobody reads; measure the slopes of the new daemon

A daemon whose standard output blocked did not end after a stop signal: the log's thread could not be joined. Now it waits 200 ms for the output.

Peers without keys are also chosen by how much longer than they know of their answers take: the way and the work of the daemons.

--- a/src/fescuetillerd/dispatch.cpp
+++ b/src/fescuetillerd/dispatch.cpp
@@ -45,7 +45,8 @@
                     aNote.retryAfter,
                     aNote.load,
                     aNote.expected,
-                    aNote.untilHeartbeat);
+                    aNote.untilHeartbeat,
+                    aNote.spent);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -89,7 +90,8 @@
        << ToMilliseconds(aNote.retryAfter) << ' '
        << static_cast<int64_t>(aNote.load * kLoadUnit) << ' '
        << ToMilliseconds(aNote.expected) << ' '
-       << ToMilliseconds(aNote.untilHeartbeat) << ' ' << aNote.reachedServer;
+       << ToMilliseconds(aNote.untilHeartbeat) << ' '
+       << ToMilliseconds(aNote.spent) << ' ' << aNote.reachedServer;
   if (!aNote.owner.empty()) {
     text << ' ' << aNote.owner;
   }
@@ -106,8 +108,9 @@
   int64_t load = 0;
   int64_t expected = 0;
   int64_t heartbeat = 0;
+  int64_t spent = 0;
   text >> outcome >> note.reason >> retry >> load >> expected >> heartbeat >>
-    note.reachedServer;
+    spent >> note.reachedServer;
   if (!text || outcome < 0 || outcome > kLastOutcome) {
     return std::nullopt;
   }
@@ -117,6 +120,7 @@
   note.load = static_cast<double>(load) / kLoadUnit;
   note.expected = Milliseconds(expected);
   note.untilHeartbeat = Milliseconds(heartbeat);
+  note.spent = Milliseconds(spent);
   return note;
 }
 
--- a/src/fescuetillerd/eventlog.cpp
+++ b/src/fescuetillerd/eventlog.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
@@ -89,6 +90,20 @@
     -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
+bool
+EventLog::Drain(Duration aLongest) const
+{
+  constexpr Duration kPoll = std::chrono::milliseconds(5);
+  auto end = BootClock::now() + aLongest;
+  while (spdlog::thread_pool()->queue_size() > 0) {
+    if (BootClock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
 uint64_t
 EventLog::Dropped() const
 {
--- a/src/fescuetillerd/eventlog.h
+++ b/src/fescuetillerd/eventlog.h
@@ -46,6 +46,10 @@
 
   uint64_t Dropped() const;
 
+  /** Waits until everything is written, but not for longer than aLongest.
+   * @return False if the output does not take it. */
+  bool Drain(Duration aLongest) const;
+
 private:
   bool Allow(EventRank aRank);
 
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -24,10 +24,11 @@
                      const Dispatch& aDispatch,
                      std::shared_ptr<ResponseReceiver> aReceiver)
   : requestId(aRequest[headers::kRequestId])
+  , dispatch(aDispatch)
+  , arrivedAt(BootClock::now())
   , executor(aExecutor)
   , id(aId)
   , request(std::move(aRequest))
-  , dispatch(aDispatch)
   , receiver(std::move(aReceiver))
 {
 }
@@ -109,12 +110,11 @@
 {
   this->LogOutcome(ToString(aOutcome), aReason);
   auto hold = this->shared_from_this();
-  auto requestClass = this->dispatch.requestClass;
   auto retry = aReason == "server-unreachable" ? kUnreachableRetry : kShedRetry;
   auto taker = this->Finish(false);
   auto response = TextResponse(aOutcome == DispatchOutcome::Refused ? 503 : 502,
                                aReason + "\n");
-  auto note = this->executor.Note(aOutcome, requestClass, aReason, retry);
+  auto note = this->executor.Note(aOutcome, *this, aReason, retry);
   note.reachedServer = aReason != "server-unreachable";
   response.set(kNoteField, Encode(note));
   taker->OnWhole(std::move(response));
@@ -127,10 +127,8 @@
   auto hold = this->shared_from_this();
   auto taker = this->Finish(false);
   auto response = TextResponse(503, aReason + "\n");
-  auto note = this->executor.Note(DispatchOutcome::Refused,
-                                  this->dispatch.requestClass,
-                                  aReason,
-                                  aRetryAfter);
+  auto note = this->executor.Note(
+    DispatchOutcome::Refused, *this, aReason, aRetryAfter);
   if (this->key) {
     note.owner = this->executor.MovedTo(*this->key);
   }
@@ -151,20 +149,19 @@
   }
   this->LogOutcome("answered", std::to_string(status));
   auto hold = this->shared_from_this();
-  auto requestClass = this->dispatch.requestClass;
   auto taker = this->Finish(status < 300);
   aResponse.set(
     kNoteField,
-    Encode(this->executor.Note(DispatchOutcome::Answered, requestClass)));
+    Encode(this->executor.Note(DispatchOutcome::Answered, *this)));
   taker->OnWhole(std::move(aResponse));
 }
 
 void
 Execution::OnHead(ResponseHead aHead)
 {
-  aHead.message.set(kNoteField,
-                    Encode(this->executor.Note(DispatchOutcome::Answered,
-                                               this->dispatch.requestClass)));
+  aHead.message.set(
+    kNoteField,
+    Encode(this->executor.Note(DispatchOutcome::Answered, *this)));
   this->receiver->OnHead(std::move(aHead));
 }
 
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -37,6 +37,8 @@
 
   std::optional<Key> key;
   std::string requestId;
+  const Dispatch dispatch;
+  const Time arrivedAt;
   Time deadline;
 
 private:
@@ -48,7 +50,6 @@
   Executor& executor;
   uint64_t id;
   HttpRequest request;
-  Dispatch dispatch;
   std::shared_ptr<ResponseReceiver> receiver;
   std::shared_ptr<UpstreamCall> call;
   Time startedAt;
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -262,7 +262,7 @@
 
 DispatchNote
 Executor::Note(DispatchOutcome aOutcome,
-               const std::string& aClass,
+               const Execution& aExecution,
                const std::string& aReason,
                Duration aRetryAfter) const
 {
@@ -272,7 +272,9 @@
   note.reason = aReason;
   note.retryAfter = aRetryAfter;
   note.load = this->queue.OfferedLoad(now);
-  note.expected = this->queue.ExpectedTime(now, aClass);
+  note.expected =
+    this->queue.ExpectedTime(now, aExecution.dispatch.requestClass);
+  note.spent = now - aExecution.arrivedAt;
   note.untilHeartbeat = this->serving.nextHeartbeat - now;
   return note;
 }
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -77,7 +77,7 @@
   void ArmTick();
   void Refuse(const SlotRefusal& aRefusal);
   DispatchNote Note(DispatchOutcome aOutcome,
-                    const std::string& aClass,
+                    const Execution& aExecution,
                     const std::string& aReason = "",
                     Duration aRetryAfter = Duration(0)) const;
 
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -228,6 +228,7 @@
 {
   auto now = BootClock::now();
   this->member = aMember;
+  this->sentAt = now;
   ++this->hops;
   this->dispatch.untilWanted =
     this->startedAt + this->route.targetLatency - now - kReturnTime;
@@ -281,11 +282,14 @@
   auto note = DecodeNote(std::string(aFields[kNoteField]));
   aFields.erase(kNoteField);
   if (note) {
-    this->ingress.peers.OnReport(BootClock::now(),
+    auto now = BootClock::now();
+    this->ingress.peers.OnReport(now,
                                  this->member,
                                  note->load,
                                  note->expected,
                                  note->untilHeartbeat);
+    this->ingress.peers.OnOverhead(
+      now, this->member, now - this->sentAt - note->spent);
   }
   return note;
 }
@@ -458,6 +462,8 @@
   this->timer.cancel();
   auto hold = this->shared_from_this();
   if (this->remote != nullptr) {
+    auto now = BootClock::now();
+    this->ingress.peers.OnNoAnswer(now, this->member, now - this->sentAt);
     this->remote->Cancel();
   }
   if (this->local != nullptr) {
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -64,6 +64,7 @@
   Time startedAt;
   Time deadline;
   std::string member; ///< Where it is now.
+  Time sentAt;        ///< When it was sent there.
   std::set<std::string> tried;
   std::shared_ptr<UpstreamCall> remote;
   std::shared_ptr<Cancellable> local;
--- a/src/fescuetillerd/nodeprocess.cpp
+++ b/src/fescuetillerd/nodeprocess.cpp
@@ -1,6 +1,7 @@
 #include "fescuetillerd/nodeprocess.h"
 
 #include <csignal>
+#include <cstdlib>
 
 #include <boost/algorithm/string/join.hpp>
 
@@ -22,6 +23,8 @@
 constexpr Duration kSettleTime = milliseconds(3500);
 /** Between looks at the settings file, which may change without a signal. */
 constexpr Duration kSettingsCheck = std::chrono::seconds(5);
+/** Longest wait for the output of the log at the end. */
+constexpr Duration kLogDrainTime = milliseconds(200);
 constexpr Duration kIdleCheck = milliseconds(20);
 
 } // namespace
@@ -96,6 +99,10 @@
   this->traffic.stop();
   trafficThread.join();
   this->log.Write({ "stop", {} });
+  if (!this->log.Drain(kLogDrainTime)) {
+    // The log's thread waits for its output and cannot be joined.
+    std::_Exit(EXIT_SUCCESS);
+  }
   return {};
 }
 
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -13,6 +13,12 @@
 /** Time that each request in flight to a peer is taken to add, until the peer
  * has reported again; a fraction of a usual request. */
 constexpr Duration kInFlightTime = milliseconds(8);
+/** Weight of the newest overhead: several answers outweigh one that a lost
+ * packet held up. */
+constexpr double kOverheadWeight = 0.3;
+/** Age from which on an overhead is forgotten, so that a peer that was slow is
+ * tried again. */
+constexpr Duration kOverheadAge = std::chrono::seconds(5);
 /** Pause after a failure; doubles with each further one. */
 constexpr Duration kFirstPause = milliseconds(200);
 constexpr uint32_t kMostDoublings = 3;
@@ -53,6 +59,30 @@
   peer.avoidUntil = Time();
 }
 
+void
+PeerTable::OnOverhead(Time aNow, const std::string& aMember, Duration aOverhead)
+{
+  auto& peer = this->peers[aMember];
+  bool known = aNow - peer.overheadAt < kOverheadAge;
+  auto change = aOverhead - peer.overhead;
+  peer.overhead = known ? peer.overhead +
+                            std::chrono::duration_cast<Duration>(
+                              change * kOverheadWeight)
+                        : aOverhead;
+  peer.overheadAt = aNow;
+}
+
+void
+PeerTable::OnNoAnswer(Time aNow, const std::string& aMember, Duration aWaited)
+{
+  const auto& peer = this->peers[aMember];
+  // The answer would have come later: this is the least that it took.
+  auto least = aWaited - peer.expected;
+  if (least > peer.overhead || aNow - peer.overheadAt >= kOverheadAge) {
+    this->OnOverhead(aNow, aMember, std::max(least, Duration(0)));
+  }
+}
+
 void
 PeerTable::OnFailure(Time aNow, const std::string& aMember)
 {
@@ -100,6 +130,9 @@
       if (aNow - peer.reportedAt < kReportAge) {
         cost += peer.expected;
       }
+      if (aNow - peer.overheadAt < kOverheadAge) {
+        cost += peer.overhead;
+      }
       cost += kInFlightTime * static_cast<int>(peer.inFlight);
       cost += aNow < peer.avoidUntil ? kAvoided : Duration(0);
     }
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -43,6 +43,13 @@
                 Duration aExpected,
                 Duration aUntilHeartbeat);
 
+  /** How much longer than the peer itself knows of an answer took: the way
+   * there and back and the work of the daemons. */
+  void OnOverhead(Time aNow, const std::string& aMember, Duration aOverhead);
+
+  /** The client left after waiting so long for the peer. */
+  void OnNoAnswer(Time aNow, const std::string& aMember, Duration aWaited);
+
   /** The peer could not be reached or broke off. */
   void OnFailure(Time aNow, const std::string& aMember);
 
@@ -69,6 +76,8 @@
     uint32_t inFlight = 0;
     double load = 0;
     Duration expected = Duration(0);
+    Duration overhead = Duration(0); ///< Moving mean.
+    Time overheadAt;
     Time nextHeartbeat;
     Time reportedAt;
     Time avoidUntil;
--- a/tests/daemon/nodetest.cpp
+++ b/tests/daemon/nodetest.cpp
@@ -88,7 +88,8 @@
 
   DispatchNote note{
     DispatchOutcome::Refused, "moved", "0123abcd",       true,
-    milliseconds(250),        0.5,     milliseconds(90), milliseconds(400)
+    milliseconds(250),        0.5,     milliseconds(90), milliseconds(400),
+    milliseconds(70)
   };
   CHECK(DecodeNote(Encode(note)) == note);
   note.owner.clear();
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -166,6 +166,47 @@
       }
     }
   }
+  GIVEN("a near peer whose answers take long on their way")
+  {
+    // Found on a grown deployment: daemons on a tenth of a core or a slow link
+    // got as much as others, and half of the calls through them came too late.
+    peers.OnReport(kStart, "near", 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "far", 0.5, milliseconds(50), {});
+    for (int count = 0; count < 5; ++count) {
+      peers.OnOverhead(kStart, "near", milliseconds(200));
+      peers.OnOverhead(kStart, "far", milliseconds(5));
+    }
+    THEN("the other one is chosen")
+    {
+      CHECK(peers.Pick(kStart, candidates, question) == "far");
+    }
+    THEN("it is tried again once that is forgotten")
+    {
+      auto later = kStart + seconds(6);
+      peers.OnReport(later, "near", 0.5, milliseconds(50), {});
+      peers.OnReport(later, "far", 0.5, milliseconds(50), {});
+      CHECK(peers.Pick(later, candidates, question) == "near");
+    }
+  }
+  GIVEN("a near peer for which clients waited in vain")
+  {
+    peers.OnReport(kStart, "near", 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "far", 0.5, milliseconds(50), {});
+    peers.OnNoAnswer(kStart, "near", milliseconds(300));
+    THEN("the other one is chosen")
+    {
+      CHECK(peers.Pick(kStart, candidates, question) == "far");
+    }
+  }
+  GIVEN("a client that left soon")
+  {
+    peers.OnOverhead(kStart, "near", milliseconds(20));
+    peers.OnNoAnswer(kStart, "near", milliseconds(1));
+    THEN("nothing is known by that")
+    {
+      CHECK(peers.Pick(kStart, candidates, question) == "near");
+    }
+  }
   GIVEN("a queue in the own zone that outweighs the preference")
   {
     peers.OnReport(kStart, "near", 1.5, milliseconds(300), {});
