--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -200,6 +200,7 @@
     server->Sweep(now);
   }
   this->Advance();
+  this->log.Flush();
   this->timer.expires_after(kTickInterval);
   this->timer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -51,7 +51,7 @@
   double load = 0;                 ///< Offered to the backend server; 1: full.
   Duration expected = Duration(0); ///< Until a usual request would end.
   Duration untilHeartbeat = Duration(0); ///< Of the backend server.
-  Duration spent = Duration(0); ///< Here, on waiting and running.
+  Duration spent = Duration(0);          ///< Here, on waiting and running.
 
   friend bool operator==(const DispatchNote& aLeft, const DispatchNote& aRight);
 };
--- a/src/fescuetillerd/eventlog.cpp
+++ b/src/fescuetillerd/eventlog.cpp
@@ -13,8 +13,11 @@
 
 namespace {
 
-/** Lines waiting for the output; older ones are dropped first. */
-constexpr size_t kQueuedLines = 1024;
+/** Bundles of lines that wait for the output. */
+constexpr size_t kQueuedBundles = 4;
+/** Bytes of lines that wait to be passed on: some hundred lines. Further ones
+ * are dropped. */
+constexpr size_t kPendingBytes = 256 * 1024;
 
 int64_t
 UnixMilliseconds()
@@ -32,7 +35,7 @@
   , allowance(aSettings.burst)
   , allowanceAt(BootClock::now())
 {
-  spdlog::init_thread_pool(kQueuedLines, 1);
+  spdlog::init_thread_pool(kQueuedBundles, 1);
   this->logger = std::make_shared<spdlog::async_logger>(
     "events",
     std::make_shared<spdlog::sinks::stdout_sink_mt>(),
@@ -44,6 +47,7 @@
 
 EventLog::~EventLog()
 {
+  this->Flush();
   this->logger.reset();
   spdlog::shutdown();
 }
@@ -61,8 +65,7 @@
                      ? this->settings.burst * this->settings.routineReserve
                      : 0;
   if (this->allowance < reserve + 1) {
-    ++this->dropped;
-    ++this->droppedTotal;
+    this->Drop();
     return false;
   }
   this->allowance -= 1;
@@ -70,29 +73,61 @@
 }
 
 void
-EventLog::Write(const Event& aEvent, EventRank aRank)
+EventLog::Drop()
+{
+  ++this->dropped;
+  ++this->droppedTotal;
+}
+
+void
+EventLog::Write(const Event& aEvent)
+{
+  this->Write(EventRank::Notable, [&aEvent] { return aEvent; });
+}
+
+void
+EventLog::Write(EventRank aRank, const std::function<Event()>& aMake)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
   if (!this->Allow(aRank)) {
     return;
   }
+  auto event = aMake();
   nlohmann::ordered_json line = { { "time_ms", UnixMilliseconds() },
                                   { "node", this->node },
-                                  { "event", aEvent.name } };
-  for (const auto& [name, value] : aEvent.fields) {
+                                  { "event", event.name } };
+  for (const auto& [name, value] : event.fields) {
     line[name] = value;
   }
   if (this->dropped > 0) {
     line["lines_dropped_before"] = this->dropped;
     this->dropped = 0;
   }
-  this->logger->info(line.dump(
-    -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+  auto text =
+    line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  if (this->pending.size() + text.size() > kPendingBytes) {
+    this->Drop();
+    return;
+  }
+  this->pending += this->pending.empty() ? "" : "\n";
+  this->pending += text;
+}
+
+void
+EventLog::Flush()
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  bool room = spdlog::thread_pool()->queue_size() < kQueuedBundles;
+  if (room && !this->pending.empty()) {
+    this->logger->info(this->pending);
+    this->pending.clear();
+  }
 }
 
 bool
-EventLog::Drain(Duration aLongest) const
+EventLog::Drain(Duration aLongest)
 {
+  this->Flush();
   constexpr Duration kPoll = std::chrono::milliseconds(5);
   auto end = BootClock::now() + aLongest;
   while (spdlog::thread_pool()->queue_size() > 0) {
@@ -107,7 +142,7 @@
 uint64_t
 EventLog::Dropped() const
 {
-  return this->droppedTotal + spdlog::thread_pool()->overrun_counter();
+  return this->droppedTotal;
 }
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/eventlog.h
+++ b/src/fescuetillerd/eventlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -42,16 +43,24 @@
   EventLog(std::string aNode, const EventLogSettings& aSettings);
   ~EventLog();
 
-  void Write(const Event& aEvent, EventRank aRank = EventRank::Notable);
+  void Write(const Event& aEvent);
+
+  /** Builds the event only if it is written. */
+  void Write(EventRank aRank, const std::function<Event()>& aMake);
 
   uint64_t Dropped() const;
 
+  /** Passes on what was written since the last call, in one go: a thread that
+   * is woken for each line costs more than the line. */
+  void Flush();
+
   /** Waits until everything is written, but not for longer than aLongest.
    * @return False if the output does not take it. */
-  bool Drain(Duration aLongest) const;
+  bool Drain(Duration aLongest);
 
 private:
   bool Allow(EventRank aRank);
+  void Drop();
 
   std::string node;
   EventLogSettings settings;
@@ -59,6 +68,7 @@
   std::mutex mutex;
   double allowance;
   Time allowanceAt;
+  std::string pending; ///< Lines that were not passed on yet.
   uint64_t dropped = 0;
   std::atomic<uint64_t> droppedTotal{ 0 };
 };
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -54,7 +54,7 @@
   this->startedAt = aNow;
   this->executor.runningIds.insert(this->requestId);
   auto left = this->deadline - aNow;
-  auto forwarded = this->request;
+  auto forwarded = std::move(this->request); // It is sent only once.
   RemoveConnectionFields(forwarded);
   forwarded.erase(kDispatchField);
   forwarded.set(headers::kTimeLeft, std::to_string(ToMilliseconds(left)));
@@ -85,24 +85,32 @@
 
 void
 Execution::LogOutcome(const std::string& aOutcome, const std::string& aReason)
+{
+  this->executor.log.Write(aOutcome == "answered" ? EventRank::Routine
+                                                  : EventRank::Notable,
+                           [&] { return this->Describe(aOutcome, aReason); });
+}
+
+/** The line on an execution that has ended. */
+Event
+Execution::Describe(const std::string& aOutcome,
+                    const std::string& aReason) const
 {
   auto now = BootClock::now();
   auto spent =
     this->startedAt == Time() ? Duration(0) : Duration(now - this->startedAt);
-  this->executor.log.Write(
-    { "execution",
-      { { "request", this->requestId },
-        { "class", this->dispatch.requestClass },
-        { "server", this->executor.serving.serverId },
-        { "outcome", aOutcome },
-        { "reason", aReason },
-        { "key", this->key ? std::to_string(*this->key) : "" },
-        { "in_slot_ms", std::to_string(ToMilliseconds(spent)) },
-        { "time_left_ms",
-          std::to_string(ToMilliseconds(this->deadline - now)) },
-        { "running", std::to_string(this->executor.queue.Running()) },
-        { "waiting", std::to_string(this->executor.queue.Waiting()) } } },
-    aOutcome == "answered" ? EventRank::Routine : EventRank::Notable);
+  return { "execution",
+           { { "request", this->requestId },
+             { "class", this->dispatch.requestClass },
+             { "server", this->executor.serving.serverId },
+             { "outcome", aOutcome },
+             { "reason", aReason },
+             { "key", this->key ? std::to_string(*this->key) : "" },
+             { "in_slot_ms", std::to_string(ToMilliseconds(spent)) },
+             { "time_left_ms",
+               std::to_string(ToMilliseconds(this->deadline - now)) },
+             { "running", std::to_string(this->executor.queue.Running()) },
+             { "waiting", std::to_string(this->executor.queue.Waiting()) } } };
 }
 
 void
@@ -127,8 +135,8 @@
   auto hold = this->shared_from_this();
   auto taker = this->Finish(false);
   auto response = TextResponse(503, aReason + "\n");
-  auto note = this->executor.Note(
-    DispatchOutcome::Refused, *this, aReason, aRetryAfter);
+  auto note =
+    this->executor.Note(DispatchOutcome::Refused, *this, aReason, aRetryAfter);
   if (this->key) {
     note.owner = this->executor.MovedTo(*this->key);
   }
@@ -150,9 +158,8 @@
   this->LogOutcome("answered", std::to_string(status));
   auto hold = this->shared_from_this();
   auto taker = this->Finish(status < 300);
-  aResponse.set(
-    kNoteField,
-    Encode(this->executor.Note(DispatchOutcome::Answered, *this)));
+  aResponse.set(kNoteField,
+                Encode(this->executor.Note(DispatchOutcome::Answered, *this)));
   taker->OnWhole(std::move(aResponse));
 }
 
@@ -160,8 +167,7 @@
 Execution::OnHead(ResponseHead aHead)
 {
   aHead.message.set(
-    kNoteField,
-    Encode(this->executor.Note(DispatchOutcome::Answered, *this)));
+    kNoteField, Encode(this->executor.Note(DispatchOutcome::Answered, *this)));
   this->receiver->OnHead(std::move(aHead));
 }
 
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -283,11 +283,8 @@
   aFields.erase(kNoteField);
   if (note) {
     auto now = BootClock::now();
-    this->ingress.peers.OnReport(now,
-                                 this->member,
-                                 note->load,
-                                 note->expected,
-                                 note->untilHeartbeat);
+    this->ingress.peers.OnReport(
+      now, this->member, note->load, note->expected, note->untilHeartbeat);
     this->ingress.peers.OnOverhead(
       now, this->member, now - this->sentAt - note->spent);
   }
@@ -520,25 +517,37 @@
                                       aOutcome,
                                       aOutcome == "answered" ? "" : aReason,
                                       now - this->startedAt);
-  const auto* routes = this->ingress.routes.get();
   this->ingress.log.Write(
-    { "request",
-      { { "request", this->requestId },
-        { "class", this->dispatch.requestClass },
-        { "outcome", aOutcome },
-        { "reason", aReason },
-        { "last_setback", this->lastReason },
-        { "service", this->dispatch.service },
-        { "peer", this->member },
-        { "key", this->key ? std::to_string(*this->key) : "" },
-        { "hops", std::to_string(this->hops) },
-        { "taken_ms", std::to_string(ToMilliseconds(now - this->startedAt)) },
-        { "time_left_ms",
-          std::to_string(ToMilliseconds(this->deadline - now)) },
-        { "configuration",
-          routes == nullptr ? "" : std::to_string(routes->Source().version) },
-        { "cluster", std::to_string(this->ingress.view->Version()) } } },
-    aOutcome == "answered" ? EventRank::Routine : EventRank::Notable);
+    aOutcome == "answered" ? EventRank::Routine : EventRank::Notable,
+    [&] { return this->Describe(now, aOutcome, aReason); });
+}
+
+/** The line on a request that has ended. */
+Event
+IngressRequest::Describe(Time aNow,
+                         const std::string& aOutcome,
+                         const std::string& aReason) const
+{
+  const auto* routes = this->ingress.routes.get();
+  const auto* peer = this->ingress.view->FindMember(this->member);
+  return {
+    "request",
+    { { "request", this->requestId },
+      { "class", this->dispatch.requestClass },
+      { "outcome", aOutcome },
+      { "reason", aReason },
+      { "last_setback", this->lastReason },
+      { "service", this->dispatch.service },
+      { "peer", this->member },
+      { "peer_address", peer == nullptr ? "" : peer->record.address },
+      { "key", this->key ? std::to_string(*this->key) : "" },
+      { "hops", std::to_string(this->hops) },
+      { "taken_ms", std::to_string(ToMilliseconds(aNow - this->startedAt)) },
+      { "time_left_ms", std::to_string(ToMilliseconds(this->deadline - aNow)) },
+      { "configuration",
+        routes == nullptr ? "" : std::to_string(routes->Source().version) },
+      { "cluster", std::to_string(this->ingress.view->Version()) } }
+  };
 }
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -51,6 +51,9 @@
   void GiveUp(const Setback& aSetback);
   void Reply(unsigned aStatus, const std::string& aReason, Duration aRetry);
   void TellOutcome(http::fields& aFields, const std::string& aOutcome);
+  Event Describe(Time aNow,
+                 const std::string& aOutcome,
+                 const std::string& aReason) const;
   void Log(const std::string& aOutcome, const std::string& aReason);
   Duration Left() const;
   std::optional<DispatchNote> TakeNote(http::fields& aFields);
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -65,9 +65,8 @@
   auto& peer = this->peers[aMember];
   bool known = aNow - peer.overheadAt < kOverheadAge;
   auto change = aOverhead - peer.overhead;
-  peer.overhead = known ? peer.overhead +
-                            std::chrono::duration_cast<Duration>(
-                              change * kOverheadWeight)
+  peer.overhead = known ? peer.overhead + std::chrono::duration_cast<Duration>(
+                                            change * kOverheadWeight)
                         : aOverhead;
   peer.overheadAt = aNow;
 }
