--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -71,7 +71,8 @@
 operator==(const SlotRefusal& aLeft, const SlotRefusal& aRight)
 {
   return aLeft.id == aRight.id && aLeft.reason == aRight.reason &&
-         aLeft.retryAfter == aRight.retryAfter;
+         aLeft.retryAfter == aRight.retryAfter &&
+         aLeft.expectedWait == aRight.expectedWait;
 }
 
 SlotQueue::SlotQueue(Eligible aEligible)
@@ -258,8 +259,8 @@
   this->CountOffered(aNow, aRequest, usual);
   this->DecayedShare(aNow, aRequest.requestClass).offered += 1;
   bool inTime = this->CanBeInTime(aNow, aRequest);
-  auto wait = std::max(this->WaitFor(aNow, &aRequest),
-                       Duration(aRequest.notBefore - aNow));
+  auto untilGranted = Duration(aRequest.notBefore - aNow);
+  auto wait = std::max(this->WaitFor(aNow, &aRequest), untilGranted);
   auto end = aNow + wait + usual;
   auto margin = std::chrono::duration_cast<Duration>(wait * kWaitMargin);
   bool late = !inTime || end + margin > aRequest.wantedBy;
@@ -273,7 +274,10 @@
   bool free = aRequest.notBefore <= aNow && aRequest.deadline > aNow &&
               this->running.size() + this->waiting.size() < this->slots;
   if (hopeless && !free) {
-    return { { aRequest.id, "no-time", this->RetryAfter(aNow, aRequest.id) } };
+    return { { aRequest.id,
+               wait == untilGranted ? "granted-too-late" : "no-time",
+               std::max(this->RetryAfter(aNow, aRequest.id), untilGranted),
+               wait } };
   }
   this->waiting.push_back(aRequest);
   return {};
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -31,6 +31,7 @@
   uint64_t id = 0;
   std::string reason;
   Duration retryAfter = Duration(0);
+  Duration expectedWait = Duration(0); ///< That decided it; 0: not that.
 
   friend bool operator==(const SlotRefusal& aLeft, const SlotRefusal& aRight);
 };
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -99,18 +99,23 @@
   auto now = BootClock::now();
   auto spent =
     this->startedAt == Time() ? Duration(0) : Duration(now - this->startedAt);
-  return { "execution",
-           { { "request", this->requestId },
-             { "class", this->dispatch.requestClass },
-             { "server", this->executor.serving.serverId },
-             { "outcome", aOutcome },
-             { "reason", aReason },
-             { "key", this->key ? std::to_string(*this->key) : "" },
-             { "in_slot_ms", std::to_string(ToMilliseconds(spent)) },
-             { "time_left_ms",
-               std::to_string(ToMilliseconds(this->deadline - now)) },
-             { "running", std::to_string(this->executor.queue.Running()) },
-             { "waiting", std::to_string(this->executor.queue.Waiting()) } } };
+  return {
+    "execution",
+    { { "request", this->requestId },
+      { "class", this->dispatch.requestClass },
+      { "server", this->executor.serving.serverId },
+      { "outcome", aOutcome },
+      { "reason", aReason },
+      { "key", this->key ? std::to_string(*this->key) : "" },
+      { "in_slot_ms", std::to_string(ToMilliseconds(spent)) },
+      { "time_left_ms", std::to_string(ToMilliseconds(this->deadline - now)) },
+      { "expected_wait_ms",
+        std::to_string(ToMilliseconds(this->expectedWait)) },
+      { "load",
+        std::to_string(this->executor.queue.OfferedLoad(now)).substr(0, 4) },
+      { "running", std::to_string(this->executor.queue.Running()) },
+      { "waiting", std::to_string(this->executor.queue.Waiting()) } }
+  };
 }
 
 void
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -40,6 +40,7 @@
   const Dispatch dispatch;
   const Time arrivedAt;
   Time deadline;
+  Duration expectedWait = Duration(0); ///< That a refusal was decided by.
 
 private:
   /** Frees the slot. @return The receiver, which hears nothing further. */
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -214,6 +214,7 @@
   auto found = this->executions.find(aRefusal.id);
   if (found != this->executions.end()) {
     auto execution = found->second;
+    execution->expectedWait = aRefusal.expectedWait;
     execution->Refuse(aRefusal.reason, aRefusal.retryAfter);
   }
 }
--- a/tests/admission/slotqueuetest.cpp
+++ b/tests/admission/slotqueuetest.cpp
@@ -135,6 +135,39 @@
 
 } // namespace
 
+SCENARIO("A refusal tells what it was decided by", "[slotqueue]")
+{
+  SlotQueue queue(Always);
+  queue.SetSlots(1);
+  Teach(queue, "a", kStart, milliseconds(50));
+  auto now = kStart + seconds(1);
+
+  GIVEN("keys that are granted too late")
+  {
+    // Found on a played day: a refusal with four free slots read "no-time".
+    auto request = Ask(1, "a", now);
+    request.notBefore = now + milliseconds(600);
+    auto refused = queue.Offer(now, request);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason == "granted-too-late");
+    CHECK(refused[0].expectedWait == milliseconds(600));
+    THEN("the client comes back when they are granted")
+    {
+      CHECK(refused[0].retryAfter >= milliseconds(600));
+    }
+  }
+  GIVEN("a queue that is too long")
+  {
+    std::vector<SlotRefusal> refused;
+    for (uint64_t id = 1; id < 40 && refused.empty(); ++id) {
+      refused = queue.Offer(now, Ask(id, "a", now));
+    }
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason == "no-time");
+    CHECK(refused[0].expectedWait > Duration(0));
+  }
+}
+
 SCENARIO("A request gets a slot, waits, or is refused at once", "[slotqueue]")
 {
   SlotQueue queue(Always);
