--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -64,6 +64,7 @@
   , exchange(std::move(aExchange))
   , requestId(exchange->request[headers::kRequestId])
   , startedAt(exchange->receivedAt)
+  , deadline(startedAt)
   , timer(aIngress.context)
 {
   ++this->ingress.inFlight;
