--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -460,6 +460,19 @@
   return this->server.Usable(aNow) && !this->Drained();
 }
 
+/** Makes a change that nothing waits for; it is dropped if the store does not
+ * take it soon. */
+void
+OwnershipAgent::Submit(Time aNow, const StoreTransaction& aChange)
+{
+  this->queue.Add(
+    aChange,
+    [this, aChange](Time aDoneAt, const SettledTransaction& aDone) {
+      this->ApplySettled(aDoneAt, aChange, aDone);
+    },
+    aNow + kMovePatience);
+}
+
 MemberState
 OwnershipAgent::DesiredState(Time aNow) const
 {
@@ -771,12 +784,7 @@
   }
   auto change = FirstRangesChange(service, ready);
   this->Say("ranges-created", { { "members", std::to_string(ready.size()) } });
-  this->queue.Add(
-    change,
-    [this, change](Time aDoneAt, const SettledTransaction& aDone) {
-      this->ApplySettled(aDoneAt, change, aDone);
-    },
-    aNow + kMovePatience);
+  this->Submit(aNow, change);
 }
 
 void
@@ -963,12 +971,7 @@
   if (change.sets.empty()) {
     return;
   }
-  this->queue.Add(
-    change,
-    [this, change](Time aDoneAt, const SettledTransaction& aDone) {
-      this->ApplySettled(aDoneAt, change, aDone);
-    },
-    aNow + kMovePatience);
+  this->Submit(aNow, change);
 }
 
 void
@@ -994,12 +997,7 @@
   }
   this->Say("orphans-taken",
             { { "ranges", std::to_string(change.sets.size()) } });
-  this->queue.Add(
-    change,
-    [this, change](Time aDoneAt, const SettledTransaction& aDone) {
-      this->ApplySettled(aDoneAt, change, aDone);
-    },
-    aNow + kMovePatience);
+  this->Submit(aNow, change);
 }
 
 /** Ends members of other services that had this daemon's address: their
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -208,6 +208,7 @@
   bool Drained() const;
   bool MayOwnKeys(Time aNow) const;
   MemberState DesiredState(Time aNow) const;
+  void Submit(Time aNow, const StoreTransaction& aChange);
   void ApplySettled(Time aNow,
                     const StoreTransaction& aTransaction,
                     const SettledTransaction& aResult);
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -146,14 +146,7 @@
          std::pair(&this->readyCalls, this->settings.readyAddress),
          std::pair(&this->peerCalls, own),
          std::pair(&this->metricsCalls, this->settings.metricsAddress) }) {
-    if (text.empty()) {
-      continue;
-    }
-    auto address = ParseEndpoint(text);
-    if (!address) {
-      return tl::unexpected(address.error());
-    }
-    auto listening = server->Listen(*address);
+    auto listening = server->Listen(text);
     if (!listening) {
       return listening;
     }
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -70,14 +70,7 @@
        { std::pair(&this->clients, this->settings.clientAddress),
          std::pair(&this->callers, this->settings.callerAddress),
          std::pair(&this->peers, this->settings.peerAddress) }) {
-    if (text.empty()) {
-      continue;
-    }
-    auto address = ParseEndpoint(text);
-    if (!address) {
-      return tl::unexpected(address.error());
-    }
-    auto listening = server->Listen(*address);
+    auto listening = server->Listen(text);
     if (!listening) {
       return listening;
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -33,6 +33,19 @@
   return {};
 }
 
+Result<void>
+HttpServer::Listen(const std::string& aAddress)
+{
+  if (aAddress.empty()) {
+    return {};
+  }
+  auto address = ParseEndpoint(aAddress);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  return this->Listen(*address);
+}
+
 void
 HttpServer::SetLimits(const SessionLimits& aLimits)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,6 +22,8 @@
   HttpServer(asio::io_context& aContext, Handler aHandler);
 
   Result<void> Listen(const Tcp::endpoint& aAddress);
+  /** The same for an address as text; an empty one is not listened on. */
+  Result<void> Listen(const std::string& aAddress);
 
   /** Bounds for requests that arrive from now on. */
   void SetLimits(const SessionLimits& aLimits);
