Take keys as orphans only if their owner is no member in the store

The change is conditional now on the absence of the owner's record. Test [orphans]: without the condition a member whose row had not come lost its keys.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1,6 +1,7 @@
 #include "cluster/ownershipagent.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -978,6 +979,7 @@
 OwnershipAgent::TakeOrphans(Time aNow)
 {
   std::map<Key, Time> still;
+  std::set<MemberId> absent;
   StoreTransaction change;
   for (const auto& [first, range] :
        this->view.RangesOf(this->identity.service)) {
@@ -988,9 +990,14 @@
     still[first] = known == this->orphans.end() ? aNow : known->second;
     if (aNow - still[first] > kOrphanTime && change.sets.size() < kMostTaken) {
       AddAdoption(change, range, this->self);
+      absent.insert(range.record.owner);
     }
   }
   this->orphans = std::move(still);
+  // The owner may be a member whose row has not come here yet.
+  for (const auto& owner : absent) {
+    AddCondition(change, MemberKey(this->identity.service, owner), 0);
+  }
   if (change.sets.empty() || !this->queue.Empty() ||
       this->DesiredState(aNow) != MemberState::Ready) {
     return;
