Read rows, parts and pieces by one function each

The guarded parse of a row's JSON stood in cluster and audit, the reading of all services' parts in ControlNode and PeerLearner, the completion of body reads twice in UpstreamCall, the JSON answer twice in ControlNode and in the store's stand-in, the search for a row of a key twice. A setback of a request is made by named functions; a member of it that nothing read is gone.

--- a/src/audit/auditentry.cpp
+++ b/src/audit/auditentry.cpp
@@ -2,30 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
-namespace fescuetiller {
+#include "model/rowvalue.h"
 
-namespace {
+namespace fescuetiller {
 
 using nlohmann::json;
 
-/** Runs a parse function; a value of the wrong form gives nothing. */
-template<typename Record, typename Function>
-std::optional<Record>
-Guarded(const StoreRow& aRow, Function aParse)
-{
-  auto value = json::parse(aRow.value, nullptr, false);
-  if (aRow.removed || aRow.key.table != kAuditTable || !value.is_object()) {
-    return std::nullopt;
-  }
-  try {
-    return aParse(value);
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
-}
-
-} // namespace
-
 bool
 operator==(const AuditEntry& aLeft, const AuditEntry& aRight)
 {
@@ -79,7 +61,10 @@
 std::optional<AuditEntry>
 ParseAuditEntry(const StoreRow& aRow)
 {
-  return Guarded<AuditEntry>(aRow, [&](const json& aValue) {
+  if (aRow.key.table != kAuditTable) {
+    return std::nullopt;
+  }
+  return ParseRowValue<AuditEntry>(aRow, [&](const json& aValue) {
     AuditEntry entry;
     entry.service = aRow.key.part;
     entry.sequence = aValue.at("sequence").get<uint64_t>();
@@ -99,7 +84,10 @@
 std::optional<AuditHead>
 ParseAuditHead(const StoreRow& aRow)
 {
-  return Guarded<AuditHead>(aRow, [&](const json& aValue) {
+  if (aRow.key.table != kAuditTable) {
+    return std::nullopt;
+  }
+  return ParseRowValue<AuditHead>(aRow, [&](const json& aValue) {
     AuditHead head;
     head.service = aRow.key.part;
     head.nextSequence = aValue.at("next-sequence").get<uint64_t>();
--- a/src/cluster/records.cpp
+++ b/src/cluster/records.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "model/rowvalue.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -33,22 +35,6 @@
   return std::nullopt;
 }
 
-/** Runs a parse function; a value of the wrong form gives nothing. */
-template<typename Record, typename Function>
-std::optional<Record>
-Guarded(const StoreRow& aRow, Function aParse)
-{
-  auto value = json::parse(aRow.value, nullptr, false);
-  if (!value.is_object()) {
-    return std::nullopt;
-  }
-  try {
-    return aParse(value);
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 bool
@@ -159,11 +145,11 @@
 std::optional<MemberRecord>
 ParseMember(const StoreRow& aRow)
 {
-  if (aRow.key.table != kClusterTable || aRow.removed ||
+  if (aRow.key.table != kClusterTable ||
       !HasPrefix(aRow.key.key, kMemberPrefix)) {
     return std::nullopt;
   }
-  return Guarded<MemberRecord>(
+  return ParseRowValue<MemberRecord>(
     aRow, [&](const json& aValue) -> std::optional<MemberRecord> {
       MemberRecord record;
       record.id = aRow.key.key.substr(std::string(kMemberPrefix).size());
@@ -184,11 +170,11 @@
 std::optional<RangeRecord>
 ParseRange(const StoreRow& aRow)
 {
-  if (aRow.key.table != kClusterTable || aRow.removed ||
+  if (aRow.key.table != kClusterTable ||
       !HasPrefix(aRow.key.key, kRangePrefix)) {
     return std::nullopt;
   }
-  return Guarded<RangeRecord>(
+  return ParseRowValue<RangeRecord>(
     aRow, [&](const json& aValue) -> std::optional<RangeRecord> {
       RangeRecord record;
       record.service = aRow.key.part;
@@ -215,11 +201,11 @@
 std::optional<DrainRecord>
 ParseDrain(const StoreRow& aRow)
 {
-  if (aRow.key.table != kClusterTable || aRow.removed ||
+  if (aRow.key.table != kClusterTable ||
       !HasPrefix(aRow.key.key, kDrainPrefix)) {
     return std::nullopt;
   }
-  return Guarded<DrainRecord>(
+  return ParseRowValue<DrainRecord>(
     aRow, [&](const json& aValue) -> std::optional<DrainRecord> {
       DrainRecord record;
       record.service = aRow.key.part;
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -312,10 +312,7 @@
     return;
   }
   auto reply = this->agent.OnHeartbeat(now, *report);
-  HttpResponse response(http::status::ok, 11);
-  response.set(http::field::content_type, "application/json");
-  response.body() = EncodeHeartbeatReply(reply);
-  aExchange->Respond(std::move(response));
+  aExchange->Respond(JsonResponse(200, EncodeHeartbeatReply(reply)));
   this->Advance();
 }
 
@@ -341,10 +338,7 @@
   } else {
     rows = this->agent.View().RowsOf(*from, kMostRowsRead);
   }
-  HttpResponse response(http::status::ok, 11);
-  response.set(http::field::content_type, "application/json");
-  response.body() = EncodeRows(rows);
-  aExchange->Respond(std::move(response));
+  aExchange->Respond(JsonResponse(200, EncodeRows(rows)));
 }
 
 void
@@ -421,12 +415,17 @@
   }
 }
 
+/** Reads the services' parts; changes are then followed from the first one's
+ * version on. */
 void
 ControlNode::LoadCluster(TableWatch::Loaded aLoaded)
 {
-  this->LoadServices(
-    std::make_shared<std::vector<std::string>>(this->Services()),
-    0,
+  this->store.ReadParts(
+    kClusterTable,
+    this->Services(),
+    [this](const std::string& aService, const StoreRows& aRows) {
+      this->agent.OnRows(BootClock::now(), aService, aRows);
+    },
     std::move(aLoaded));
 }
 
@@ -442,35 +441,6 @@
   return services;
 }
 
-/** Reads the services' parts one after the other; changes are then followed
- * from the first one's version on. */
-void
-ControlNode::LoadServices(
-  const std::shared_ptr<std::vector<std::string>>& aServices,
-  RowVersion aVersion,
-  TableWatch::Loaded aLoaded)
-{
-  if (aServices->empty()) {
-    aLoaded(aVersion);
-    return;
-  }
-  auto service = aServices->back();
-  aServices->pop_back();
-  this->store.Read(
-    kClusterTable,
-    service,
-    [this, service, aServices, aVersion, loaded = std::move(aLoaded)](
-      Result<StoreRows> aRows) {
-      if (!aRows) {
-        loaded(tl::unexpected(aRows.error()));
-        return;
-      }
-      this->agent.OnRows(BootClock::now(), service, *aRows);
-      this->LoadServices(
-        aServices, aVersion == 0 ? aRows->version : aVersion, loaded);
-    });
-}
-
 void
 ControlNode::OnClusterRows(const StoreRows& aRows)
 {
@@ -498,13 +468,9 @@
           { { "call", "read lease" }, { "error", ToString(aRows.error()) } } });
       return;
     }
-    RowVersion version = 0;
-    for (const auto& row : aRows->rows) {
-      if (row.key == aKey) {
-        version = row.version;
-      }
-    }
-    this->agent.OnLease(BootClock::now(), aKey.key, version);
+    const auto* row = FindRow(*aRows, aKey);
+    this->agent.OnLease(
+      BootClock::now(), aKey.key, row == nullptr ? 0 : row->version);
   });
 }
 
@@ -519,25 +485,27 @@
         return;
       }
       if (!aError) {
-        this->learner.OnPeerHeard(
-          BootClock::now(),
-          { this->beaconSender.address(), this->beaconSender.port() });
-      }
-      auto message =
-        aError ? std::nullopt
-               : DecodeBeacon(std::string(this->beaconBuffer.data(), aSize));
-      if (message) {
-        for (const auto& reply :
-             this->agent.OnBeacon(BootClock::now(), *message)) {
-          this->SendBeacon(this->beaconSender.address().to_string() + ":" +
-                             std::to_string(this->beaconSender.port()),
-                           reply.message);
-        }
+        this->OnDatagram(std::string(this->beaconBuffer.data(), aSize));
       }
       this->ReceiveBeacon();
     });
 }
 
+void
+ControlNode::OnDatagram(const std::string& aBytes)
+{
+  auto now = BootClock::now();
+  Tcp::endpoint sender(this->beaconSender.address(), this->beaconSender.port());
+  this->learner.OnPeerHeard(now, sender);
+  auto message = DecodeBeacon(aBytes);
+  if (!message) {
+    return;
+  }
+  for (const auto& reply : this->agent.OnBeacon(now, *message)) {
+    this->SendBeacon(ToString(sender), reply.message);
+  }
+}
+
 void
 ControlNode::SendBeacon(const std::string& aAddress,
                         const BeaconMessage& aMessage)
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -61,12 +61,10 @@
   void TakeConfiguration(const StoreRow& aRow);
   void LoadConfiguration(TableWatch::Loaded aLoaded);
   void LoadCluster(TableWatch::Loaded aLoaded);
-  void LoadServices(const std::shared_ptr<std::vector<std::string>>& aServices,
-                    RowVersion aVersion,
-                    TableWatch::Loaded aLoaded);
   Duration ClusterPause() const;
   void ReadLease(const StoreKey& aKey);
   void ReceiveBeacon();
+  void OnDatagram(const std::string& aBytes);
   void SendBeacon(const std::string& aAddress, const BeaconMessage& aMessage);
   std::vector<std::string> Services() const;
   void Publish();
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -58,6 +58,24 @@
 
 } // namespace
 
+IngressRequest::Setback
+IngressRequest::Setback::NotSent(const std::string& aReason)
+{
+  Setback setback;
+  setback.reason = aReason;
+  setback.retryAfter = kOwnerRetry;
+  return setback;
+}
+
+IngressRequest::Setback
+IngressRequest::Setback::Unknown(const std::string& aReason)
+{
+  Setback setback;
+  setback.reason = aReason;
+  setback.mayHaveRun = true;
+  return setback;
+}
+
 IngressRequest::IngressRequest(Ingress& aIngress,
                                std::shared_ptr<Exchange> aExchange)
   : ingress(aIngress)
@@ -198,12 +216,8 @@
     return;
   }
   if (this->Left() < kShortestLeft) {
-    this->GiveUp({ this->lastReason.empty() ? "no-time" : this->lastReason,
-                   false,
-                   false,
-                   kOwnerRetry,
-                   "",
-                   false });
+    this->GiveUp(Setback::NotSent(this->lastReason.empty() ? "no-time"
+                                                           : this->lastReason));
     return;
   }
   std::string reason;
@@ -213,14 +227,10 @@
     return;
   }
   if (this->key) {
-    this->OnSetback({ reason, false, false, kOwnerRetry, "", false });
+    this->OnSetback(Setback::NotSent(reason));
   } else {
-    this->GiveUp({ this->lastReason.empty() ? reason : this->lastReason,
-                   false,
-                   false,
-                   kOwnerRetry,
-                   "",
-                   false });
+    this->GiveUp(
+      Setback::NotSent(this->lastReason.empty() ? reason : this->lastReason));
   }
 }
 
@@ -252,7 +262,7 @@
   auto address = ParseEndpoint(peer->record.address);
   if (!address) {
     this->EndCall();
-    this->OnSetback({ "bad-address", false, true, kOwnerRetry, "", false });
+    this->OnSetback(Setback::NotSent("bad-address"));
     return;
   }
   CallOptions options;
@@ -299,16 +309,15 @@
   this->EndCall();
   if (!note) {
     // Not from a daemon's request path: it cannot tell what became of it.
-    this->OnSetback({ "no-note", true, true, Duration(0), "", false });
+    this->OnSetback(Setback::Unknown("no-note"));
     return;
   }
   if (note->outcome != DispatchOutcome::Answered) {
     this->OnSetback({ note->reason,
-                      note->outcome == DispatchOutcome::Failed,
-                      false,
                       note->retryAfter,
-                      note->owner,
-                      note->reachedServer });
+                      note->outcome == DispatchOutcome::Failed,
+                      note->reachedServer,
+                      note->owner });
     return;
   }
   this->ended = true;
@@ -366,12 +375,9 @@
   if (!outOfTime) {
     this->ingress.peers.OnFailure(BootClock::now(), this->member);
   }
-  this->OnSetback({ "peer-" + aFailure.error.step,
-                    aFailure.stage != CallStage::NotSent,
-                    true,
-                    kOwnerRetry,
-                    "",
-                    false });
+  auto setback = Setback::NotSent("peer-" + aFailure.error.step);
+  setback.mayHaveRun = aFailure.stage != CallStage::NotSent;
+  this->OnSetback(setback);
 }
 
 void
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -31,11 +31,14 @@
   struct Setback
   {
     std::string reason;
-    bool mayHaveRun = false;
-    bool unreachable = false;
     Duration retryAfter = Duration(0);
-    std::string owner;          ///< Where the keys went, if known.
+    bool mayHaveRun = false;
     bool reachedServer = false; ///< A backend server turned it away.
+    std::string owner;          ///< Where the keys went, if known.
+
+    /** It was sent nowhere, or not read there. */
+    static Setback NotSent(const std::string& aReason);
+    static Setback Unknown(const std::string& aReason);
   };
 
   bool ReadRequest();
--- a/src/fescuetillerd/peerlearner.cpp
+++ b/src/fescuetillerd/peerlearner.cpp
@@ -31,49 +31,36 @@
   }
   this->learning = true;
   this->nextAt = aNow + kLessonInterval;
-  auto lesson = std::make_shared<Lesson>(
-    Lesson{ StoreClient(this->pool, aPeer), ToString(aPeer), {} });
-  lesson->peer.ReadFrom(ConfigurationKey(),
-                        [this, lesson](Result<StoreRows> aRows) {
-                          if (!aRows) {
-                            this->End(*lesson, ToString(aRows.error()));
-                            return;
-                          }
-                          this->hooks.onConfiguration(*aRows);
-                          lesson->services = this->hooks.services();
-                          this->ReadServices(lesson);
-                        });
-}
-
-void
-PeerLearner::ReadServices(const std::shared_ptr<Lesson>& aLesson)
-{
-  if (aLesson->services.empty()) {
-    this->End(*aLesson, "");
-    return;
-  }
-  auto service = aLesson->services.back();
-  aLesson->services.pop_back();
-  aLesson->peer.Read(
-    kClusterTable, service, [this, aLesson](Result<StoreRows> aRows) {
+  this->peer = std::make_unique<StoreClient>(this->pool, aPeer);
+  auto address = ToString(aPeer);
+  this->peer->ReadFrom(
+    ConfigurationKey(), [this, address](Result<StoreRows> aRows) {
       if (!aRows) {
-        this->End(*aLesson, ToString(aRows.error()));
+        this->End(address, ToString(aRows.error()));
         return;
       }
-      this->hooks.onCluster(*aRows);
-      this->ReadServices(aLesson);
+      this->hooks.onConfiguration(*aRows);
+      this->peer->ReadParts(
+        kClusterTable,
+        this->hooks.services(),
+        [this](const std::string&, const StoreRows& aPart) {
+          this->hooks.onCluster(aPart);
+        },
+        [this, address](Result<RowVersion> aVersion) {
+          this->End(address, aVersion ? "" : ToString(aVersion.error()));
+        });
     });
 }
 
 void
-PeerLearner::End(const Lesson& aLesson, const std::string& aError)
+PeerLearner::End(const std::string& aPeer, const std::string& aError)
 {
   this->learning = false;
   bool first = !this->learned && aError.empty();
   this->learned = this->learned || aError.empty();
   if (first || !aError.empty()) {
-    this->log.Write({ "learned-from-peer",
-                      { { "peer", aLesson.address }, { "error", aError } } });
+    this->log.Write(
+      { "learned-from-peer", { { "peer", aPeer }, { "error", aError } } });
   }
 }
 
--- a/src/fescuetillerd/peerlearner.h
+++ b/src/fescuetillerd/peerlearner.h
@@ -37,19 +37,12 @@
   bool HasLearned() const;
 
 private:
-  struct Lesson
-  {
-    StoreClient peer;
-    std::string address;
-    std::vector<std::string> services; ///< Not read yet.
-  };
-
-  void ReadServices(const std::shared_ptr<Lesson>& aLesson);
-  void End(const Lesson& aLesson, const std::string& aError);
+  void End(const std::string& aPeer, const std::string& aError);
 
   ConnectionPool& pool;
   EventLog& log;
   Hooks hooks;
+  std::unique_ptr<StoreClient> peer; ///< Of the present or last lesson.
   bool learning = false;
   bool learned = false;
   Time nextAt;
--- a/src/http/messages.cpp
+++ b/src/http/messages.cpp
@@ -51,6 +51,14 @@
   return response;
 }
 
+HttpResponse
+JsonResponse(unsigned aStatus, const std::string& aText)
+{
+  auto response = TextResponse(aStatus, aText);
+  response.set(http::field::content_type, "application/json");
+  return response;
+}
+
 Result<Tcp::endpoint>
 ParseEndpoint(const std::string& aText)
 {
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -68,6 +68,9 @@
 HttpResponse
 TextResponse(unsigned aStatus, const std::string& aText);
 
+HttpResponse
+JsonResponse(unsigned aStatus, const std::string& aText);
+
 /** Reads "10.1.0.38:8145". */
 Result<Tcp::endpoint>
 ParseEndpoint(const std::string& aText);
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -283,24 +283,35 @@
     this->Complete();
     return;
   }
-  this->parser->get().body().data = this->body.data();
-  this->parser->get().body().size = this->body.size();
-  this->parser->get().body().more = false;
-  http::async_read(
-    this->connection->socket,
-    this->connection->buffer,
-    *this->parser,
-    [self = this->shared_from_this()](error_code aError, size_t) {
-      if (self->ended) {
-        return;
-      }
-      if (aError && aError != http::error::need_buffer) {
-        self->Fail("read answer", aError);
-        return;
-      }
-      self->bodyBytes = self->body.size() - self->parser->get().body().size;
-      self->Complete();
-    });
+  this->ReadBody(false, [this](size_t aSize) {
+    this->bodyBytes = aSize;
+    this->Complete();
+  });
+}
+
+/** Reads into the body buffer. @param aMore Whether more follows later.
+ * @param aRead Gets the number of bytes; not called after the end. */
+void
+UpstreamCall::ReadBody(bool aMore, std::function<void(size_t)> aRead)
+{
+  auto& target = this->parser->get().body();
+  target.data = this->body.data();
+  target.size = this->body.size();
+  target.more = aMore;
+  http::async_read(this->connection->socket,
+                   this->connection->buffer,
+                   *this->parser,
+                   [self = this->shared_from_this(),
+                    read = std::move(aRead)](error_code aError, size_t) {
+                     if (self->ended) {
+                       return;
+                     }
+                     if (aError && aError != http::error::need_buffer) {
+                       self->Fail("read answer", aError);
+                       return;
+                     }
+                     read(self->body.size() - self->parser->get().body().size);
+                   });
 }
 
 void
@@ -310,33 +321,18 @@
     this->Complete();
     return;
   }
-  auto& target = this->parser->get().body();
-  target.data = this->body.data();
-  target.size = this->body.size();
-  target.more = true;
-  http::async_read(
-    this->connection->socket,
-    this->connection->buffer,
-    *this->parser,
-    [self = this->shared_from_this()](error_code aError, size_t) {
-      if (self->ended) {
-        return;
-      }
-      if (aError && aError != http::error::need_buffer) {
-        self->Fail("read answer", aError);
-        return;
-      }
-      size_t size = self->body.size() - self->parser->get().body().size;
-      if (size == 0) {
+  this->ReadBody(true, [this](size_t aSize) {
+    if (aSize == 0) {
+      this->ReadPiece();
+      return;
+    }
+    auto self = this->shared_from_this();
+    this->receiver->OnPiece(asio::buffer(this->body.data(), aSize), [self] {
+      if (!self->ended) {
         self->ReadPiece();
-        return;
       }
-      self->receiver->OnPiece(asio::buffer(self->body.data(), size), [self] {
-        if (!self->ended) {
-          self->ReadPiece();
-        }
-      });
     });
+  });
 }
 
 HttpResponse
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -56,6 +56,7 @@
   void ReadHead();
   void OnHead();
   void ReadWhole();
+  void ReadBody(bool aMore, std::function<void(size_t)> aRead);
   void ReadPiece();
   void Complete();
   void Release();
--- a/src/model/storecalls.cpp
+++ b/src/model/storecalls.cpp
@@ -9,12 +9,8 @@
   if (!read) {
     return tl::unexpected(read.error());
   }
-  for (const auto& row : read->rows) {
-    if (row.key == aKey) {
-      return std::optional<StoreRow>(row);
-    }
-  }
-  return std::optional<StoreRow>();
+  const auto* row = FindRow(*read, aKey);
+  return row == nullptr ? std::optional<StoreRow>() : *row;
 }
 
 } // namespace fescuetiller
--- a/src/model/storerow.cpp
+++ b/src/model/storerow.cpp
@@ -1,5 +1,6 @@
 #include "model/storerow.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace fescuetiller {
@@ -46,4 +47,14 @@
          aLeft.removes == aRight.removes;
 }
 
+const StoreRow*
+FindRow(const StoreRows& aRows, const StoreKey& aKey)
+{
+  auto found =
+    std::find_if(aRows.rows.begin(),
+                 aRows.rows.end(),
+                 [&](const StoreRow& aRow) { return aRow.key == aKey; });
+  return found == aRows.rows.end() ? nullptr : &*found;
+}
+
 } // namespace fescuetiller
--- a/src/model/storerow.h
+++ b/src/model/storerow.h
@@ -67,4 +67,8 @@
   bool more = false;      ///< Rows follow after the last one.
 };
 
+/** nullptr when the row is not among those read. */
+const StoreRow*
+FindRow(const StoreRows& aRows, const StoreKey& aKey);
+
 } // namespace fescuetiller
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -98,6 +98,39 @@
     });
 }
 
+void
+StoreClient::ReadParts(const std::string& aTable,
+                       std::vector<std::string> aParts,
+                       PartRead aRead,
+                       PartsDone aDone)
+{
+  this->ReadNextPart(std::make_shared<PartsRead>(PartsRead{
+    aTable, std::move(aParts), std::move(aRead), std::move(aDone) }));
+}
+
+void
+StoreClient::ReadNextPart(const std::shared_ptr<PartsRead>& aParts)
+{
+  if (aParts->left.empty()) {
+    aParts->done(aParts->version);
+    return;
+  }
+  auto part = aParts->left.back();
+  aParts->left.pop_back();
+  this->Read(
+    aParts->table, part, [this, aParts, part](Result<StoreRows> aRows) {
+      if (!aRows) {
+        aParts->done(tl::unexpected(aRows.error()));
+        return;
+      }
+      if (aParts->version == 0) {
+        aParts->version = aRows->version;
+      }
+      aParts->read(part, *aRows);
+      this->ReadNextPart(aParts);
+    });
+}
+
 void
 StoreClient::ReadFrom(const StoreKey& aFrom, RowsDone aDone)
 {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "http/http.h"
 #include "model/model.h"
@@ -41,6 +42,18 @@
             const std::string& aPart,
             RowsDone aDone);
 
+  using PartRead =
+    std::function<void(const std::string& aPart, const StoreRows& aRows)>;
+  /** Version at which the first part was read; 0: there was none. */
+  using PartsDone = std::function<void(Result<RowVersion>)>;
+
+  /** All rows of some parts of a table, one part after the other, until one
+   * cannot be read. */
+  void ReadParts(const std::string& aTable,
+                 std::vector<std::string> aParts,
+                 PartRead aRead,
+                 PartsDone aDone);
+
   /** The rows from one key on; one call. */
   void ReadFrom(const StoreKey& aFrom, RowsDone aDone);
 
@@ -53,6 +66,17 @@
   uint64_t calls = 0; ///< Made so far.
 
 private:
+  /** Parts of a table that are being read. */
+  struct PartsRead
+  {
+    std::string table;
+    std::vector<std::string> left;
+    PartRead read;
+    PartsDone done;
+    RowVersion version = 0;
+  };
+
+  void ReadNextPart(const std::shared_ptr<PartsRead>& aParts);
   void Call(const StoreCall& aCall, Duration aTimeout, FetchDone aDone);
   void ReadMore(const StoreKey& aFrom,
                 std::shared_ptr<StoreRows> aRows,
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -78,9 +78,7 @@
                     unsigned aStatus,
                     const json& aBody)
   {
-    auto response = TextResponse(aStatus, aBody.dump());
-    response.set(http::field::content_type, "application/json");
-    aExchange->Respond(response);
+    aExchange->Respond(JsonResponse(aStatus, aBody.dump()));
   }
 
   void Handle(const std::shared_ptr<Exchange>& aExchange)
