--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -1,282 +1,224 @@
-#include <iostream>
-#include <list>
+#include "standins/storestandin.h"
 
-#include <nlohmann/json.hpp>
-
-#include "http/http.h"
 #include "platform/platform.h"
-#include "standins/standin.h"
 
 namespace fescuetiller {
 
-namespace {
-
 using nlohmann::json;
 
-} // namespace
-
-/**
- * Stand-in of the platform's store that follows its published protocol: rows,
- * conditional transactions and a watch.
- *
- * POST /standin/config writes the operator's configuration. POST
- * /standin/faults sets the fault of all calls after it: "down" responds with
- * 503, "silent" never responds, "lose" commits transactions but closes the
- * connection without a response, "none" is normal operation.
- */
-class StoreStandIn
+StoreStandIn::StoreStandIn(asio::io_context& aContext)
+  : context(aContext)
+  , server(aContext, [this](const std::shared_ptr<Exchange>& aExchange) {
+    this->Handle(aExchange);
+  })
 {
-public:
-  explicit StoreStandIn(asio::io_context& aContext)
-    : context(aContext)
-    , server(aContext, [this](const std::shared_ptr<Exchange>& aExchange) {
-      this->Handle(aExchange);
-    })
-  {
-  }
-
-  Result<void> Listen(uint16_t aPort)
-  {
-    return this->server.Listen(
-      Tcp::endpoint(asio::ip::address_v4::loopback(), aPort));
-  }
-
-  uint16_t Port() const { return this->server.Address().port(); }
+}
 
-private:
-  using Key = std::tuple<std::string, std::string, std::string>;
+Result<void>
+StoreStandIn::Listen(uint16_t aPort)
+{
+  return this->server.Listen(
+    Tcp::endpoint(asio::ip::address_v4::loopback(), aPort));
+}
 
-  struct Row
-  {
-    std::string value; ///< Base64, as received.
-    uint64_t version = 0;
-  };
+uint16_t
+StoreStandIn::Port() const
+{
+  return this->server.Address().port();
+}
 
-  /** A watch call that waits for changes of a table. */
-  struct Watcher
-  {
-    std::string table;
-    uint64_t after = 0; ///< Version after which changes are reported.
-    std::shared_ptr<Exchange> exchange;
-    std::shared_ptr<asio::steady_timer> timer; ///< Ends the wait.
-  };
+void
+StoreStandIn::SetConfiguration(const std::string& aText)
+{
+  this->WriteRow({ "op", "", "config" }, EncodeBase64(aText));
+}
 
-  static json ToJson(const Key& aKey, const Row& aRow)
-  {
-    const auto& [table, part, key] = aKey;
-    return { { "table", table },
-             { "part", part },
-             { "key", key },
-             { "value", aRow.value },
-             { "ver", aRow.version } };
-  }
+json
+StoreStandIn::ToJson(const Key& aKey, const Row& aRow)
+{
+  const auto& [table, part, key] = aKey;
+  return { { "table", table },
+           { "part", part },
+           { "key", key },
+           { "value", aRow.value },
+           { "ver", aRow.version } };
+}
 
-  static Key ParseKey(const json& aEntry)
-  {
-    return { aEntry.at("table").get<std::string>(),
-             aEntry.value("part", ""),
-             aEntry.at("key").get<std::string>() };
-  }
+StoreStandIn::Key
+StoreStandIn::ParseKey(const json& aEntry)
+{
+  return { aEntry.at("table").get<std::string>(),
+           aEntry.value("part", ""),
+           aEntry.at("key").get<std::string>() };
+}
 
-  static void Respond(const std::shared_ptr<Exchange>& aExchange,
+void
+StoreStandIn::Respond(const std::shared_ptr<Exchange>& aExchange,
                       unsigned aStatus,
                       const json& aBody)
-  {
-    aExchange->Respond(JsonResponse(aStatus, aBody.dump()));
-  }
+{
+  aExchange->Respond(JsonResponse(aStatus, aBody.dump()));
+}
 
-  void Handle(const std::shared_ptr<Exchange>& aExchange)
-  {
-    std::string target(aExchange->request.target());
-    auto path = target.substr(0, target.find('?'));
-    try {
-      if (path == "/standin/faults") {
-        this->fault = aExchange->request.body();
-        Respond(aExchange, 200, json::object());
-      } else if (path == "/standin/config") {
-        this->WriteRow({ "op", "", "config" },
-                       EncodeBase64(aExchange->request.body()));
-        Respond(aExchange, 200, json::object());
-      } else if (this->fault == "silent") {
-        this->unanswered.push_back(aExchange);
-      } else if (this->fault == "down") {
-        Respond(aExchange, 503, json::object());
-      } else if (path == "/v1/rows-tx") {
-        this->ApplyTransaction(aExchange);
-      } else if (path == "/v1/rows-get") {
-        this->ReadRows(aExchange, ParseQuery(target));
-      } else if (path == "/v1/rows-feed") {
-        this->AddWatcher(aExchange, ParseQuery(target));
-      } else {
-        Respond(aExchange, 404, json::object());
-      }
-    } catch (const std::exception& error) {
-      Respond(aExchange, 400, { { "error", error.what() } });
+void
+StoreStandIn::Handle(const std::shared_ptr<Exchange>& aExchange)
+{
+  std::string target(aExchange->request.target());
+  auto path = target.substr(0, target.find('?'));
+  try {
+    if (path == "/standin/faults") {
+      this->fault = aExchange->request.body();
+      Respond(aExchange, 200, json::object());
+    } else if (path == "/standin/config") {
+      this->SetConfiguration(aExchange->request.body());
+      Respond(aExchange, 200, json::object());
+    } else if (this->fault == "silent") {
+      this->unanswered.push_back(aExchange);
+    } else if (this->fault == "down") {
+      Respond(aExchange, 503, json::object());
+    } else if (path == "/v1/rows-tx") {
+      this->ApplyTransaction(aExchange);
+    } else if (path == "/v1/rows-get") {
+      this->ReadRows(aExchange, ParseQuery(target));
+    } else if (path == "/v1/rows-feed") {
+      this->AddWatcher(aExchange, ParseQuery(target));
+    } else {
+      Respond(aExchange, 404, json::object());
     }
+  } catch (const std::exception& error) {
+    Respond(aExchange, 400, { { "error", error.what() } });
   }
+}
 
-  void WriteRow(const Key& aKey, const std::string& aValue)
-  {
-    this->rows[aKey] = { aValue, ++this->version };
-    auto change = ToJson(aKey, this->rows[aKey]);
-    this->changes.emplace_back(this->version, change);
-    this->NotifyWatchers();
-  }
+void
+StoreStandIn::WriteRow(const Key& aKey, const std::string& aValue)
+{
+  this->rows[aKey] = { aValue, ++this->version };
+  auto change = ToJson(aKey, this->rows[aKey]);
+  this->changes.emplace_back(this->version, change);
+  this->NotifyWatchers();
+}
 
-  void ApplyTransaction(const std::shared_ptr<Exchange>& aExchange)
-  {
-    auto body = json::parse(aExchange->request.body());
-    json current = json::array();
-    bool conditionsHold = true;
-    for (const auto& condition : body.at("expected-rev")) {
-      auto found = this->rows.find(ParseKey(condition));
-      uint64_t present = found == this->rows.end() ? 0 : found->second.version;
-      conditionsHold =
-        conditionsHold && present == condition.at("ver").get<uint64_t>();
-      if (found != this->rows.end()) {
-        current.push_back(ToJson(found->first, found->second));
-      }
-    }
-    if (!conditionsHold) {
-      Respond(
-        aExchange, 412, { { "ver", this->version }, { "rows", current } });
-      return;
-    }
-    ++this->version;
-    for (const auto& entry : body.at("set-keys")) {
-      auto key = ParseKey(entry);
-      this->rows[key] = { entry.at("value").get<std::string>(), this->version };
-      this->changes.emplace_back(this->version, ToJson(key, this->rows[key]));
-    }
-    for (const auto& entry : body.at("remove")) {
-      auto key = ParseKey(entry);
-      if (this->rows.erase(key) > 0) {
-        auto change = ToJson(key, { "", this->version });
-        change["removed"] = true;
-        this->changes.emplace_back(this->version, change);
-      }
-    }
-    if (this->fault == "lose") {
-      aExchange->Abort();
-    } else {
-      Respond(aExchange, 200, { { "ver", this->version } });
+void
+StoreStandIn::ApplyTransaction(const std::shared_ptr<Exchange>& aExchange)
+{
+  auto body = json::parse(aExchange->request.body());
+  json current = json::array();
+  bool conditionsHold = true;
+  for (const auto& condition : body.at("expected-rev")) {
+    auto found = this->rows.find(ParseKey(condition));
+    uint64_t present = found == this->rows.end() ? 0 : found->second.version;
+    conditionsHold =
+      conditionsHold && present == condition.at("ver").get<uint64_t>();
+    if (found != this->rows.end()) {
+      current.push_back(ToJson(found->first, found->second));
     }
-    this->NotifyWatchers();
   }
-
-  void ReadRows(const std::shared_ptr<Exchange>& aExchange,
-                std::map<std::string, std::string> aQuery)
-  {
-    json found = json::array();
-    bool more = false;
-    Key from{ aQuery["table"], aQuery["part"], aQuery["from"] };
-    for (auto row = this->rows.lower_bound(from);
-         row != this->rows.end() &&
-         std::get<0>(row->first) == aQuery["table"] &&
-         std::get<1>(row->first) == aQuery["part"];
-         ++row) {
-      if (found.size() == kMaxRowsPerRead) {
-        more = true;
-        break;
-      }
-      found.push_back(ToJson(row->first, row->second));
-    }
-    Respond(
-      aExchange,
-      200,
-      { { "rows", found }, { "has-more", more }, { "ver", this->version } });
+  if (!conditionsHold) {
+    Respond(aExchange, 412, { { "ver", this->version }, { "rows", current } });
+    return;
   }
-
-  json FindChanges(const std::string& aTable, uint64_t aAfter) const
-  {
-    json found = json::array();
-    for (const auto& [changedAt, change] : this->changes) {
-      if (changedAt > aAfter && change.at("table") == aTable) {
-        found.push_back(change);
-      }
+  ++this->version;
+  for (const auto& entry : body.at("set-keys")) {
+    auto key = ParseKey(entry);
+    this->rows[key] = { entry.at("value").get<std::string>(), this->version };
+    this->changes.emplace_back(this->version, ToJson(key, this->rows[key]));
+  }
+  for (const auto& entry : body.at("remove")) {
+    auto key = ParseKey(entry);
+    if (this->rows.erase(key) > 0) {
+      auto change = ToJson(key, { "", this->version });
+      change["removed"] = true;
+      this->changes.emplace_back(this->version, change);
     }
-    return found;
   }
-
-  void AddWatcher(const std::shared_ptr<Exchange>& aExchange,
-                  std::map<std::string, std::string> aQuery)
-  {
-    Watcher watcher{ aQuery["table"],
-                     std::stoull(aQuery["after"]),
-                     aExchange,
-                     std::make_shared<asio::steady_timer>(this->context) };
-    watcher.timer->expires_after(
-      std::chrono::milliseconds(std::stoull(aQuery["wait-ms"])));
-    this->watchers.push_back(watcher);
-    watcher.timer->async_wait(
-      [this, exchange = aExchange](boost::system::error_code aError) {
-        if (!aError) {
-          this->EndEmptyWatch(exchange);
-        }
-      });
-    this->NotifyWatchers();
+  if (this->fault == "lose") {
+    aExchange->Abort();
+  } else {
+    Respond(aExchange, 200, { { "ver", this->version } });
   }
+  this->NotifyWatchers();
+}
 
-  void EndEmptyWatch(const std::shared_ptr<Exchange>& aExchange)
-  {
-    this->watchers.remove_if(
-      [&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
-    Respond(
-      aExchange, 200, { { "rows", json::array() }, { "ver", this->version } });
+void
+StoreStandIn::ReadRows(const std::shared_ptr<Exchange>& aExchange,
+                       std::map<std::string, std::string> aQuery)
+{
+  json found = json::array();
+  bool more = false;
+  Key from{ aQuery["table"], aQuery["part"], aQuery["from"] };
+  for (auto row = this->rows.lower_bound(from);
+       row != this->rows.end() && std::get<0>(row->first) == aQuery["table"] &&
+       std::get<1>(row->first) == aQuery["part"];
+       ++row) {
+    if (found.size() == kMaxRowsPerRead) {
+      more = true;
+      break;
+    }
+    found.push_back(ToJson(row->first, row->second));
   }
+  Respond(
+    aExchange,
+    200,
+    { { "rows", found }, { "has-more", more }, { "ver", this->version } });
+}
 
-  void NotifyWatchers()
-  {
-    for (auto watcher = this->watchers.begin();
-         watcher != this->watchers.end();) {
-      auto found = this->FindChanges(watcher->table, watcher->after);
-      if (found.empty()) {
-        ++watcher;
-        continue;
-      }
-      watcher->timer->cancel();
-      Respond(watcher->exchange,
-              200,
-              { { "rows", found }, { "ver", this->version } });
-      watcher = this->watchers.erase(watcher);
+json
+StoreStandIn::FindChanges(const std::string& aTable, uint64_t aAfter) const
+{
+  json found = json::array();
+  for (const auto& [changedAt, change] : this->changes) {
+    if (changedAt > aAfter && change.at("table") == aTable) {
+      found.push_back(change);
     }
   }
+  return found;
+}
 
-  asio::io_context& context;
-  HttpServer server;
-  std::map<Key, Row> rows;
-  std::vector<std::pair<uint64_t, json>> changes;
-  std::list<Watcher> watchers;
-  std::vector<std::shared_ptr<Exchange>> unanswered;
-  uint64_t version = 1;
-  std::string fault = "none";
-};
+void
+StoreStandIn::AddWatcher(const std::shared_ptr<Exchange>& aExchange,
+                         std::map<std::string, std::string> aQuery)
+{
+  Watcher watcher{ aQuery["table"],
+                   std::stoull(aQuery["after"]),
+                   aExchange,
+                   std::make_shared<asio::steady_timer>(this->context) };
+  watcher.timer->expires_after(
+    std::chrono::milliseconds(std::stoull(aQuery["wait-ms"])));
+  this->watchers.push_back(watcher);
+  watcher.timer->async_wait(
+    [this, exchange = aExchange](boost::system::error_code aError) {
+      if (!aError) {
+        this->EndEmptyWatch(exchange);
+      }
+    });
+  this->NotifyWatchers();
+}
 
-} // namespace fescuetiller
+void
+StoreStandIn::EndEmptyWatch(const std::shared_ptr<Exchange>& aExchange)
+{
+  this->watchers.remove_if(
+    [&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
+  Respond(
+    aExchange, 200, { { "rows", json::array() }, { "ver", this->version } });
+}
 
-int
-main(int aCount, char** aArguments)
+void
+StoreStandIn::NotifyWatchers()
 {
-  namespace options = boost::program_options;
-  options::options_description description("Stand-in of the platform's store.");
-  auto add = description.add_options();
-  add("help,h", "print this text");
-  add("port", options::value<uint16_t>()->default_value(0), "0: any free port");
-  add("ports-file",
-      options::value<std::string>()->required(),
-      "where the port is written");
-  auto values = fescuetiller::ParseOptions(aCount, aArguments, description);
-  fescuetiller::asio::io_context context(1);
-  fescuetiller::StoreStandIn store(context);
-  auto listening = store.Listen(values["port"].as<uint16_t>());
-  if (!listening) {
-    std::cerr << listening.error() << std::endl;
-    return 1;
+  for (auto watcher = this->watchers.begin();
+       watcher != this->watchers.end();) {
+    auto found = this->FindChanges(watcher->table, watcher->after);
+    if (found.empty()) {
+      ++watcher;
+      continue;
+    }
+    watcher->timer->cancel();
+    Respond(
+      watcher->exchange, 200, { { "rows", found }, { "ver", this->version } });
+    watcher = this->watchers.erase(watcher);
   }
-  fescuetiller::WritePortFile(values["ports-file"].as<std::string>(),
-                              store.Port());
-  fescuetiller::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](auto, int) { context.stop(); });
-  context.run();
-  return 0;
 }
+
+} // namespace fescuetiller
--- /dev/null
+++ b/tests/standins/storestandin.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "http/http.h"
+
+namespace fescuetiller {
+
+/**
+ * Stand-in of the platform's store that follows its published protocol: rows,
+ * conditional transactions and a watch.
+ *
+ * POST /standin/config writes the operator's configuration. POST
+ * /standin/faults sets the fault of all calls after it: "down" responds with
+ * 503, "silent" never responds, "lose" commits transactions but closes the
+ * connection without a response, "none" is normal operation.
+ */
+class StoreStandIn
+{
+public:
+  explicit StoreStandIn(asio::io_context& aContext);
+
+  Result<void> Listen(uint16_t aPort);
+
+  uint16_t Port() const;
+
+  /** Writes the operator's configuration. */
+  void SetConfiguration(const std::string& aText);
+
+private:
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  struct Row
+  {
+    std::string value; ///< Base64, as received.
+    uint64_t version = 0;
+  };
+
+  /** A watch call that waits for changes of a table. */
+  struct Watcher
+  {
+    std::string table;
+    uint64_t after = 0; ///< Version after which changes are reported.
+    std::shared_ptr<Exchange> exchange;
+    std::shared_ptr<asio::steady_timer> timer; ///< Ends the wait.
+  };
+
+  static nlohmann::json ToJson(const Key& aKey, const Row& aRow);
+
+  static Key ParseKey(const nlohmann::json& aEntry);
+
+  static void Respond(const std::shared_ptr<Exchange>& aExchange,
+                      unsigned aStatus,
+                      const nlohmann::json& aBody);
+
+  void Handle(const std::shared_ptr<Exchange>& aExchange);
+
+  void WriteRow(const Key& aKey, const std::string& aValue);
+
+  void ApplyTransaction(const std::shared_ptr<Exchange>& aExchange);
+
+  void ReadRows(const std::shared_ptr<Exchange>& aExchange,
+                std::map<std::string, std::string> aQuery);
+
+  nlohmann::json FindChanges(const std::string& aTable, uint64_t aAfter) const;
+
+  void AddWatcher(const std::shared_ptr<Exchange>& aExchange,
+                  std::map<std::string, std::string> aQuery);
+
+  void EndEmptyWatch(const std::shared_ptr<Exchange>& aExchange);
+
+  void NotifyWatchers();
+
+  asio::io_context& context;
+  HttpServer server;
+  std::map<Key, Row> rows;
+  std::vector<std::pair<uint64_t, nlohmann::json>> changes;
+  std::list<Watcher> watchers;
+  std::vector<std::shared_ptr<Exchange>> unanswered;
+  uint64_t version = 1;
+  std::string fault = "none";
+};
+
+} // namespace fescuetiller
