Deliver large configurations between daemons when the store is slow

Cause: the store sends each version of the configuration in full, in Base64, and every version that was written since the last call in one response: 0.29 MB for 1,300 routes, several times that in a storm of changes. On a 13 Mbit/s link whose uplink the service's own downloads fill, round trips take 0.3 to 0.5 s, connecting takes longer than its 0.5 s, and a response needs seconds; calls that fail start again. Class of fault: state that must arrive by a deadline is sent in full over a link shared with traffic, with one source.

All late daemons stand beside servers of footage-vault: versions with 1,300 routes arrived there 1.94 s (median) and up to 6.23 s after the first daemon, at clearance-desk 0.27 and 0.53 s. One response applied versions 47, 49 and 52 at once, 3.5 s after the store had made it.

Ruled out: a watch on a connection that went silent (connections were made anew); time to parse (70 ms a version on 0.1 core); a slow store (the first daemon had each version within 0.1 s).

Now each datagram between daemons announces the version of its sender's configuration, and a daemon that is behind for 0.3 s loads it from one that announced it, compressed (in a trial with a configuration of the same shape: 216 kB of JSON, 288 kB in Base64, 16 kB compressed). Of several versions in one response only the newest is parsed.

Test: testdaemon [configuration], two daemons, one behind a relay of 20 kB/s.

--- a/src/cluster/peermessage.cpp
+++ b/src/cluster/peermessage.cpp
@@ -26,7 +26,8 @@
                     aMessage.sentAt,
                     aMessage.rows,
                     aMessage.load,
-                    aMessage.untilHeartbeat);
+                    aMessage.untilHeartbeat,
+                    aMessage.configuration);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -52,6 +53,7 @@
   value.push_back(rows);
   value.push_back(aMessage.load);
   value.push_back(ToMilliseconds(aMessage.untilHeartbeat));
+  value.push_back(aMessage.configuration);
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
 }
@@ -82,7 +84,9 @@
                         value.at(5).get<int64_t>(),
                         std::move(rows),
                         value.at(7).get<double>(),
-                        std::chrono::milliseconds(value.at(8).get<int64_t>()) };
+                        std::chrono::milliseconds(value.at(8).get<int64_t>()),
+                        // Earlier releases do not send it.
+                        value.size() > 9 ? value.at(9).get<RowVersion>() : 0 };
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/cluster/peermessage.h
+++ b/src/cluster/peermessage.h
@@ -34,6 +34,8 @@
   double load = 0;
   /** Time until the next heartbeat of the sender's backend server. */
   Duration untilHeartbeat = Duration(0);
+  /** Version of the sender's configuration row; 0: none, or not announced. */
+  RowVersion configuration = 0;
 
   friend bool operator==(const PeerMessage& aLeft, const PeerMessage& aRight);
 };
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -34,6 +34,9 @@
 constexpr double kMinHeartbeatsPerPromise = 2.4;
 /** Largest body of a call of a backend server. */
 constexpr uint64_t kMaxServerCallBytes = 1024 * 1024;
+/** Where a configuration came from, in the log. */
+constexpr const char* kStoreSource = "store";
+constexpr const char* kPeerSource = "peer";
 
 std::string
 RandomId(std::mt19937_64& aRandom)
@@ -101,18 +104,19 @@
                      })
   , peerSocket(aContext)
   , timer(aContext)
-  , configurationWatch(
-      aContext,
-      store,
-      aLog,
-      ConfigurationKey().table,
-      kConfigurationWatchTime,
-      { [this](TableWatch::LoadCallback aCallback) {
-         this->LoadConfiguration(std::move(aCallback));
-       },
-        [this](const StoreRows& aRows) { this->OnConfigurationRows(aRows); },
-        [](bool) {},
-        [] { return kConfigurationBatchPause; } })
+  , configurationWatch(aContext,
+                       store,
+                       aLog,
+                       ConfigurationKey().table,
+                       kConfigurationWatchTime,
+                       { [this](TableWatch::LoadCallback aCallback) {
+                          this->LoadConfiguration(std::move(aCallback));
+                        },
+                         [this](const StoreRows& aRows) {
+                           this->OnConfigurationRows(aRows, kStoreSource);
+                         },
+                         [](bool) {},
+                         [] { return kConfigurationBatchPause; } })
   , clusterWatch(
       aContext,
       store,
@@ -129,9 +133,19 @@
       pool,
       aLog,
       { [this] { return !this->clusterWatch.IsLoaded(); },
-        [this](const StoreRows& aRows) { this->OnConfigurationRows(aRows); },
+        [this](const StoreRows& aRows) {
+          this->OnConfigurationRows(aRows, kPeerSource);
+        },
         [this] { return this->Services(); },
         [this](const StoreRows& aRows) { this->OnClusterRows(aRows); } })
+  , configurationSharing(
+      pool,
+      aLog,
+      { [this] { return this->configurationSeen; },
+        [this]() -> const StoreRow& { return this->configurationRow; },
+        [this](const StoreRow& aRow, const std::string& aPeer) {
+          this->ApplyConfiguration(aRow, aPeer);
+        } })
 {
 }
 
@@ -322,11 +336,15 @@
   this->RunAgent();
 }
 
-/** Responds to a read of the store with this daemon's copy of the rows. */
+/** Responds to another daemon's read with this daemon's copy of the rows. */
 void
 ControlNode::OnPeerRead(const std::shared_ptr<Exchange>& aExchange)
 {
   const auto& request = aExchange->request;
+  if (request.target() == kSharedConfigurationPath) {
+    aExchange->Respond(this->configurationSharing.Serve());
+    return;
+  }
   auto from = ParseReadRequest(std::string(request.method_string()),
                                std::string(request.target()));
   if (!from) {
@@ -378,41 +396,56 @@
         callback(tl::unexpected(aRows.error()));
         return;
       }
-      this->OnConfigurationRows(*aRows);
+      this->OnConfigurationRows(*aRows, kStoreSource);
       callback(aRows->version);
     });
 }
 
+/** Applies the newest valid configuration among the rows, which are in the
+ * order of their versions. */
 void
-ControlNode::OnConfigurationRows(const StoreRows& aRows)
+ControlNode::OnConfigurationRows(const StoreRows& aRows,
+                                 const std::string& aSource)
 {
-  for (const auto& row : aRows.rows) {
-    if (row.key == ConfigurationKey() && !row.removed) {
-      this->ApplyConfiguration(row);
+  for (auto row = aRows.rows.rbegin(); row != aRows.rows.rend(); ++row) {
+    if (row->key == ConfigurationKey() && !row->removed &&
+        this->ApplyConfiguration(*row, aSource)) {
+      return;
     }
   }
 }
 
-void
-ControlNode::ApplyConfiguration(const StoreRow& aRow)
+/** Returns whether the row is valid or was handled before. */
+bool
+ControlNode::ApplyConfiguration(const StoreRow& aRow,
+                                const std::string& aSource)
 {
+  if (aRow.version <= this->configurationSeen) {
+    return true;
+  }
+  this->configurationSeen = aRow.version;
+  this->configurationWatch.SkipTo(aRow.version);
   auto parsed = ParseConfiguration(aRow.value);
   if (!parsed) {
     this->log.Write({ "configuration-refused",
                       { { "row_version", std::to_string(aRow.version) },
+                        { "source", aSource },
                         { "reason", ToString(parsed.error()) } } });
-    return;
+    return false;
   }
   if (this->configuration != nullptr &&
       parsed->version <= this->configuration->version) {
-    return;
+    return true;
   }
   bool first = this->configuration == nullptr;
   this->log.Write(
     { "configuration-taken",
       { { "version", std::to_string(parsed->version) },
         { "before", first ? "" : std::to_string(this->configuration->version) },
-        { "routes", std::to_string(parsed->routes.size()) } } });
+        { "routes", std::to_string(parsed->routes.size()) },
+        { "source", aSource },
+        { "row_version", std::to_string(aRow.version) },
+        { "bytes", std::to_string(aRow.value.size()) } } });
   this->configuration = std::make_shared<Configuration>(std::move(*parsed));
   this->configurationRow = aRow;
   const auto* ownService =
@@ -422,6 +455,7 @@
   if (first) {
     this->clusterWatch.Start();
   }
+  return true;
 }
 
 /** Reads the partitions of all services. Changes are then watched from the
@@ -510,20 +544,22 @@
   if (!message) {
     return;
   }
+  this->configurationSharing.OnAnnouncement(
+    now, message->configuration, sender);
   for (const auto& reply : this->agent.OnPeerMessage(now, *message)) {
     this->SendPeerMessage(ToString(sender), reply.message);
   }
 }
 
 void
-ControlNode::SendPeerMessage(const std::string& aAddress,
-                             const PeerMessage& aMessage)
+ControlNode::SendPeerMessage(const std::string& aAddress, PeerMessage aMessage)
 {
   auto address = ParseEndpoint(aAddress);
   if (!address) {
     this->log.Write({ "beacon-not-sent", { { "address", aAddress } } });
     return;
   }
+  aMessage.configuration = this->configurationRow.version;
   boost::system::error_code ignored; // Lost datagrams are sent again.
   this->peerSocket.send_to(asio::buffer(Encode(aMessage)),
                            { address->address(), address->port() },
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "cluster/cluster.h"
+#include "fescuetillerd/configurationsharing.h"
 #include "fescuetillerd/counters.h"
 #include "fescuetillerd/eventlog.h"
 #include "fescuetillerd/nodesettings.h"
@@ -61,17 +62,16 @@
   void OnMetricsRequest(const std::shared_ptr<Exchange>& aExchange);
   void OnPeerRead(const std::shared_ptr<Exchange>& aExchange);
   void OnReadinessCheck(const std::shared_ptr<Exchange>& aExchange);
-  void OnConfigurationRows(const StoreRows& aRows);
+  void OnConfigurationRows(const StoreRows& aRows, const std::string& aSource);
   void OnClusterRows(const StoreRows& aRows);
-  void ApplyConfiguration(const StoreRow& aRow);
+  bool ApplyConfiguration(const StoreRow& aRow, const std::string& aSource);
   void LoadConfiguration(TableWatch::LoadCallback aCallback);
   void LoadCluster(TableWatch::LoadCallback aCallback);
   Duration ClusterBatchPause() const;
   void ReadLease(const StoreKey& aKey);
   void ReceivePeerMessage();
   void OnDatagram(const std::string& aBytes);
-  void SendPeerMessage(const std::string& aAddress,
-                       const PeerMessage& aMessage);
+  void SendPeerMessage(const std::string& aAddress, PeerMessage aMessage);
   std::vector<std::string> Services() const;
   void Publish();
   void WriteEvents();
@@ -95,8 +95,11 @@
   TableWatch configurationWatch;
   TableWatch clusterWatch;
   PeerBootstrap peerBootstrap;
+  ConfigurationSharing configurationSharing;
   std::shared_ptr<const Configuration> configuration;
-  StoreRow configurationRow;     ///< Row of the current configuration.
+  StoreRow configurationRow; ///< Row of the current configuration.
+  /** Newest version of that row that was handled, even if it was refused. */
+  RowVersion configurationSeen = 0;
   uint64_t publishedChanges = 0; ///< Change count of the last published view.
   MemberId publishedSelf;
   ServingState publishedServing;
--- a/src/fescuetillerd/tablewatch.cpp
+++ b/src/fescuetillerd/tablewatch.cpp
@@ -42,6 +42,12 @@
   return this->loaded;
 }
 
+void
+TableWatch::SkipTo(RowVersion aVersion)
+{
+  this->version = std::max(this->version, aVersion);
+}
+
 void
 TableWatch::RunAfter(Duration aPause, std::function<void()> aFunction)
 {
@@ -81,7 +87,7 @@
       return;
     }
     this->loaded = true;
-    this->version = *aVersion;
+    this->version = std::max(this->version, *aVersion);
     this->log.Write({ "table-loaded",
                       { { "table", this->table },
                         { "version", std::to_string(this->version) } } });
--- a/src/fescuetillerd/tablewatch.h
+++ b/src/fescuetillerd/tablewatch.h
@@ -40,6 +40,9 @@
 
   void Start();
   bool IsLoaded() const;
+  /** Watches for changes after a version whose rows are known from elsewhere.
+   */
+  void SkipTo(RowVersion aVersion);
 
 private:
   void Load();
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -3,6 +3,7 @@
 /** Public header of the HTTP library, an asynchronous server and client. */
 
 #include "http/connectionpool.h"
+#include "http/deflate.h"
 #include "http/fetch.h"
 #include "http/messages.h"
 #include "http/server.h"
--- a/tests/cluster/clusterviewtest.cpp
+++ b/tests/cluster/clusterviewtest.cpp
@@ -98,10 +98,22 @@
                    { RangeKey("agenda", 100), "", 11, true } };
   message.load = 0.75;
   message.untilHeartbeat = std::chrono::milliseconds(-30);
+  message.configuration = 12;
   CHECK(DecodePeerMessage(Encode(message)) == message);
   auto bytes = Encode(message);
   for (size_t length = 0; length < bytes.size(); ++length) {
     CHECK_FALSE(DecodePeerMessage(bytes.substr(0, length)));
   }
   CHECK_FALSE(DecodePeerMessage("\x93garbled"));
+
+  GIVEN("a message of a release that does not announce its configuration")
+  {
+    // The first byte holds the number of fields, the last one is the version.
+    bytes.pop_back();
+    --bytes.front();
+    auto decoded = DecodePeerMessage(bytes);
+    REQUIRE(decoded);
+    message.configuration = 0;
+    CHECK(*decoded == message);
+  }
 }
--- /dev/null
+++ b/tests/daemon/configurationtest.cpp
@@ -0,0 +1,293 @@
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include "fescuetillerd/controlnode.h"
+#include "standins/slowlink.h"
+#include "standins/storestandin.h"
+
+using namespace fescuetiller; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Tcp::endpoint
+Loopback(uint16_t aPort)
+{
+  return { asio::ip::address_v4::loopback(), aPort };
+}
+
+/** Control plane of one daemon, with the heartbeats of its backend server. */
+struct Daemon
+{
+  Daemon(asio::io_context& aContext,
+         EventLog& aLog,
+         const std::string& aName,
+         const Tcp::endpoint& aStore)
+    : name(aName)
+    , pool(aContext)
+    , timer(aContext)
+  {
+    // Keeps the port reserved for datagrams; connections use it, too.
+    this->reserved.emplace_back(aContext, Loopback(0));
+    NodeSettings settings;
+    settings.name = aName;
+    settings.ip = "127.0.0.1";
+    settings.zone = aName;
+    settings.service = "agenda";
+    settings.server = "127.0.0.1:" + std::to_string(aName == "near" ? 1 : 2);
+    settings.peerAddress = settings.server;
+    settings.serverCallAddress = this->ReserveAddress(aContext);
+    settings.readinessAddress = this->ReserveAddress(aContext);
+    settings.firstPort = this->reserved.front().local_endpoint().port();
+    settings.storeAddress = ToString(aStore);
+    settings.heartbeat = milliseconds(300);
+    this->serverCallAddress = *ParseEndpoint(settings.serverCallAddress);
+    this->server = settings.server;
+    this->node =
+      std::make_unique<ControlNode>(aContext, settings, aLog, this->counters);
+    this->node->onConfiguration = [this](auto aConfiguration) {
+      this->version = aConfiguration->version;
+      this->routes = aConfiguration->routes.size();
+    };
+    this->node->onView = [this](auto aView, auto aSelf) {
+      this->members = aView->AllMembers().size();
+      this->isMember = !aSelf.empty();
+    };
+    this->node->onServing = [](const auto&) {};
+    this->reserved.clear();
+    REQUIRE(this->node->Listen());
+    this->SendHeartbeat();
+  }
+
+  std::string ReserveAddress(asio::io_context& aContext)
+  {
+    this->reserved.emplace_back(aContext, Loopback(0));
+    return ToString(this->reserved.back().local_endpoint());
+  }
+
+  void SendHeartbeat()
+  {
+    json body = { { "service", "agenda" },
+                  { "address", this->server },
+                  { "zone", this->name },
+                  { "version", "v1" },
+                  { "slots", 4 },
+                  { "state", "ready" },
+                  { "seq", ++this->sequence },
+                  { "cold", "0ms" },
+                  { "holds", json::array() },
+                  { "freed", json::array() } };
+    HttpRequest request(
+      http::verb::post, "/v1/instances/i-" + this->name + "/heartbeat", 11);
+    request.body() = body.dump();
+    request.prepare_payload();
+    Fetch(this->pool,
+          this->serverCallAddress,
+          std::move(request),
+          CallOptions(),
+          [](const Result<HttpResponse>&) {});
+    this->timer.expires_after(milliseconds(300));
+    this->timer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        this->SendHeartbeat();
+      }
+    });
+  }
+
+  std::string name;
+  std::string server;
+  Tcp::endpoint serverCallAddress;
+  std::vector<Tcp::acceptor> reserved;
+  Counters counters;
+  ConnectionPool pool;
+  asio::steady_timer timer;
+  uint64_t sequence = 0;
+  std::unique_ptr<ControlNode> node;
+  uint64_t version = 0; ///< Configuration in force.
+  size_t routes = 0;
+  size_t members = 0; ///< Members that the daemon knows.
+  bool isMember = false;
+};
+
+/** Two daemons of one deployment; one reaches the store over a slow link. */
+struct SlowLinkFixture
+{
+  asio::io_context context{ 1 };
+  EventLog log{ "test", { 0, 0, 0 } };
+  StoreStandIn store{ context };
+  std::unique_ptr<SlowLink> link;
+  std::unique_ptr<Daemon> near;
+  std::unique_ptr<Daemon> far;
+
+  SlowLinkFixture()
+  {
+    REQUIRE(this->store.Listen(0));
+    auto address = Loopback(this->store.Port());
+    this->link = std::make_unique<SlowLink>(this->context, address);
+    REQUIRE(this->link->Listen());
+    this->store.SetConfiguration(ConfigurationText(1, 2));
+    this->near =
+      std::make_unique<Daemon>(this->context, this->log, "near", address);
+    this->far = std::make_unique<Daemon>(
+      this->context, this->log, "far", this->link->Address());
+    REQUIRE(this->RunUntil([this] {
+      return this->near->isMember && this->far->isMember &&
+             this->near->members == 2 && this->far->members == 2;
+    }));
+  }
+
+  static std::string ConfigurationText(uint64_t aVersion, size_t aRoutes)
+  {
+    json routes = json::object();
+    for (size_t number = 0; number < aRoutes; ++number) {
+      auto name = ToHex(number * 0x9E3779B97F4A7C15U);
+      routes["r-" + name] = { { "host", "a.example" },
+                              { "prefix", "/" + name + "/" },
+                              { "kind", "safe" },
+                              { "timeout", "2000ms" },
+                              { "target-latency", "600ms" },
+                              { "priority", 1 },
+                              { "service", "agenda" },
+                              { "attempts", 2 } };
+    }
+    json text = { { "version", "r" + std::to_string(aVersion) },
+                  { "routes", routes },
+                  { "services",
+                    { { "agenda",
+                        { { "health-check", "/health" },
+                          { "max-connections", 100 },
+                          { "sharded", true } } } } } };
+    return text.dump();
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    auto end = std::chrono::steady_clock::now() + seconds(15);
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      this->context.run_for(milliseconds(20));
+    }
+    return aCondition();
+  }
+};
+
+} // namespace
+
+SCENARIO("A daemon that is behind loads the configuration from another one",
+         "[configuration]")
+{
+  ConfigurationLag lag;
+  Time now(seconds(100));
+  auto announce = [&](RowVersion aAnnounced, RowVersion aOwn) {
+    return lag.OnAnnouncement(now, aAnnounced, aOwn);
+  };
+  REQUIRE_FALSE(announce(7, 7));
+
+  GIVEN("an announcement of a newer version")
+  {
+    REQUIRE_FALSE(announce(8, 7));
+    WHEN("the store delivers it soon")
+    {
+      now += milliseconds(200);
+      CHECK_FALSE(announce(8, 8));
+      THEN("the next version may take as long")
+      {
+        now += milliseconds(200);
+        CHECK_FALSE(announce(9, 8));
+      }
+    }
+    WHEN("the store does not deliver it in time")
+    {
+      now += milliseconds(350);
+      THEN("a daemon that has it is asked, others are not")
+      {
+        CHECK_FALSE(announce(7, 7));
+        CHECK(announce(8, 7));
+      }
+      THEN("another daemon is asked if the first one does not respond")
+      {
+        CHECK(announce(8, 7));
+        CHECK_FALSE(announce(8, 7));
+        now += milliseconds(450);
+        CHECK(announce(8, 7));
+      }
+      THEN("the number of loads at a time is limited")
+      {
+        int loads = 0;
+        for (int step = 0; step < 20; ++step) {
+          loads += announce(8, 7) ? 1 : 0;
+          now += milliseconds(450);
+        }
+        CHECK(loads == 3);
+        lag.OnLoadEnded();
+        CHECK(announce(8, 7));
+      }
+    }
+  }
+}
+
+SCENARIO("Daemons send each other their configurations compressed",
+         "[configuration]")
+{
+  StoreRow row{
+    ConfigurationKey(), SlowLinkFixture::ConfigurationText(3, 1000), 17, false
+  };
+  auto bytes = EncodeSharedRow(row);
+  CHECK(bytes.size() < row.value.size() / 3);
+  auto decoded = DecodeSharedRow(bytes);
+  REQUIRE(decoded);
+  CHECK(*decoded == row);
+
+  THEN("a body that was cut off, or is none, is refused")
+  {
+    for (size_t length : { size_t(0), size_t(1), bytes.size() / 2 }) {
+      CHECK_FALSE(DecodeSharedRow(bytes.substr(0, length)));
+    }
+    CHECK_FALSE(DecodeSharedRow("not a configuration"));
+    CHECK_FALSE(DecodeSharedRow(Deflate("not a configuration")));
+  }
+  THEN("a body that is too large when decompressed is refused")
+  {
+    auto inflated = Inflate(bytes, 1000);
+    REQUIRE_FALSE(inflated);
+    CHECK(ToString(inflated.error()).find("1000 bytes") != std::string::npos);
+  }
+}
+
+// A large configuration took several seconds over a link that downloads filled,
+// and came into force too late (docs/incidents/2026-12-04-configuration.md).
+SCENARIO("A large configuration comes into force on a daemon whose link to the "
+         "store is slow",
+         "[configuration]")
+{
+  SlowLinkFixture fixture;
+  REQUIRE(fixture.far->version == 1);
+
+  GIVEN(
+    "a link on which reading the configuration takes longer than a call may")
+  {
+    fixture.link->SetBytesPerSecond(20000);
+    fixture.store.SetConfiguration(SlowLinkFixture::ConfigurationText(2, 1500));
+    THEN("the daemon gets it from another one")
+    {
+      CHECK(fixture.RunUntil([&] { return fixture.far->version == 2; }));
+      CHECK(fixture.far->routes == 1500);
+    }
+    AND_WHEN("more versions follow in quick succession")
+    {
+      for (uint64_t version = 3; version <= 8; ++version) {
+        fixture.store.SetConfiguration(
+          SlowLinkFixture::ConfigurationText(version, 1500 + version));
+        fixture.context.run_for(milliseconds(200));
+      }
+      THEN("the newest one is in force")
+      {
+        CHECK(fixture.RunUntil([&] { return fixture.far->version == 8; }));
+        CHECK(fixture.far->routes == 1508);
+      }
+    }
+  }
+}
--- a/tests/fuzz/parsertest.cpp
+++ b/tests/fuzz/parsertest.cpp
@@ -7,6 +7,7 @@
 #include "cluster/cluster.h"
 #include "explain/explain.h"
 #include "fescuetillerctl/command.h"
+#include "fescuetillerd/configurationsharing.h"
 #include "fescuetillerd/dispatch.h"
 #include "fescuetillerd/nodesettings.h"
 #include "platform/platform.h"
@@ -166,6 +167,21 @@
   CHECK(dropped > 0);
 }
 
+TEST_CASE("Mutated configurations of other daemons are refused or decoded",
+          "[fuzz]")
+{
+  auto bytes = EncodeSharedRow(
+    { ConfigurationKey(), std::string(500, 'a') + "text", 9, false });
+  REQUIRE(DecodeSharedRow(bytes));
+  Mutator mutator(5);
+  int refused = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    refused += DecodeSharedRow(mutator.Mutate(bytes)) ? 0 : 1;
+    DecodeSharedRow(mutator.Noise());
+  }
+  CHECK(refused > 0);
+}
+
 TEST_CASE("Mutated header fields between daemons are refused or decoded",
           "[fuzz]")
 {
--- /dev/null
+++ b/tests/standins/slowlink.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "http/http.h"
+
+namespace fescuetiller {
+
+/**
+ * TCP relay that limits how fast bytes from the server reach the client, like a
+ * link that other traffic fills. The limit applies to each connection.
+ */
+class SlowLink
+{
+public:
+  /** @param aServer Where connections are relayed to. */
+  SlowLink(asio::io_context& aContext, const Tcp::endpoint& aServer);
+
+  /** Listens on a free port of the loopback interface. */
+  Result<void> Listen();
+  Tcp::endpoint Address() const;
+
+  /** Sets the limit; 0: no limit. */
+  void SetBytesPerSecond(size_t aRate);
+
+private:
+  struct Relay;
+
+  void Accept();
+  /** Reads some bytes from one socket and writes them to the other. */
+  void Forward(const std::shared_ptr<Relay>& aRelay,
+               Tcp::socket& aFrom,
+               Tcp::socket& aTo,
+               std::vector<char>& aBuffer);
+
+  asio::io_context& context;
+  Tcp::endpoint server;
+  Tcp::acceptor acceptor;
+  size_t bytesPerSecond = 0;
+};
+
+} // namespace fescuetiller
