Let long responses of the store arrive as long as they make progress

Cause: each call to the store had one timeout for everything (1 s for reads), so a response that was still arriving was cut off, and the daemon asked for it again from the start.

Now the timeout holds until the response begins; after that, a long response may take as long as it needs, unless 2 s pass between two chunks.

--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -327,6 +327,9 @@
     this->Complete();
     return;
   }
+  if (this->options.stallTimeout) {
+    this->ArmTimer(*this->options.stallTimeout, "wait for rest of answer");
+  }
   this->ReadBody(true, [this](size_t aSize) {
     if (aSize == 0) {
       this->ReadChunk();
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "http/connectionpool.h"
 #include "http/messages.h"
@@ -12,6 +13,9 @@
 {
   Duration connectTimeout = std::chrono::milliseconds(500);
   Duration timeout = std::chrono::seconds(1); ///< For the whole call.
+  /** If set, a long response that has begun may exceed the timeout as long as
+   * no more than this time passes between its chunks. */
+  std::optional<Duration> stallTimeout;
   /** How long sent data may stay unacknowledged before the connection fails
    * (TCP_USER_TIMEOUT). */
   Duration ackTimeout = std::chrono::milliseconds(1000);
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -8,6 +8,9 @@
 
 /** Time that a call of Watch may take in addition to its wait. */
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(800);
+/** Longest time between the chunks of a long response. At the least rate that
+ * this permits, 32 KiB in that time, a response of 1 MB takes a minute. */
+constexpr Duration kStallTimeout = std::chrono::milliseconds(2000);
 /** Idle time after which connections to the store are closed. The store's own
  * idle timeout is unknown. */
 constexpr Duration kIdleTimeout = std::chrono::seconds(5);
@@ -45,6 +48,7 @@
   }
   CallOptions options;
   options.timeout = aTimeout;
+  options.stallTimeout = kStallTimeout;
   options.idleTimeout = kIdleTimeout;
   Fetch(this->pool,
         this->address,
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -23,9 +23,10 @@
   using OutcomeCallback = std::function<void(Result<StoreOutcome>)>;
   using RowsCallback = std::function<void(Result<StoreRows>)>;
 
-  /** Default timeout of a call. The store may be slower than usual by a factor
-   * of tens, but an unresponsive connection must be detected well within the
-   * time in which a new configuration must take effect. */
+  /** Default timeout of a call, until its response begins. The store may be
+   * slower than usual by a factor of tens, but an unresponsive connection must
+   * be detected well within the time in which a new configuration must take
+   * effect. */
   static constexpr Duration kDefaultTimeout = std::chrono::milliseconds(1000);
 
   StoreClient(ConnectionPool& aPool,
--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -113,7 +113,32 @@
   bool isMember = false;
 };
 
-/** Two daemons of one deployment; one reaches the store over a slow link. */
+std::string
+ConfigurationText(uint64_t aVersion, size_t aRoutes)
+{
+  json routes = json::object();
+  for (size_t number = 0; number < aRoutes; ++number) {
+    auto name = ToHex(number * 0x9E3779B97F4A7C15U);
+    routes["r-" + name] = { { "host", "a.example" },
+                            { "prefix", "/" + name + "/" },
+                            { "kind", "safe" },
+                            { "timeout", "2000ms" },
+                            { "target-latency", "600ms" },
+                            { "priority", 1 },
+                            { "service", "agenda" },
+                            { "attempts", 2 } };
+  }
+  json text = { { "version", "r" + std::to_string(aVersion) },
+                { "routes", routes },
+                { "services",
+                  { { "agenda",
+                      { { "health-check", "/health" },
+                        { "max-connections", 100 },
+                        { "sharded", true } } } } } };
+  return text.dump();
+}
+
+/** A store, and daemons that reach it directly or over a slow link. */
 struct SlowLinkFixture
 {
   asio::io_context context{ 1 };
@@ -126,42 +151,21 @@
   SlowLinkFixture()
   {
     REQUIRE(this->store.Listen(0));
-    auto address = Loopback(this->store.Port());
-    this->link = std::make_unique<SlowLink>(this->context, address);
+    this->link =
+      std::make_unique<SlowLink>(this->context, Loopback(this->store.Port()));
     REQUIRE(this->link->Listen());
-    this->store.SetConfiguration(ConfigurationText(1, 2));
-    this->near =
-      std::make_unique<Daemon>(this->context, this->log, "near", address);
-    this->far = std::make_unique<Daemon>(
-      this->context, this->log, "far", this->link->Address());
-    REQUIRE(this->RunUntil([this] {
-      return this->near->isMember && this->far->isMember &&
-             this->near->members == 2 && this->far->members == 2;
-    }));
   }
 
-  static std::string ConfigurationText(uint64_t aVersion, size_t aRoutes)
+  void StartNear()
   {
-    json routes = json::object();
-    for (size_t number = 0; number < aRoutes; ++number) {
-      auto name = ToHex(number * 0x9E3779B97F4A7C15U);
-      routes["r-" + name] = { { "host", "a.example" },
-                              { "prefix", "/" + name + "/" },
-                              { "kind", "safe" },
-                              { "timeout", "2000ms" },
-                              { "target-latency", "600ms" },
-                              { "priority", 1 },
-                              { "service", "agenda" },
-                              { "attempts", 2 } };
-    }
-    json text = { { "version", "r" + std::to_string(aVersion) },
-                  { "routes", routes },
-                  { "services",
-                    { { "agenda",
-                        { { "health-check", "/health" },
-                          { "max-connections", 100 },
-                          { "sharded", true } } } } } };
-    return text.dump();
+    this->near = std::make_unique<Daemon>(
+      this->context, this->log, "near", Loopback(this->store.Port()));
+  }
+
+  void StartFar()
+  {
+    this->far = std::make_unique<Daemon>(
+      this->context, this->log, "far", this->link->Address());
   }
 
   bool RunUntil(const std::function<bool()>& aCondition)
@@ -232,9 +236,7 @@
 SCENARIO("Daemons send each other their configurations compressed",
          "[configuration]")
 {
-  StoreRow row{
-    ConfigurationKey(), SlowLinkFixture::ConfigurationText(3, 1000), 17, false
-  };
+  StoreRow row{ ConfigurationKey(), ConfigurationText(3, 1000), 17, false };
   auto bytes = EncodeSharedRow(row);
   CHECK(bytes.size() < row.value.size() / 3);
   auto decoded = DecodeSharedRow(bytes);
@@ -264,13 +266,20 @@
          "[configuration]")
 {
   SlowLinkFixture fixture;
+  fixture.store.SetConfiguration(ConfigurationText(1, 2));
+  fixture.StartNear();
+  fixture.StartFar();
+  REQUIRE(fixture.RunUntil([&] {
+    return fixture.near->isMember && fixture.far->isMember &&
+           fixture.near->members == 2 && fixture.far->members == 2;
+  }));
   REQUIRE(fixture.far->version == 1);
 
   GIVEN(
     "a link on which reading the configuration takes longer than a call may")
   {
     fixture.link->SetBytesPerSecond(20000);
-    fixture.store.SetConfiguration(SlowLinkFixture::ConfigurationText(2, 1500));
+    fixture.store.SetConfiguration(ConfigurationText(2, 1500));
     THEN("the daemon gets it from another one")
     {
       CHECK(fixture.RunUntil([&] { return fixture.far->version == 2; }));
@@ -280,7 +289,7 @@
     {
       for (uint64_t version = 3; version <= 8; ++version) {
         fixture.store.SetConfiguration(
-          SlowLinkFixture::ConfigurationText(version, 1500 + version));
+          ConfigurationText(version, 1500 + version));
         fixture.context.run_for(milliseconds(200));
       }
       THEN("the newest one is in force")
@@ -291,3 +300,16 @@
     }
   }
 }
+
+// A response of the store that arrived steadily was cut off when its call had
+// taken a second, and the daemon asked for it again, without end.
+SCENARIO("A daemon that starts reads a large configuration over a slow link",
+         "[configuration]")
+{
+  SlowLinkFixture fixture;
+  fixture.store.SetConfiguration(ConfigurationText(1, 1500));
+  fixture.link->SetBytesPerSecond(150000);
+  fixture.StartFar();
+  CHECK(fixture.RunUntil([&] { return fixture.far->version == 1; }));
+  CHECK(fixture.far->routes == 1500);
+}
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -138,12 +138,15 @@
   asio::io_context context{ 1 };
   ConnectionPool pool{ context };
 
-  std::shared_ptr<CollectedResponse> Call(const Tcp::endpoint& aPeer,
-                                          const std::string& aId,
-                                          Duration aTimeout = seconds(2))
+  std::shared_ptr<CollectedResponse> Call(
+    const Tcp::endpoint& aPeer,
+    const std::string& aId,
+    Duration aTimeout = seconds(2),
+    std::optional<Duration> aStallTimeout = std::nullopt)
   {
     CallOptions options;
     options.timeout = aTimeout;
+    options.stallTimeout = aStallTimeout;
     options.correlationField = "X-Id";
     auto collected = std::make_shared<CollectedResponse>();
     UpstreamCall::Start(this->pool, aPeer, RequestOf(aId), options, collected);
@@ -261,6 +264,23 @@
       CHECK(peer.clientDisconnected);
     }
   }
+  GIVEN("a long response that stalls")
+  {
+    // Guards against waiting without end for the rest of a response whose call
+    // has a stall timeout.
+    ScriptedPeer peer(fixture.context,
+                      { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n30d40\r\nxxx" });
+    auto call =
+      fixture.Call(peer.Address(), "1", seconds(60), milliseconds(100));
+    THEN("the call fails after the stall timeout")
+    {
+      CHECK_FALSE(call->ended);
+      REQUIRE(call->failure);
+      CHECK(call->failure->stage == CallStage::ResponseStarted);
+      CHECK(call->failure->error.operation == "wait for rest of answer");
+    }
+  }
   GIVEN("a call whose timeout has passed")
   {
     // Guards against sending a request whose timeout passed while connecting,
