Do not count a guardian as gone whose row may not have arrived

Cause: a member that no guardian is left for may be taken over. A guardian counted as gone when its member row was missing from the own view for 3.15 s. But rows reach a view out of order: members send their own changes in datagrams, which may be lost, and the watch on the table pauses up to 4.2 s among 84 members. After all of them had joined at once, a daemon could know a member's record and not yet those of the guardians that it names.

Ruled out: guardians that agreed and acknowledged at once (their state belongs to the record's version, which was the current one); a takeover of the former run at that address (its ranges had the next epoch already).

The view now knows up to which version it has all changes: set when the table has been read and after each response of the watch. A guardian's row is older than the record that names it, so it is missing only if it is absent although all changes up to that record are known.

--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -88,6 +88,21 @@
   }
 }
 
+void
+ClusterView::SetCompleteUpTo(RowVersion aVersion)
+{
+  if (aVersion > this->completeUpTo) {
+    this->completeUpTo = aVersion;
+    ++this->changes;
+  }
+}
+
+RowVersion
+ClusterView::CompleteUpTo() const
+{
+  return this->completeUpTo;
+}
+
 const ClusterView::Members&
 ClusterView::AllMembers() const
 {
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -37,6 +37,11 @@
    * missing from it are dropped unless they are newer than the snapshot. */
   void Replace(const std::string& aService, const StoreRows& aRows);
 
+  /** Records that all changes up to a version have been applied. Until then, a
+   * missing row may be one that has not arrived. */
+  void SetCompleteUpTo(RowVersion aVersion);
+  RowVersion CompleteUpTo() const;
+
   const Members& AllMembers() const;
 
   /** @return nullptr if there is no such member. */
@@ -74,6 +79,7 @@
   Drains drains;
   std::map<StoreKey, RowVersion> versions; ///< Also of removed rows.
   RowVersion newest = 0;
+  RowVersion completeUpTo = 0;
   uint64_t changes = 0;
 };
 
--- a/src/cluster/membermonitor.cpp
+++ b/src/cluster/membermonitor.cpp
@@ -47,7 +47,10 @@
 }
 
 /** Records whether a guardian's own member record is missing. Returns whether
- * the guardian agreed to a takeover or its last promise must have expired. */
+ * the guardian agreed to a takeover or its last promise must have expired.
+ *
+ * A guardian's record is older than the record that names it. So it is missing
+ * only if it is absent although all changes up to that record are known. */
 bool
 MemberMonitor::UpdateConsent(Time aNow,
                              const ClusterView& aView,
@@ -57,7 +60,8 @@
   if (aState.consents.count(aGuardian) > 0) {
     return true;
   }
-  if (aView.FindMember(aGuardian) != nullptr) {
+  if (aView.FindMember(aGuardian) != nullptr ||
+      aView.CompleteUpTo() < aState.version) {
     aState.missingSince.erase(aGuardian);
     return false;
   }
@@ -127,10 +131,12 @@
   this->responsibleFor.clear();
   for (const auto& [id, member] : aView.AllMembers()) {
     const auto& guardians = member.record.guardians;
-    bool unguarded = std::none_of(
-      guardians.begin(), guardians.end(), [&](const auto& aGuardian) {
-        return aView.FindMember(aGuardian) != nullptr;
-      });
+    bool unguarded =
+      aView.CompleteUpTo() >= member.version &&
+      std::none_of(
+        guardians.begin(), guardians.end(), [&](const auto& aGuardian) {
+          return aView.FindMember(aGuardian) != nullptr;
+        });
     bool named =
       std::find(guardians.begin(), guardians.end(), aSelf) != guardians.end();
     if (id != aSelf && (named || unguarded)) {
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -157,6 +157,12 @@
   this->CheckMembership(aNow);
 }
 
+void
+OwnershipAgent::OnRowsComplete(RowVersion aVersion)
+{
+  this->view.SetCompleteUpTo(aVersion);
+}
+
 void
 OwnershipAgent::CheckMembership(Time aNow)
 {
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -107,6 +107,10 @@
   void OnRows(Time aNow, const std::string& aService, const StoreRows& aRows);
   void OnRow(Time aNow, const StoreRow& aRow);
 
+  /** Records that all changes of the cluster rows up to a version have been
+   * passed to this agent. */
+  void OnRowsComplete(RowVersion aVersion);
+
   /** @return Reply with the keys that the server is granted, if any. */
   HeartbeatReply OnHeartbeat(Time aNow, const ServerReport& aReport);
   /** The backend server announced its shutdown outside of a heartbeat. */
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -126,7 +126,10 @@
       { [this](TableWatch::LoadCallback aCallback) {
          this->LoadCluster(std::move(aCallback));
        },
-        [this](const StoreRows& aRows) { this->OnClusterRows(aRows); },
+        [this](const StoreRows& aRows) {
+          this->OnClusterRows(aRows);
+          this->agent.OnRowsComplete(aRows.version);
+        },
         [this](bool aReachable) { this->agent.SetStoreReachable(aReachable); },
         [this] { return this->ClusterBatchPause(); } })
   , peerBootstrap(
@@ -469,7 +472,12 @@
     [this](const std::string& aService, const StoreRows& aRows) {
       this->agent.OnRows(BootClock::now(), aService, aRows);
     },
-    std::move(aCallback));
+    [this, callback = std::move(aCallback)](Result<RowVersion> aVersion) {
+      if (aVersion) {
+        this->agent.OnRowsComplete(*aVersion);
+      }
+      callback(aVersion);
+    });
 }
 
 std::vector<std::string>
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -369,6 +369,7 @@
       }
     }
     node.seenVersion = this->store.Version();
+    node.agent->OnRowsComplete(node.seenVersion);
   }
   this->Schedule(kPollInterval,
                  [this, aNode, aRun] { this->PollStore(aNode, aRun); });
--- a/tests/cluster/membermonitortest.cpp
+++ b/tests/cluster/membermonitortest.cpp
@@ -36,6 +36,7 @@
     apply(other, { "d" }, 1);
   }
   apply("d", aGuardians, aVersion);
+  view.SetCompleteUpTo(aVersion);
   return view;
 }
 
@@ -163,6 +164,64 @@
   }
 }
 
+// Guards against a takeover of a live member by a daemon to which the rows of
+// the member's guardians had not been delivered yet: two servers held the keys.
+SCENARIO("A guardian whose row may not have arrived yet is not missing",
+         "[membermonitor]")
+{
+  LeaseTimes times;
+  auto silence = WithDrift(times.promise, times) + milliseconds(1);
+  MemberMonitor monitor(times);
+  MemberRecord record{
+    "d", "agenda", "z", "d:2", "d:3", MemberState::Ready, { "a", "b", "c" }
+  };
+  auto row = ToRow(record);
+  row.version = 10;
+  ClusterView view;
+  view.SetCompleteUpTo(5);
+  view.Apply(row);
+
+  GIVEN("a member whose record arrived before those of its guardians")
+  {
+    auto now = kStart;
+    for (; now < kStart + seconds(30); now += milliseconds(100)) {
+      CHECK_FALSE(IsLost(monitor.Tick(now, view, "x")));
+    }
+    WHEN("the guardians are absent from all changes up to the record")
+    {
+      view.SetCompleteUpTo(10);
+      THEN("the member is lost once their last promises have expired")
+      {
+        auto detected = now;
+        for (; now < detected + seconds(8); now += milliseconds(100)) {
+          if (IsLost(monitor.Tick(now, view, "x"))) {
+            break;
+          }
+        }
+        CHECK(now - detected > silence);
+        CHECK(now - detected < seconds(7));
+      }
+    }
+    WHEN("a guardian's record arrives")
+    {
+      record.id = "a";
+      row = ToRow(record);
+      row.version = 8;
+      view.Apply(row);
+      view.SetCompleteUpTo(10);
+      THEN("the member is not lost without its consent")
+      {
+        REQUIRE(view.FindMember("a") != nullptr);
+        monitor.Tick(now, view, "a");
+        for (auto end = now + seconds(8); now < end; now += milliseconds(100)) {
+          monitor.OnRenewal(now, "d");
+          CHECK_FALSE(IsLost(monitor.Tick(now, view, "a")));
+        }
+      }
+    }
+  }
+}
+
 SCENARIO("A member without guardians is lost after its long lease",
          "[membermonitor]")
 {
