Ignore cluster rows that were removed before the table was read

Cause: a daemon that reads the cluster rows from another one at its start, or gets a late datagram, applied rows that the store no longer had when it read the table itself. Nothing corrects such a row: transactions that depend on it fail, and the response does not contain rows that do not exist.

With the version up to which the view is complete, an unknown row that is not newer is known to have been removed.

--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -7,6 +7,14 @@
 
 bool
 ClusterView::Apply(const StoreRow& aRow)
+{
+  // An unknown row that is not newer has been removed since.
+  return aRow.version > this->completeUpTo && this->ApplyNewer(aRow);
+}
+
+/** Applies a row unless the same or a newer version of it is known. */
+bool
+ClusterView::ApplyNewer(const StoreRow& aRow)
 {
   if (aRow.key.table != kClusterTable) {
     return false;
@@ -84,7 +92,7 @@
     ++this->changes;
   }
   for (const auto& row : aRows.rows) {
-    this->Apply(row);
+    this->ApplyNewer(row);
   }
 }
 
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -38,7 +38,8 @@
   void Replace(const std::string& aService, const StoreRows& aRows);
 
   /** Records that all changes up to a version have been applied. Until then, a
-   * missing row may be one that has not arrived. */
+   * missing row may be one that has not arrived; afterwards, Apply ignores rows
+   * of that version or older, which others may still send. */
   void SetCompleteUpTo(RowVersion aVersion);
   RowVersion CompleteUpTo() const;
 
@@ -72,6 +73,7 @@
   uint64_t ChangeCount() const;
 
 private:
+  bool ApplyNewer(const StoreRow& aRow);
   bool Remove(const StoreKey& aKey);
 
   Members members;
--- a/tests/cluster/clusterviewtest.cpp
+++ b/tests/cluster/clusterviewtest.cpp
@@ -64,6 +64,29 @@
       CHECK(view.FindRange("agenda", 250)->owner == "c");
     }
   }
+  GIVEN("a view that has all changes up to a version")
+  {
+    // Guards against rows that were removed before this daemon read the table
+    // and that another daemon still sends: members tried to take their keys,
+    // several times a second and without end.
+    view.SetCompleteUpTo(15);
+    THEN("an unknown row that is not newer has been removed since")
+    {
+      CHECK_FALSE(view.Apply(RangeRow(300, 399, "d", 9)));
+      CHECK_FALSE(view.Apply(RangeRow(300, 399, "d", 15)));
+      CHECK(view.FindRange("agenda", 350) == nullptr);
+    }
+    THEN("newer rows, and older ones of a snapshot, are applied")
+    {
+      CHECK(view.Apply(RangeRow(300, 399, "d", 16)));
+      StoreRows rows;
+      rows.rows = { RangeRow(0, 99, "a", 10), RangeRow(400, 499, "e", 12) };
+      rows.version = 15;
+      view.Replace("agenda", rows);
+      CHECK(view.FindRange("agenda", 450)->owner == "e");
+      CHECK(view.FindRange("agenda", 350)->owner == "d");
+    }
+  }
   GIVEN("invalid rows")
   {
     const char* const lastKeyTooLarge =
