Derive the times after which earlier grants are over from the promise

Three constants assumed at most 3.2, 3.3 and 4 s, and two of them named the same time. A daemon that started anew could move keys, and take over a predecessor, while the server still held grants of the earlier process.

All three now follow from the promise and the clock drift.

Test: testcluster [serverstate]; with the earlier 3.2 s, 2 of 5 assertions fail.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -34,14 +34,11 @@
 /** A renewal of the long lease is dropped if the store has not accepted it by
  * then. */
 constexpr Duration kLongLeaseTimeout = std::chrono::seconds(2);
-/** Time after which ranges whose owner is no member are taken over: longer than
- * any grant that the owner may have given. */
-constexpr Duration kUnownedRangeTime = milliseconds(4000);
+/** Time after which ranges whose owner is no member are taken over, in addition
+ * to the time that grants of the owner may last: its record may arrive late. */
+constexpr Duration kUnownedRangeMargin = milliseconds(850);
 /** Number of ranges from which a member merges adjacent ones. */
 constexpr size_t kMergeThreshold = 16;
-/** Time from joining until members with the same address are taken over: longer
- * than any grant that their processes may have given. */
-constexpr Duration kPredecessorTime = milliseconds(3300);
 /** Bytes of rows in one datagram, which then fits into an Ethernet frame. */
 constexpr size_t kMaxDatagramRowBytes = 1100;
 /** Encoded bytes of a row besides its value and key. */
@@ -113,7 +110,8 @@
   , random(std::move(aRandom))
   , lease(aSettings.times)
   , monitor(aSettings.times)
-  , server(aSettings.heartbeat)
+  , server(aSettings.heartbeat,
+           WithDrift(aSettings.times.promise, aSettings.times))
 {
   this->self = this->newId();
 }
@@ -478,6 +476,13 @@
   return this->view.IsDrained(this->identity.service, this->identity.address);
 }
 
+/** Longest time for which keys that any daemon granted may still be held. */
+Duration
+OwnershipAgent::MaxGrantTime() const
+{
+  return WithDrift(this->settings.times.promise, this->settings.times);
+}
+
 bool
 OwnershipAgent::CanOwnKeys(Time aNow) const
 {
@@ -1024,7 +1029,7 @@
     }
     auto known = this->unownedSince.find(first);
     unowned[first] = known == this->unownedSince.end() ? aNow : known->second;
-    if (aNow - unowned[first] > kUnownedRangeTime &&
+    if (aNow - unowned[first] > this->MaxGrantTime() + kUnownedRangeMargin &&
         change.sets.size() < kMaxTakenRanges) {
       AddOwnerChange(change, range, this->self);
       absent.insert(range.record.owner);
@@ -1049,7 +1054,7 @@
 void
 OwnershipAgent::TakeOverPredecessors(Time aNow)
 {
-  if (aNow - this->joinedAt < kPredecessorTime) {
+  if (aNow - this->joinedAt < this->MaxGrantTime()) {
     return;
   }
   for (const auto& [id, member] : this->view.AllMembers()) {
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -221,6 +221,7 @@
   Duration TimeUntilGrant(Time aNow, const PeerLoad& aPeer) const;
   std::vector<Grant> MakeGrants() const;
   bool IsDrained() const;
+  Duration MaxGrantTime() const;
   bool CanOwnKeys(Time aNow) const;
   MemberState DesiredState(Time aNow) const;
   void SubmitChange(Time aNow, const StoreTransaction& aChange);
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -11,14 +11,11 @@
 /** Number of released ranges whose handover tokens are kept. */
 constexpr size_t kMaxReleased = 256;
 
-/** Longest time for which the previous daemon process may have granted keys
- * that the server still reports. */
-constexpr Duration kPredecessorGrantTime = std::chrono::milliseconds(3200);
-
 } // namespace
 
-ServerState::ServerState(Duration aHeartbeat)
+ServerState::ServerState(Duration aHeartbeat, Duration aMaxGrantTime)
   : lossTimeout(aHeartbeat * kMaxMissedHeartbeats)
+  , maxGrantTime(aMaxGrantTime)
 {
 }
 
@@ -92,7 +89,7 @@
       unknown = Subtract(unknown, part);
     }
     for (const auto& range : unknown) {
-      this->holdings.push_back({ range, aNow + kPredecessorGrantTime });
+      this->holdings.push_back({ range, aNow + this->maxGrantTime });
     }
   }
 }
--- a/src/cluster/serverstate.h
+++ b/src/cluster/serverstate.h
@@ -17,8 +17,10 @@
 class ServerState
 {
 public:
-  /** @param aHeartbeat Regular time between two heartbeats. */
-  explicit ServerState(Duration aHeartbeat);
+  /** @param aHeartbeat Regular time between two heartbeats.
+   * @param aMaxGrantTime Longest time for which an earlier daemon process may
+   * have granted keys that the server still reports. */
+  ServerState(Duration aHeartbeat, Duration aMaxGrantTime);
 
   enum class HeartbeatResult
   {
@@ -76,6 +78,7 @@
   void UpdateHoldings(Time aNow, const ServerReport& aReport);
 
   Duration lossTimeout; ///< Time without heartbeats until it counts as lost.
+  Duration maxGrantTime;
   std::optional<ServerReport> report;
   /** Server id and start time of earlier incarnations. */
   std::set<std::pair<std::string, int64_t>> earlierIncarnations;
--- /dev/null
+++ b/tests/cluster/serverstatetest.cpp
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+
+#include "cluster/cluster.h"
+
+using namespace fescuetiller; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time kStart = Time(seconds(100));
+constexpr KeyRange kHeld{ 0, 99 };
+
+ServerReport
+ReportWith(uint64_t aSequence, bool aHolds)
+{
+  ServerReport report;
+  report.incarnation.id = "i-1";
+  report.sequence = aSequence;
+  if (aHolds) {
+    report.grantedRanges = { { kHeld, 4096 } };
+  }
+  return report;
+}
+
+} // namespace
+
+// Guards against a move of keys that the server still holds since an earlier
+// run of the daemon granted them for longer than this one assumed.
+SCENARIO("Keys that an earlier daemon process granted count as held",
+         "[serverstate]")
+{
+  LeaseTimes times;
+  times.promise = milliseconds(3600);
+  auto longestGrant = times.promise;
+  ServerState server(milliseconds(1500), WithDrift(times.promise, times));
+  server.OnHeartbeat(kStart, ReportWith(1, true));
+
+  THEN("they are held for as long as such a grant may last")
+  {
+    CHECK_FALSE(server.IsUnheld(kStart + longestGrant, kHeld));
+    CHECK(server.IsUnheld(kStart + 2 * longestGrant, kHeld));
+  }
+  THEN("later heartbeats that report them do not extend that")
+  {
+    server.OnHeartbeat(kStart + seconds(3), ReportWith(2, true));
+    CHECK_FALSE(server.IsUnheld(kStart + longestGrant, kHeld));
+    CHECK(server.IsUnheld(kStart + 2 * longestGrant, kHeld));
+  }
+  THEN("they are free once the server reports that it does not hold them")
+  {
+    server.OnHeartbeat(kStart + seconds(1), ReportWith(2, false));
+    CHECK(server.IsUnheld(kStart + seconds(1), kHeld));
+  }
+}
