Drop a row that no longer exists when a change fails on it

Cause: when a condition of a transaction fails, the store's response lists the rows of the conditions that exist. A row that does not exist any more stayed in the view until the watch reported its removal, up to 4.2 s later among 84 members, and the same change was sent again in the meantime.

Now rows of conditions that the response does not list are removed from the view, as of the version of that response.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -455,6 +455,12 @@
     for (const auto& row : aResult.current) {
       this->view.Apply(row);
     }
+    // Rows that are not listed do not exist.
+    for (const auto& condition : aTransaction.conditions) {
+      if (FindExistingRow(aResult.current, condition.key) == nullptr) {
+        this->view.Apply({ condition.key, "", aResult.version, true });
+      }
+    }
     this->CheckMembership(aNow);
     return;
   }
--- a/src/cluster/transactionqueue.cpp
+++ b/src/cluster/transactionqueue.cpp
@@ -12,15 +12,6 @@
  * must be written after an outage. */
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(400);
 
-const StoreRow*
-FindRow(const std::vector<StoreRow>& aRows, const StoreKey& aKey)
-{
-  auto found = std::find_if(aRows.begin(), aRows.end(), [&](const auto& aRow) {
-    return aRow.key == aKey && !aRow.removed && aRow.version > 0;
-  });
-  return found == aRows.end() ? nullptr : &*found;
-}
-
 /** Returns the version at which the rows show the whole effect of a
  * transaction, or 0 if they do not. */
 RowVersion
@@ -29,14 +20,14 @@
 {
   RowVersion version = 0;
   for (const auto& set : aTransaction.sets) {
-    const auto* row = FindRow(aCurrent, set.key);
+    const auto* row = FindExistingRow(aCurrent, set.key);
     if (row == nullptr || row->value != set.value) {
       return 0;
     }
     version = std::max(version, row->version);
   }
   for (const auto& key : aTransaction.removes) {
-    if (FindRow(aCurrent, key) != nullptr) {
+    if (FindExistingRow(aCurrent, key) != nullptr) {
       return 0;
     }
   }
--- a/src/cluster/transactionqueue.h
+++ b/src/cluster/transactionqueue.h
@@ -12,8 +12,10 @@
 struct TransactionResult
 {
   bool committed = false;
+  /** Version of every changed row. If not committed: version of the store to
+   * which `current` belongs; 0 if unknown. */
   RowVersion version = 0;
-  std::vector<StoreRow> current; ///< Conflicting rows, if not committed.
+  std::vector<StoreRow> current; ///< If not committed: rows of the conditions.
 };
 
 /**
--- a/src/model/storerow.cpp
+++ b/src/model/storerow.cpp
@@ -57,4 +57,13 @@
   return found == aRows.rows.end() ? nullptr : &*found;
 }
 
+const StoreRow*
+FindExistingRow(const std::vector<StoreRow>& aRows, const StoreKey& aKey)
+{
+  auto found = std::find_if(aRows.begin(), aRows.end(), [&](const auto& aRow) {
+    return aRow.key == aKey && !aRow.removed && aRow.version > 0;
+  });
+  return found == aRows.end() ? nullptr : &*found;
+}
+
 } // namespace fescuetiller
--- a/src/model/storerow.h
+++ b/src/model/storerow.h
@@ -55,7 +55,8 @@
 struct StoreOutcome
 {
   bool committed = false;
-  RowVersion version = 0;        ///< Version of every changed row.
+  /** Version of every changed row; of the store, if not committed. */
+  RowVersion version = 0;
   std::vector<StoreRow> current; ///< If not committed: rows of the conditions.
 };
 
@@ -71,4 +72,9 @@
 const StoreRow*
 FindRow(const StoreRows& aRows, const StoreKey& aKey);
 
+/** Finds a row that exists, that is, was not removed; nullptr if there is none.
+ */
+const StoreRow*
+FindExistingRow(const std::vector<StoreRow>& aRows, const StoreKey& aKey);
+
 } // namespace fescuetiller
--- a/tests/cluster/unownedrangestest.cpp
+++ b/tests/cluster/unownedrangestest.cpp
@@ -43,6 +43,7 @@
       }
       this->agent.Tick(this->now);
       while (auto change = this->agent.Transactions().Next(this->now)) {
+        ++this->transactions;
         this->agent.Transactions().OnResponse(this->now,
                                               this->store.Apply(*change));
       }
@@ -59,6 +60,7 @@
   Time now = Time(seconds(100));
   Time nextHeartbeat;
   uint64_t heartbeats = 0;
+  uint64_t transactions = 0; ///< Sent to the store.
 };
 
 } // namespace
@@ -96,3 +98,22 @@
     }
   }
 }
+
+SCENARIO("A row that no longer exists is dropped when a change fails on it",
+         "[unownedranges]")
+{
+  // Guards against a change that fails again and again because the store's
+  // response lists only rows that exist.
+  SingleAgent single;
+  RangeRecord range{ kService, { 0, 99 }, "other", 3, "" };
+  single.store.Apply({ {}, { ToRow(range) }, {} });
+  single.agent.OnRows(
+    single.now, kService, single.store.Read({ kClusterTable, kService, "" }));
+  single.store.Apply({ {}, {}, { RangeKey(kService, 0) } });
+  single.RunFor(seconds(3));
+  auto before = single.transactions;
+  single.RunFor(seconds(12));
+  CHECK(single.OwnerOf(0) == "self");
+  // Besides the change that fails: three renewals of the long lease.
+  CHECK(single.transactions - before <= 4);
+}
--- a/tests/standins/memorystore.cpp
+++ b/tests/standins/memorystore.cpp
@@ -18,6 +18,7 @@
     }
   }
   if (!outcome.committed) {
+    outcome.version = this->version;
     return outcome;
   }
   outcome.current.clear();
