Keep the ports of the configuration test reserved until its daemon listens

Both fixtures now use the same ReservedPorts, which keeps the sockets bound. The daemon's port for datagrams is reserved for TCP only.

--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fescuetillerd/controlnode.h"
+#include "standins/reservedports.h"
 #include "standins/slowlink.h"
 #include "standins/storestandin.h"
 
@@ -14,12 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-Tcp::endpoint
-Loopback(uint16_t aPort)
-{
-  return { asio::ip::address_v4::loopback(), aPort };
-}
-
 /** Control plane of one daemon, with the heartbeats of its backend server. */
 struct Daemon
 {
@@ -28,11 +23,10 @@
          const std::string& aName,
          const Tcp::endpoint& aStore)
     : name(aName)
+    , ports(aContext)
     , pool(aContext)
     , timer(aContext)
   {
-    // Keeps the port reserved for datagrams; connections use it, too.
-    this->reserved.emplace_back(aContext, Loopback(0));
     NodeSettings settings;
     settings.name = aName;
     settings.ip = "127.0.0.1";
@@ -40,9 +34,9 @@
     settings.service = "agenda";
     settings.server = "127.0.0.1:" + std::to_string(aName == "near" ? 1 : 2);
     settings.peerAddress = settings.server;
-    settings.serverCallAddress = this->ReserveAddress(aContext);
-    settings.readinessAddress = this->ReserveAddress(aContext);
-    settings.firstPort = this->reserved.front().local_endpoint().port();
+    settings.serverCallAddress = ToString(this->ports.Reserve());
+    settings.readinessAddress = ToString(this->ports.Reserve());
+    settings.firstPort = this->ports.Reserve().port();
     settings.storeAddress = ToString(aStore);
     settings.heartbeat = milliseconds(300);
     this->serverCallAddress = *ParseEndpoint(settings.serverCallAddress);
@@ -58,17 +52,10 @@
       this->isMember = !aSelf.empty();
     };
     this->node->onServing = [](const auto&) {};
-    this->reserved.clear();
     REQUIRE(this->node->Listen());
     this->SendHeartbeat();
   }
 
-  std::string ReserveAddress(asio::io_context& aContext)
-  {
-    this->reserved.emplace_back(aContext, Loopback(0));
-    return ToString(this->reserved.back().local_endpoint());
-  }
-
   void SendHeartbeat()
   {
     json body = { { "service", "agenda" },
@@ -101,7 +88,7 @@
   std::string name;
   std::string server;
   Tcp::endpoint serverCallAddress;
-  std::vector<Tcp::acceptor> reserved;
+  ReservedPorts ports;
   Counters counters;
   ConnectionPool pool;
   asio::steady_timer timer;
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -2,6 +2,7 @@
 
 #include "fescuetillerd/trafficnode.h"
 #include "platform/headers.h"
+#include "standins/reservedports.h"
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
 
@@ -40,7 +41,7 @@
   std::shared_ptr<Configuration> configuration =
     std::make_shared<Configuration>();
 
-  std::vector<Tcp::acceptor> reservedPorts;
+  ReservedPorts ports{ context };
   Tcp::endpoint clientAddress;
   Tcp::endpoint callerAddress;
 
@@ -51,9 +52,9 @@
     settings.service = "agenda";
     settings.zone = "a";
     settings.server = ToString(this->server.Address());
-    settings.clientAddress = ReserveAddress();
-    settings.peerAddress = ReserveAddress();
-    settings.callerAddress = ReserveAddress();
+    settings.clientAddress = ToString(this->ports.Reserve());
+    settings.peerAddress = ToString(this->ports.Reserve());
+    settings.callerAddress = ToString(this->ports.Reserve());
     this->callerAddress = *ParseEndpoint(settings.callerAddress);
     settings.retryRatio = 0.9;
     this->clientAddress = *ParseEndpoint(settings.clientAddress);
@@ -146,22 +147,6 @@
     return **response;
   }
 
-  static Tcp::endpoint Loopback(uint16_t aPort)
-  {
-    return { asio::ip::address_v4::loopback(), aPort };
-  }
-
-  /** A free address. Its port stays bound, without listening, so that neither
-   * another call nor another process takes it before the daemon listens. */
-  std::string ReserveAddress()
-  {
-    auto& socket = this->reservedPorts.emplace_back(this->context);
-    socket.open(Tcp::v4());
-    socket.set_option(asio::socket_base::reuse_address(true));
-    socket.bind(Loopback(0));
-    return ToString(socket.local_endpoint());
-  }
-
   void Serve(std::shared_ptr<Exchange> aExchange)
   {
     auto action = this->serverRequests.size() < this->serverActions.size()
