--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -125,6 +125,10 @@
   return text.dump();
 }
 
+/** Time after the end of a disturbance in which the configuration must be the
+ * newest one again. */
+constexpr Duration kMaxOutdatedTime = seconds(3);
+
 /** A store, and daemons that reach it directly or over a slow link. */
 struct SlowLinkFixture
 {
@@ -155,9 +159,10 @@
       this->context, this->log, "far", this->link->Address());
   }
 
-  bool RunUntil(const std::function<bool()>& aCondition)
+  bool RunUntil(const std::function<bool()>& aCondition,
+                Duration aTimeout = seconds(15))
   {
-    auto end = std::chrono::steady_clock::now() + seconds(15);
+    auto end = std::chrono::steady_clock::now() + aTimeout;
     while (!aCondition() && std::chrono::steady_clock::now() < end) {
       this->context.run_for(milliseconds(20));
     }
@@ -341,3 +346,60 @@
     }
   }
 }
+
+// Daemons waited for responses that a silent store never sent, and applied a
+// configuration 2.6 s after the store had confirmed it, 4.6 s after the store's
+// return (docs/incidents/2026-12-04-unanswered-watch.md).
+SCENARIO("A configuration comes into force in time after the store was silent",
+         "[configuration][silence][knownred]")
+{
+  SlowLinkFixture fixture;
+  fixture.store.SetConfiguration(ConfigurationText(1, 2));
+  fixture.StartNear();
+  fixture.StartFar();
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.near->members == 2 && fixture.far->members == 2; }));
+  auto isInForce = [&](uint64_t aVersion) {
+    return fixture.near->version == aVersion &&
+           fixture.far->version == aVersion;
+  };
+
+  GIVEN("a store that has left a watch of the configuration unanswered")
+  {
+    fixture.store.SetFault("silent");
+    REQUIRE(
+      fixture.RunUntil([&] { return fixture.store.HasUnansweredWatch("op"); }));
+    THEN("the configuration that follows its return is in force in time")
+    {
+      fixture.store.SetFault("none");
+      fixture.store.SetConfiguration(ConfigurationText(2, 3));
+      CHECK(fixture.RunUntil([&] { return isInForce(2); }, kMaxOutdatedTime));
+    }
+    THEN("the same holds after a longer outage")
+    {
+      fixture.context.run_for(seconds(6));
+      fixture.store.SetFault("none");
+      fixture.store.SetConfiguration(ConfigurationText(2, 3));
+      CHECK(fixture.RunUntil([&] { return isInForce(2); }, kMaxOutdatedTime));
+    }
+  }
+}
+
+// When all open connections fell silent, a daemon waited for its watch, and
+// then sent the next one over another connection that was silent, too.
+SCENARIO("A configuration comes into force in time after the connections to "
+         "the store fell silent",
+         "[configuration][silence][knownred]")
+{
+  SlowLinkFixture fixture;
+  fixture.store.SetConfiguration(ConfigurationText(1, 2));
+  fixture.StartFar();
+  REQUIRE(fixture.RunUntil([&] { return fixture.far->isMember; }));
+  for (uint64_t version = 2; version <= 4; ++version) {
+    fixture.context.run_for(milliseconds(700));
+    fixture.link->SilenceConnections();
+    fixture.store.SetConfiguration(ConfigurationText(version, 3));
+    CHECK(fixture.RunUntil([&] { return fixture.far->version == version; },
+                           kMaxOutdatedTime));
+  }
+}
--- a/tests/standins/slowlink.cpp
+++ b/tests/standins/slowlink.cpp
@@ -31,6 +31,7 @@
   Tcp::socket client;
   Tcp::socket server;
   asio::steady_timer timer; ///< Delays bytes to the client.
+  bool silenced = false;    ///< Bytes that arrive are discarded.
   std::vector<char> toClient = std::vector<char>(kPieceBytes);
   std::vector<char> toServer = std::vector<char>(kPieceBytes);
 };
@@ -68,10 +69,21 @@
   this->bytesPerSecond = aRate;
 }
 
+void
+SlowLink::SilenceConnections()
+{
+  for (const auto& entry : this->relays) {
+    if (auto relay = entry.lock()) {
+      relay->silenced = true;
+    }
+  }
+}
+
 void
 SlowLink::Accept()
 {
   auto relay = std::make_shared<Relay>(this->context);
+  this->relays.push_back(relay);
   this->acceptor.async_accept(
     relay->client, [this, relay](error_code aAcceptError) {
       if (aAcceptError) {
@@ -104,6 +116,10 @@
         relay->Close();
         return;
       }
+      if (relay->silenced) {
+        this->Forward(relay, aFrom, aTo, aBuffer);
+        return;
+      }
       auto write = [this, relay, aSize, &aFrom, &aTo, &aBuffer] {
         asio::async_write(aTo,
                           asio::buffer(aBuffer.data(), aSize),
--- a/tests/standins/slowlink.h
+++ b/tests/standins/slowlink.h
@@ -6,7 +6,8 @@
 
 /**
  * TCP relay that limits how fast bytes from the server reach the client, like a
- * link that other traffic fills. The limit applies to each connection.
+ * link that other traffic fills. The limit applies to each connection. Open
+ * connections can be silenced while new ones work.
  */
 class SlowLink
 {
@@ -21,6 +22,10 @@
   /** Sets the limit; 0: no limit. */
   void SetBytesPerSecond(size_t aRate);
 
+  /** Discards what arrives over the present connections, and keeps them open.
+   */
+  void SilenceConnections();
+
 private:
   struct Relay;
 
@@ -35,6 +40,7 @@
   Tcp::endpoint server;
   Tcp::acceptor acceptor;
   size_t bytesPerSecond = 0;
+  std::vector<std::weak_ptr<Relay>> relays;
 };
 
 } // namespace fescuetiller
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/storestandin.h"
 
+#include <algorithm>
+
 #include "platform/platform.h"
 
 namespace fescuetiller {
@@ -33,6 +35,24 @@
   this->WriteRow({ "op", "", "config" }, EncodeBase64(aText));
 }
 
+void
+StoreStandIn::SetFault(const std::string& aFault)
+{
+  this->fault = aFault;
+}
+
+bool
+StoreStandIn::HasUnansweredWatch(const std::string& aTable) const
+{
+  return std::any_of(
+    this->unanswered.begin(),
+    this->unanswered.end(),
+    [&](const std::shared_ptr<Exchange>& aExchange) {
+      return ParseQuery(std::string(aExchange->request.target()))["table"] ==
+             aTable;
+    });
+}
+
 json
 StoreStandIn::ToJson(const Key& aKey, const Row& aRow)
 {
@@ -94,7 +114,7 @@
   auto path = target.substr(0, target.find('?'));
   try {
     if (path == "/standin/faults") {
-      this->fault = aExchange->request.body();
+      this->SetFault(aExchange->request.body());
       this->Respond(aExchange, 200, json::object());
     } else if (path == "/standin/copy") {
       this->Copy();
--- a/tests/standins/storestandin.h
+++ b/tests/standins/storestandin.h
@@ -36,6 +36,11 @@
   /** Writes the operator's configuration. */
   void SetConfiguration(const std::string& aText);
 
+  /** Sets the fault of all calls from now on. */
+  void SetFault(const std::string& aFault);
+  /** Whether the fault has left a watch of a table without a response. */
+  bool HasUnansweredWatch(const std::string& aTable) const;
+
   /** Keeps a copy of the rows. */
   void Copy();
   /** Comes back from the last copy, in the next era. */
