--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -19,7 +19,8 @@
 start_server() {
   "$build/tests/keyserverstandin" --service agenda \
     --daemon "$(address "$1" 7304)" --address "$(address "$1" 7305)" \
-    --run-log "$folder/server-$1.runs" >>"$folder/server-$1.log" 2>&1 &
+    --run-log "$folder/server-$1.runs" --fatal-body fatal \
+    >>"$folder/server-$1.log" 2>&1 &
   server[$1]=$!
 }
 
--- a/tests/standins/keyserverstandin.cpp
+++ b/tests/standins/keyserverstandin.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 
@@ -32,6 +33,9 @@
   Duration heartbeat = milliseconds(300); ///< Interval of heartbeats.
   std::string runLog;             ///< File that all runs are appended to.
   std::string requestLimit = "5"; ///< See ToggleRequestLimit; per second.
+  /** Requests with this body end the process when their work is done; empty:
+   * none do. */
+  std::string fatalBody;
 };
 
 /**
@@ -137,10 +141,15 @@
     this->runLog << ToBootNanoseconds(BootClock::now()) << ' ' << this->id
                  << ' ' << key << ' ' << grant->fence << ' ' << requestId
                  << std::endl;
+    bool isFatal = !this->options.fatalBody.empty() &&
+                   request.body() == this->options.fatalBody;
     auto work = std::make_shared<asio::steady_timer>(this->context);
     work->expires_after(this->options.work);
     work->async_wait(
-      [this, aExchange, work, requestId](boost::system::error_code) {
+      [this, aExchange, work, requestId, isFatal](boost::system::error_code) {
+        if (isFatal) {
+          std::_Exit(EXIT_FAILURE);
+        }
         --this->running;
         auto response = TextResponse(200, "answer to " + requestId);
         response.set(headers::kRequestId, requestId);
@@ -280,6 +289,9 @@
   add("request-limit",
       options::value(&settings.requestLimit),
       "requests per second that it states as its limit after SIGUSR1");
+  add("fatal-body",
+      options::value(&settings.fatalBody),
+      "requests with this body end the process");
   auto values = fescuetiller::ParseOptions(aCount, aArguments, description);
   options::notify(values);
   fescuetiller::asio::io_context context(1);
