Block requests under which two servers ended

Cause: each attempt was judged by itself. That a server had ended under a request was known to one daemon, as a broken connection, and forgotten with the attempt.

Evidence: of the requests that four servers lost within 3 s, key 51917 is the only one in common; it came 24 times in the 5 s of logs, always from instances of dossier.

The daemon beside a server now records under which requests it ended, all daemons merge their records, and refuse a request after two servers. Requests that were there by chance are told apart by their successes and by one trial of a blocked request.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -477,7 +477,8 @@
       this->monitor.OnConsent(aMessage.member, aMessage.from, aMessage.version);
       break;
     case Kind::Confirmation:
-      break; // For the configuration only.
+    case Kind::Crashes:
+      break; // Not about ownership.
   }
   return {};
 }
--- a/src/cluster/peermessage.cpp
+++ b/src/cluster/peermessage.cpp
@@ -1,5 +1,7 @@
 #include "cluster/peermessage.h"
 
+#include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include <nlohmann/json.hpp>
@@ -10,10 +12,13 @@
 
 using nlohmann::json;
 
-constexpr int kLastKind = static_cast<int>(PeerMessage::Kind::Confirmation);
+constexpr int kLastKind = static_cast<int>(PeerMessage::Kind::Crashes);
 /** Age above which a configuration counts as not confirmed. */
 constexpr Duration kMaxConfigurationAge = std::chrono::seconds(60);
 
+/** Largest number of crash records that a message may hold. */
+constexpr size_t kMaxCrashes = 64;
+
 /** Parses an age in milliseconds; nothing if it is no valid one. */
 std::optional<Duration>
 ParseAge(const json& aValue)
@@ -27,6 +32,26 @@
   return std::chrono::milliseconds(aValue.get<int64_t>());
 }
 
+/** Parses crash records. Throws if they are malformed. */
+std::vector<CrashRecord>
+ParseCrashes(const json& aValue)
+{
+  std::vector<CrashRecord> crashes;
+  for (const auto& entry : aValue) {
+    if (crashes.size() == kMaxCrashes) {
+      break;
+    }
+    constexpr uint32_t kMaxAge = std::numeric_limits<uint32_t>::max();
+    auto age = std::min<uint64_t>(entry.at(2).get<uint64_t>(), kMaxAge);
+    crashes.push_back({ entry.at(0).get<RequestFingerprint>(),
+                        entry.at(1).get<uint32_t>(),
+                        entry.at(3).get<std::vector<uint64_t>>(),
+                        entry.at(4).get<uint32_t>(),
+                        std::chrono::milliseconds(age) });
+  }
+  return crashes;
+}
+
 } // namespace
 
 bool
@@ -44,6 +69,7 @@
                     aMessage.untilHeartbeat,
                     aMessage.configuration,
                     aMessage.configurationAge,
+                    aMessage.crashes,
                     aMessage.era);
   };
   return tie(aLeft) == tie(aRight);
@@ -76,6 +102,15 @@
     aMessage.configurationAge
       ? json(static_cast<uint64_t>(ToMilliseconds(*aMessage.configurationAge)))
       : json());
+  json crashes = json::array();
+  for (const auto& crash : aMessage.crashes) {
+    crashes.push_back({ crash.fingerprint,
+                        crash.generation,
+                        static_cast<uint64_t>(ToMilliseconds(crash.age)),
+                        crash.servers,
+                        crash.trials });
+  }
+  value.push_back(crashes);
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
 }
@@ -108,10 +143,12 @@
                         std::move(rows),
                         value.at(7).get<double>(),
                         std::chrono::milliseconds(value.at(8).get<int64_t>()),
-                        // Earlier releases do not send the last three.
+                        // Earlier releases do not send the last four.
                         value.size() > 9 ? value.at(9).get<RowVersion>() : 0,
                         value.size() > 11 ? ParseAge(value.at(11))
                                           : std::nullopt,
+                        value.size() > 12 ? ParseCrashes(value.at(12))
+                                          : std::vector<CrashRecord>(),
                         value.size() > 10 ? value.at(10).get<StoreEra>() : 0 };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/cluster/peermessage.h
+++ b/src/cluster/peermessage.h
@@ -21,6 +21,7 @@
     Probe,          ///< Checks that the receiver is alive.
     ProbeReply,     ///< Reply to Probe.
     Confirmation,   ///< Tells the age of the configuration only.
+    Crashes,        ///< Servers that ended under requests.
   };
 
   Kind kind = Kind::Renew;
@@ -39,6 +40,7 @@
   RowVersion configuration = 0;
   /** How long ago the store had no newer configuration; nothing: unknown. */
   std::optional<Duration> configurationAge;
+  std::vector<CrashRecord> crashes; ///< For Crashes only.
   /** Era of the store as the sender knows it. */
   StoreEra era = 0;
 
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -17,9 +17,11 @@
  * an outdated view, and ConfigurationCheck detects an outdated configuration.
  */
 constexpr Duration kWatchTime = milliseconds(8000);
-/** Number of members that a daemon tells of a confirmed configuration; each of
- * them tells as many others. */
-constexpr size_t kConfirmationReceivers = 4;
+/** Number of members that get a message of SendToSomeMembers. */
+constexpr size_t kSomeMembers = 4;
+/** Largest number of crash records in one message, which must fit into a
+ * datagram. */
+constexpr size_t kMaxCrashRecords = 12;
 /** Pauses after a change, so that one call fetches several changes made in
  * quick succession. Members send each other their changes of the cluster
  * directly, so the cluster pause may grow with the number of members, which
@@ -311,6 +313,8 @@
   this->counters.SetGauge(
     "fescuetiller_server_request_limit",
     aReport.requestLimit.value_or(std::numeric_limits<double>::infinity()));
+  this->counters.SetGauge("fescuetiller_blocked_requests",
+                          static_cast<double>(aReport.blockedRequests));
   this->counters.SetGauge("fescuetiller_log_lines_dropped",
                           static_cast<double>(this->log.DroppedLines()));
   this->counters.SetGauge("fescuetiller_store_calls",
@@ -543,7 +547,7 @@
 }
 
 void
-ControlNode::SendConfirmations()
+ControlNode::SendToSomeMembers(PeerMessage aMessage)
 {
   std::vector<std::string> addresses;
   for (const auto& [id, member] : this->agent.View().AllMembers()) {
@@ -555,14 +559,33 @@
   std::sample(addresses.begin(),
               addresses.end(),
               std::back_inserter(receivers),
-              kConfirmationReceivers,
+              kSomeMembers,
               this->random);
+  aMessage.from = this->publishedSelf;
+  aMessage.era = this->store.Era();
+  for (const auto& receiver : receivers) {
+    this->SendPeerMessage(receiver, aMessage);
+  }
+}
+
+void
+ControlNode::SendConfirmations()
+{
   PeerMessage message;
   message.kind = PeerMessage::Kind::Confirmation;
-  message.from = this->publishedSelf;
-  message.era = this->store.Era();
-  for (const auto& receiver : receivers) {
-    this->SendPeerMessage(receiver, message);
+  this->SendToSomeMembers(std::move(message));
+}
+
+void
+ControlNode::SendCrashRecords(const CrashRecords::Records& aRecords)
+{
+  for (size_t sent = 0; sent < aRecords.size(); sent += kMaxCrashRecords) {
+    auto count = std::min(kMaxCrashRecords, aRecords.size() - sent);
+    auto first = aRecords.begin() + static_cast<std::ptrdiff_t>(sent);
+    PeerMessage message;
+    message.kind = PeerMessage::Kind::Crashes;
+    message.crashes.assign(first, first + static_cast<std::ptrdiff_t>(count));
+    this->SendToSomeMembers(std::move(message));
   }
 }
 
@@ -715,6 +738,9 @@
   this->configurationSharing.OnAnnouncement(
     now, message->configuration, sender);
   this->OnPeerConfirmation(now, *message);
+  if (!message->crashes.empty() && this->onCrashRecords) {
+    this->onCrashRecords(message->crashes);
+  }
   for (const auto& reply : this->agent.OnPeerMessage(now, *message)) {
     this->SendPeerMessage(ToString(sender), reply.message);
   }
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -37,6 +37,8 @@
   std::function<void(std::shared_ptr<const Configuration>)> onConfiguration;
   std::function<void(std::shared_ptr<const ClusterView>, MemberId)> onView;
   std::function<void(ServingState)> onServing;
+  /** Called with crash records of another daemon. */
+  std::function<void(CrashRecords::Records)> onCrashRecords;
 
   /** Opens all listening sockets and starts to follow the store. */
   Result<void> Listen();
@@ -52,6 +54,9 @@
    * @param aSince When the response arrived. */
   void OnServerLeaving(const ServerIncarnation& aServer, Time aSince);
 
+  /** Tells some other members under which requests servers ended. */
+  void SendCrashRecords(const CrashRecords::Records& aRecords);
+
   /** Makes the readiness check fail. */
   void BeginStop();
   /** Ends the membership in the cluster unless this member owns keys. */
@@ -72,6 +77,9 @@
   /** Asks the store for a newer configuration if that is due. */
   void CheckConfiguration(Time aNow);
   void OnConfigurationChecked(const Result<void>& aResult);
+  /** Sends a message to some random other members, each of which tells as many
+   * others if it is news there. */
+  void SendToSomeMembers(PeerMessage aMessage);
   /** Tells some other members how old the configuration may be. */
   void SendConfirmations();
   void OnPeerConfirmation(Time aNow, const PeerMessage& aMessage);
--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -53,6 +53,10 @@
 /** Reason of a report whose sender stops and accepts no more requests. */
 constexpr const char* kStoppingReason = "stopping";
 
+/** Reason of a report of a request that must not run, since servers ended under
+ * it. */
+constexpr const char* kBlockedReason = "blocked";
+
 /** Result of one request and the state of the backend server, sent with each
  * response of the daemon beside the server. */
 struct ExecutionReport
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -1,5 +1,6 @@
 #include "fescuetillerd/execution.h"
 
+#include "fescuetillerd/requestfingerprint.h"
 #include "platform/platform.h"
 
 namespace fescuetiller {
@@ -26,6 +27,8 @@
                      const Dispatch& aDispatch,
                      std::shared_ptr<ResponseReceiver> aReceiver)
   : requestId(aRequest[headers::kRequestId])
+  , fingerprint(
+      FingerprintOf(aRequest, std::string(aRequest[headers::kCallerService])))
   , dispatch(aDispatch)
   , arrivedAt(BootClock::now())
   , executor(aExecutor)
@@ -112,6 +115,7 @@
       { "outcome", aOutcome },
       { "reason", aReason },
       { "key", this->key ? std::to_string(*this->key) : "" },
+      { "fingerprint", ToHex(this->fingerprint) },
       { "in_slot_ms", std::to_string(ToMilliseconds(timeInSlot)) },
       { "time_left_ms", std::to_string(ToMilliseconds(this->deadline - now)) },
       { "expected_wait_ms",
@@ -188,6 +192,8 @@
                              ExecutionOutcome::Refused);
     return;
   }
+  this->executor.OnAnswered(
+    this->fingerprint, this->server, this->startedAt, status);
   this->LogOutcome("answered", std::to_string(status));
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(status < 300);
@@ -200,6 +206,7 @@
 Execution::OnHeaders(ResponseHeaders aHeaders)
 {
   this->ReadServerState(aHeaders.message);
+  this->status = aHeaders.message.result_int();
   this->executor.SetReport(
     aHeaders.message,
     this->executor.MakeReport(ExecutionOutcome::Answered, *this));
@@ -215,6 +222,8 @@
 void
 Execution::OnBodyEnd()
 {
+  this->executor.OnAnswered(
+    this->fingerprint, this->server, this->startedAt, this->status);
   this->LogOutcome("answered", "streamed");
   auto self = this->shared_from_this();
   this->Finish(true)->OnBodyEnd();
@@ -226,6 +235,9 @@
   if (aFailure.connectionRefused && this->executor.onServerConnectionRefused) {
     this->executor.onServerConnectionRefused();
   }
+  if (aFailure.stage != CallStage::NotSent && !aFailure.timedOut) {
+    this->executor.OnBrokenOff(this->fingerprint, this->server);
+  }
   switch (aFailure.stage) {
     case CallStage::NotSent:
       this->RespondWithFailure("server-unreachable", ExecutionOutcome::Refused);
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -40,6 +40,7 @@
 
   std::optional<Key> key;
   std::string requestId;
+  const RequestFingerprint fingerprint;
   const Dispatch dispatch;
   const Time arrivedAt;
   Time deadline;
@@ -70,6 +71,7 @@
   std::shared_ptr<UpstreamCall> call;
   Time startedAt;
   ServerIncarnation server; ///< Server that the request was sent to.
+  unsigned status = 0;      ///< Of a response whose body follows in chunks.
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
@@ -32,6 +33,11 @@
 /** Expected service time of a class before any of its requests has run. */
 constexpr Duration kDefaultServiceTime = milliseconds(50);
 
+/** How long a request that was broken off may be one under which its server
+ * ended. A server that lives shows it earlier, by the next response. */
+constexpr Duration kMaxCrashDetectionTime = std::chrono::seconds(30);
+constexpr size_t kMaxBrokenOff = 1000;
+
 /** Formats a request limit for the log. */
 std::string
 FormatLimit(const std::optional<double>& aLimit)
@@ -54,6 +60,7 @@
     return this->CanStart(aRequest.id);
   })
   , keyLoad(kKeyHalfLife)
+  , crashes(std::random_device()())
   , expiryTimer(aContext)
 {
 }
@@ -68,6 +75,7 @@
   }
   this->serving = aServing;
   this->queue.SetSlots(aServing.slots);
+  this->RecordCrashes();
   this->RefuseMovedRequests();
   this->StartEligibleRequests();
 }
@@ -131,6 +139,106 @@
                       { "per_second", FormatLimit(aLimit) } } });
 }
 
+void
+Executor::OnBrokenOff(RequestFingerprint aFingerprint,
+                      const ServerIncarnation& aServer)
+{
+  bool planned = aServer == this->serving.server && this->IsServerLeaving();
+  if (!planned && this->brokenOff.size() < kMaxBrokenOff) {
+    this->brokenOff.push_back({ aFingerprint, aServer, BootClock::now() });
+    this->RecordCrashes();
+  }
+}
+
+void
+Executor::OnAnswered(RequestFingerprint aFingerprint,
+                     const ServerIncarnation& aServer,
+                     Time aSentAt,
+                     unsigned aStatus)
+{
+  auto isAlive = [&](const BrokenOff& aBroken) {
+    return aBroken.server == aServer && aBroken.at < aSentAt;
+  };
+  this->brokenOff.erase(
+    std::remove_if(this->brokenOff.begin(), this->brokenOff.end(), isAlive),
+    this->brokenOff.end());
+  constexpr unsigned kFirstRedirect = 300;
+  if (aStatus >= kFirstRedirect) {
+    return;
+  }
+  auto news = this->crashes.OnSuccess(BootClock::now(), aFingerprint);
+  if (news && this->onCrashNews) {
+    this->onCrashNews({ *news });
+  }
+}
+
+void
+Executor::RecordCrashes()
+{
+  auto now = BootClock::now();
+  CrashRecords::Records news;
+  std::vector<BrokenOff> undecided;
+  for (const auto& broken : this->brokenOff) {
+    bool ended =
+      broken.server != this->serving.server || !this->serving.available;
+    if (!ended && now - broken.at < kMaxCrashDetectionTime) {
+      undecided.push_back(broken);
+    }
+    if (!ended) {
+      continue;
+    }
+    auto record = this->crashes.OnCrash(
+      now,
+      broken.fingerprint,
+      StableHash(broken.server.id,
+                 static_cast<uint64_t>(broken.server.startedAt)));
+    if (record) {
+      news.push_back(*record);
+      this->log.Write(
+        { "server-ended-under-request",
+          { { "server", broken.server.id },
+            { "fingerprint", ToHex(broken.fingerprint) },
+            { "servers", std::to_string(record->servers.size()) } } });
+    }
+  }
+  this->brokenOff = std::move(undecided);
+  this->LogBlocked(news);
+  if (!news.empty() && this->onCrashNews) {
+    this->onCrashNews(std::move(news));
+  }
+}
+
+void
+Executor::LogBlocked(const CrashRecords::Records& aNews)
+{
+  auto now = BootClock::now();
+  for (const auto& record : aNews) {
+    if (auto blocked = this->crashes.BlockedFor(now, record.fingerprint)) {
+      this->log.Write(
+        { "request-blocked",
+          { { "fingerprint", ToHex(record.fingerprint) },
+            { "servers", std::to_string(record.servers.size()) },
+            { "for_ms", std::to_string(ToMilliseconds(*blocked)) } } });
+    }
+  }
+}
+
+void
+Executor::OnCrashRecords(const CrashRecords::Records& aRecords)
+{
+  auto news = this->crashes.Merge(BootClock::now(), aRecords);
+  this->LogBlocked(news);
+  if (!news.empty() && this->onCrashNews) {
+    this->onCrashNews(std::move(news));
+  }
+}
+
+CrashRecords&
+Executor::Crashes()
+{
+  return this->crashes;
+}
+
 std::optional<double>
 Executor::RequestsPerSecond()
 {
@@ -270,6 +378,10 @@
       execution->Refuse(refusal, kDefaultRetryAfter);
       return;
     }
+    if (auto blocked = this->crashes.BlockedFor(now, execution->fingerprint)) {
+      execution->Refuse(kBlockedReason, *blocked);
+      return;
+    }
     if (execution->key) {
       auto serviceTime = this->queue.Times().Estimate(
         slot.requestClass, Duration(kDefaultServiceTime));
@@ -295,13 +407,32 @@
   }
 }
 
+bool
+Executor::RefuseIfBlocked(Time aNow,
+                          const std::shared_ptr<Execution>& aExecution)
+{
+  auto verdict = this->crashes.Admit(aNow, aExecution->fingerprint);
+  if (!verdict.mayRun) {
+    aExecution->Refuse(kBlockedReason, verdict.blockedFor);
+  } else if (verdict.news) {
+    this->log.Write({ "blocked-request-tried",
+                      { { "request", aExecution->requestId },
+                        { "fingerprint", ToHex(aExecution->fingerprint) } } });
+    if (this->onCrashNews) {
+      this->onCrashNews({ *verdict.news });
+    }
+  }
+  return !verdict.mayRun;
+}
+
 void
 Executor::StartEligibleRequests()
 {
   auto now = BootClock::now();
   for (auto id : this->queue.Start(now)) {
     auto found = this->executions.find(id);
-    if (found != this->executions.end()) {
+    if (found != this->executions.end() &&
+        !this->RefuseIfBlocked(now, found->second)) {
       found->second->Run(now);
     }
   }
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -41,6 +41,8 @@
   /** Called when the server states in a response that it is about to shut down,
    * with the time of that response. */
   std::function<void(const ServerIncarnation&, Time)> onServerLeaving;
+  /** Called with crash records that other daemons need. */
+  std::function<void(CrashRecords::Records)> onCrashNews;
 
   void SetServing(const ServingState& aServing);
 
@@ -48,6 +50,11 @@
    * have been made before this daemon was started. */
   void OnServerNotice(const ServerNotice& aNotice);
 
+  /** Handles crash records of another daemon. */
+  void OnCrashRecords(const CrashRecords::Records& aRecords);
+  /** Requests under which servers ended. */
+  CrashRecords& Crashes();
+
   /** Runs a request as soon as it gets a slot. The receiver gets the server's
    * response or a refusal, either with an execution report, and not before
    * Start has returned. */
@@ -96,6 +103,25 @@
   const ServedRange* FindServedRange(Key aKey) const;
   /** Member that the key moved to recently; empty if unknown. */
   MemberId FindNewOwner(Key aKey) const;
+  /** A request that was broken off. Its server has ended, or only closed the
+   * connection. */
+  struct BrokenOff
+  {
+    RequestFingerprint fingerprint = 0;
+    ServerIncarnation server;
+    Time at;
+  };
+
+  void OnBrokenOff(RequestFingerprint aFingerprint,
+                   const ServerIncarnation& aServer);
+  /** Handles a response of the server to a request. */
+  void OnAnswered(RequestFingerprint aFingerprint,
+                  const ServerIncarnation& aServer,
+                  Time aSentAt,
+                  unsigned aStatus);
+  /** Records the requests that were broken off by the end of their server. */
+  void RecordCrashes();
+  void LogBlocked(const CrashRecords::Records& aNews);
   /** The server announced its shutdown in a response. */
   void AnnounceLeaving(const ServerIncarnation& aServer, Time aSince);
   /** The server stated in a response which rate of requests it accepts. */
@@ -108,6 +134,8 @@
   /** Checks the waiting requests again after a short time, if there are any. */
   void ArmExpiryTimer();
   void Refuse(const SlotRefusal& aRefusal);
+  /** Refuses a request under which servers ended. @return Whether it did. */
+  bool RefuseIfBlocked(Time aNow, const std::shared_ptr<Execution>& aExecution);
   /** Makes a report without what depends on the request. */
   ExecutionReport MakeStateReport(ExecutionOutcome aOutcome,
                                   const std::string& aReason,
@@ -131,6 +159,8 @@
   std::optional<Time> leavingSince;
   SlotQueue queue;
   KeyLoad keyLoad;
+  CrashRecords crashes;
+  std::vector<BrokenOff> brokenOff;
   asio::steady_timer expiryTimer;
   bool expiryTimerArmed = false;
   uint64_t nextId = 1;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -6,6 +6,7 @@
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include "fescuetillerd/execution.h"
+#include "fescuetillerd/requestfingerprint.h"
 #include "platform/headers.h"
 
 namespace fescuetiller {
@@ -111,12 +112,28 @@
       self->OnClientDisconnected();
     }
   };
-  if (this->ReadRequest()) {
+  if (this->ReadRequest() && !this->RefuseIfBlocked()) {
     this->ingress.RetryBudgetFor(this->dispatch.service).CountRequest();
     this->Send();
   }
 }
 
+bool
+IngressRequest::RefuseIfBlocked()
+{
+  const auto& crashes = this->ingress.executor.Crashes();
+  if (crashes.IsEmpty()) {
+    return false;
+  }
+  auto blocked = crashes.BlockedFor(
+    BootClock::now(),
+    FingerprintOf(this->exchange->request, this->ingress.settings.service));
+  if (blocked) {
+    this->RespondWithError(503, kBlockedReason, *blocked);
+  }
+  return blocked.has_value();
+}
+
 bool
 IngressRequest::ReadRequest()
 {
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -49,6 +49,8 @@
   /** Finds the route, deadline, service and key. @return False if the request
    * was refused. */
   bool ReadRequest();
+  /** Refuses the request if servers ended under it. @return Whether it did. */
+  bool RefuseIfBlocked();
   /** Sends the request to a member that it chooses. */
   void Send();
   /** @param aReason Set if no member can be chosen.
--- a/src/fescuetillerd/nodeprocess.cpp
+++ b/src/fescuetillerd/nodeprocess.cpp
@@ -68,6 +68,16 @@
     asio::post(this->traffic,
                [this, aServing] { this->trafficNode.SetServing(aServing); });
   };
+  this->controlNode.onCrashRecords = [this](auto aRecords) {
+    asio::post(this->traffic, [this, aRecords] {
+      this->trafficNode.OnCrashRecords(aRecords);
+    });
+  };
+  this->trafficNode.onCrashRecords = [this](auto aRecords) {
+    asio::post(this->control, [this, aRecords] {
+      this->controlNode.SendCrashRecords(aRecords);
+    });
+  };
   this->trafficNode.onReport = [this](auto aReport) {
     asio::post(this->control,
                [this, aReport] { this->controlNode.OnReport(aReport); });
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -19,6 +19,9 @@
  * applied the operator's limits. */
 constexpr uint64_t kMaxPeerBodyBytes = 256 * 1024 * 1024;
 constexpr uint32_t kMaxPeerHeaderBytes = 128 * 1024;
+/** Number of crash records that are repeated to other daemons at each interval,
+ * for those that missed them or were started since. */
+constexpr size_t kRepeatedCrashRecords = 8;
 /** Fraction of the allowed retry ratio that one daemon uses. The margin is for
  * differences between its own count of requests and the service's. */
 constexpr double kRetryRatioFraction = 0.7;
@@ -62,6 +65,11 @@
       this->onServerConnectionRefused();
     }
   };
+  this->executor.onCrashNews = [this](CrashRecords::Records aNews) {
+    if (this->onCrashRecords) {
+      this->onCrashRecords(std::move(aNews));
+    }
+  };
   this->executor.onServerLeaving = [this](const auto& aServer, Time aSince) {
     if (this->onServerLeaving) {
       this->onServerLeaving(aServer, aSince);
@@ -124,6 +132,12 @@
   this->executor.SetServing(aServing);
 }
 
+void
+TrafficNode::OnCrashRecords(const CrashRecords::Records& aRecords)
+{
+  this->executor.OnCrashRecords(aRecords);
+}
+
 std::array<HttpServer*, 3>
 TrafficNode::HttpServers()
 {
@@ -193,11 +207,16 @@
   }
   this->executor.CloseIdleConnections(now);
   this->ingress.CloseIdleConnections(now);
+  auto repeated = this->executor.Crashes().Next(now, kRepeatedCrashRecords);
+  if (!repeated.empty() && this->onCrashRecords) {
+    this->onCrashRecords(std::move(repeated));
+  }
   if (this->onReport) {
     this->onReport({ this->executor.OfferedLoad(),
                      this->executor.ConnectionsOpened(),
                      this->executor.RequestsPerSecond(),
                      this->executor.UnusableShare(),
+                     this->executor.Crashes().BlockedCount(now),
                      this->executor.KeyWeights(),
                      this->ingress.PeerLoads() });
   }
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -22,6 +22,7 @@
   /** Share of the backend server's capacity that its request limit leaves
    * unused. */
   double unusableShare = 0;
+  size_t blockedRequests = 0; ///< Requests that must not run again.
   std::vector<KeyWeight> keyWeights;
   std::map<MemberId, PeerLoad> peerLoads;
 };
@@ -46,6 +47,9 @@
    * with the time of that response. */
   std::function<void(const ServerIncarnation&, Time)> onServerLeaving;
 
+  /** Called with crash records for other daemons. */
+  std::function<void(CrashRecords::Records)> onCrashRecords;
+
   Result<void> Listen();
 
   /** Applies reloaded settings; see MergeReloadedSettings for what may differ.
@@ -54,6 +58,8 @@
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
   void SetServing(const ServingState& aServing);
+  /** Handles crash records of another daemon. */
+  void OnCrashRecords(const CrashRecords::Records& aRecords);
 
   /** From now on, every response closes its connection. */
   void AnnounceClose();
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -42,6 +42,7 @@
 {
   CallStage stage = CallStage::NotSent;
   bool connectionRefused = false; ///< No process listens on the peer's address.
+  bool timedOut = false;          ///< The connection did not fail by itself.
   Error error;
 };
 
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -409,6 +409,7 @@
   CallFailure failure;
   failure.stage = this->stage;
   failure.connectionRefused = aError == asio::error::connection_refused;
+  failure.timedOut = aError == asio::error::timed_out;
   failure.error = { this->stage == CallStage::NotSent ? ErrorCode::Unavailable
                                                       : ErrorCode::Unknown,
                     aOperation,
--- a/src/model/model.h
+++ b/src/model/model.h
@@ -4,6 +4,7 @@
  * in the router's own terms, independent of the platform's formats. */
 
 #include "model/configuration.h"
+#include "model/crashrecord.h"
 #include "model/keyrange.h"
 #include "model/servernotice.h"
 #include "model/serverreport.h"
--- a/tests/cluster/clusterviewtest.cpp
+++ b/tests/cluster/clusterviewtest.cpp
@@ -133,6 +133,16 @@
     CHECK_FALSE(DecodePeerMessage(Encode(message))->configurationAge);
   }
   message.configurationAge.reset();
+  message.crashes = { { 0xFFFFFFFFFFFFFFFF,
+                        3,
+                        { 1, 0xFFFFFFFFFFFFFFFF },
+                        2,
+                        std::chrono::milliseconds(3600000) },
+                      { 4, 0, {}, 0, Duration(0) } };
+  CHECK(DecodePeerMessage(Encode(message)) == message);
+  message.crashes.resize(65);
+  CHECK(DecodePeerMessage(Encode(message))->crashes.size() == 64);
+  message.crashes.clear();
   CHECK(DecodePeerMessage(Encode(message)) == message);
   auto bytes = Encode(message);
   for (size_t length = 0; length < bytes.size(); ++length) {
@@ -142,9 +152,10 @@
 
   GIVEN("a message of a release that does not know the configuration's age")
   {
-    // The first byte holds the number of fields, the last one is the age.
-    bytes.pop_back();
-    --bytes.front();
+    // The first byte holds the number of fields; the last two are the age and
+    // the crash records.
+    bytes.resize(bytes.size() - 2);
+    bytes.front() = static_cast<char>(bytes.front() - 2);
     auto decoded = DecodePeerMessage(bytes);
     REQUIRE(decoded);
     CHECK(*decoded == message);
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "fescuetillerd/requestfingerprint.h"
 #include "fescuetillerd/trafficnode.h"
 #include "platform/headers.h"
 #include "standins/reservedports.h"
@@ -681,3 +682,153 @@
     CHECK(fixture.PostAsCaller("/v1/request/agenda/look").result_int() == 400);
   }
 }
+
+namespace {
+
+/** Lets the backend server end under requests, and start again. */
+struct EndingServerFixture : RequestPathFixture
+{
+  EndingServerFixture()
+  {
+    this->node->onCrashRecords = [this](CrashRecords::Records aRecords) {
+      this->told.insert(this->told.end(), aRecords.begin(), aRecords.end());
+    };
+    this->Configure();
+  }
+
+  /** Sends a request under which the server ends.
+   * @return The status of the response. */
+  unsigned PostFatal(const std::string& aPath)
+  {
+    this->serverActions.resize(this->serverRequests.size(),
+                               ServerAction::Respond);
+    this->serverActions.push_back(ServerAction::Disconnect);
+    this->serverActions.push_back(ServerAction::Disconnect);
+    return this->Post(aPath).result_int();
+  }
+
+  /** The server has ended, and its next incarnation sends heartbeats. */
+  void RestartServer()
+  {
+    this->serving.available = false;
+    this->node->SetServing(this->serving);
+    this->serving.available = true;
+    this->serving.server.id = "i-" + std::to_string(++this->incarnation);
+    this->node->SetServing(this->serving);
+  }
+
+  /** Sends a request, and tells whether the server got it. */
+  bool Reaches(const std::string& aPath)
+  {
+    this->serverActions.clear();
+    auto before = this->serverRequests.size();
+    auto status = this->Post(aPath).result_int();
+    bool reached = this->serverRequests.size() > before;
+    CHECK(status == (reached ? 200 : 503));
+    return reached;
+  }
+
+  CrashRecords::Records told; ///< Records for other daemons.
+  int incarnation = 1;
+};
+
+} // namespace
+
+// A request was passed on to one server after the other, each of which ended
+// under it (docs/incidents/2026-12-04-fatal-requests.md).
+SCENARIO("A request under which two servers ended does not reach a third one",
+         "[path][crashes]")
+{
+  EndingServerFixture fixture;
+
+  GIVEN("two servers that ended under it, one after the other")
+  {
+    CHECK(fixture.PostFatal("/book/1") == 502);
+    fixture.RestartServer();
+    CHECK(fixture.PostFatal("/book/1") == 502);
+    fixture.RestartServer();
+    THEN("it is refused as not run, with a time after which it may come back")
+    {
+      fixture.serverActions.clear();
+      auto before = fixture.serverRequests.size();
+      auto response = fixture.Post("/book/1");
+      CHECK(response.result_int() == 503);
+      CHECK(std::stod(std::string(response[http::field::retry_after])) > 5);
+      CHECK(fixture.serverRequests.size() == before);
+    }
+    THEN("other requests reach the server")
+    {
+      CHECK(fixture.Reaches("/book/2"));
+      CHECK(fixture.Reaches("/look/1"));
+    }
+    THEN("other daemons are told of the two ends")
+    {
+      REQUIRE(fixture.told.size() >= 2);
+      CHECK(fixture.told.back().servers.size() == 2);
+    }
+  }
+  GIVEN("a daemon that another one tells of it")
+  {
+    HttpRequest request(http::verb::post, "/book/1", 11);
+    request.set(http::field::host, "a.example");
+    request.body() = "body";
+    CrashRecord record;
+    record.fingerprint = FingerprintOf(request, "agenda");
+    record.servers = { 1, 2 };
+    CHECK(fixture.Reaches("/book/1"));
+    fixture.node->OnCrashRecords({ record });
+    THEN("it does not reach the server, and others are told once")
+    {
+      CHECK(fixture.told.size() == 1);
+      fixture.node->OnCrashRecords({ record });
+      CHECK(fixture.told.size() == 1);
+      CHECK_FALSE(fixture.Reaches("/book/1"));
+      CHECK(fixture.Reaches("/look/1"));
+    }
+    THEN("another caller's, or one with another host, is another request")
+    {
+      CHECK(FingerprintOf(request, "dossier") != record.fingerprint);
+      request.set(http::field::host, "b.example");
+      CHECK(FingerprintOf(request, "agenda") != record.fingerprint);
+    }
+  }
+  GIVEN("a server that ended, and ran it in its next incarnation")
+  {
+    fixture.PostFatal("/book/1");
+    fixture.RestartServer();
+    CHECK(fixture.Reaches("/book/1"));
+    fixture.PostFatal("/book/1");
+    fixture.RestartServer();
+    THEN("it reaches the server")
+    {
+      CHECK(fixture.Reaches("/book/1"));
+    }
+  }
+  GIVEN("servers that only closed the connections, and live")
+  {
+    for (int number = 0; number < 4; ++number) {
+      fixture.PostFatal("/book/1");
+      CHECK(fixture.Reaches("/book/2"));
+    }
+    fixture.RestartServer();
+    THEN("it reaches the server")
+    {
+      CHECK(fixture.told.empty());
+      CHECK(fixture.Reaches("/book/1"));
+    }
+  }
+  GIVEN("servers that had announced their shutdown before they ended")
+  {
+    for (int number = 0; number < 3; ++number) {
+      fixture.serving.draining = true;
+      fixture.node->SetServing(fixture.serving);
+      fixture.PostFatal("/book/1");
+      fixture.serving.draining = false;
+      fixture.RestartServer();
+    }
+    THEN("it reaches the next one")
+    {
+      CHECK(fixture.Reaches("/book/1"));
+    }
+  }
+}
