Give up responses that exceed the size limit

A call to the store whose response is long has no timeout once that has begun, and fails after 2 s without a chunk. Beyond the size limit of 4 MiB the rest was read and dropped until the response ended: with a peer that sends without end, never, and no other call was made meanwhile.

--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -33,34 +33,37 @@
     if (this->response.body().size() + aChunk.size() <= kMaxBodyBytes) {
       this->response.body().append(static_cast<const char*>(aChunk.data()),
                                    aChunk.size());
-    } else {
-      this->tooLarge = true;
-    }
-    aNext();
-  }
-
-  void OnBodyEnd() override
-  {
-    if (this->tooLarge) {
-      this->callback(tl::unexpected(
-        Error{ ErrorCode::Unknown,
-               "read answer",
-               "peer",
-               "response body exceeds the size limit of 4 MiB" }));
+      aNext();
       return;
     }
-    this->callback(std::move(this->response));
+    auto report = std::move(this->callback);
+    if (auto running = this->call.lock()) {
+      running->Cancel(); // May delete this receiver.
+    }
+    report(
+      tl::unexpected(Error{ ErrorCode::Unknown,
+                            "read answer",
+                            "peer",
+                            "response body exceeds the size limit of 4 MiB" }));
   }
 
+  void OnBodyEnd() override { this->callback(std::move(this->response)); }
+
   void OnFailure(const CallFailure& aFailure) override
   {
     this->callback(tl::unexpected(aFailure.error));
   }
 
+  /** The call is cancelled if its response is too large. */
+  void SetCall(const std::shared_ptr<UpstreamCall>& aCall)
+  {
+    this->call = aCall;
+  }
+
 private:
   FetchCallback callback;
+  std::weak_ptr<UpstreamCall> call;
   HttpResponse response;
-  bool tooLarge = false;
 };
 
 } // namespace
@@ -72,12 +75,11 @@
       const CallOptions& aOptions,
       FetchCallback aCallback)
 {
-  return UpstreamCall::Start(
-    aPool,
-    aPeer,
-    std::move(aRequest),
-    aOptions,
-    std::make_shared<ResponseCollector>(std::move(aCallback)));
+  auto collector = std::make_shared<ResponseCollector>(std::move(aCallback));
+  auto call =
+    UpstreamCall::Start(aPool, aPeer, std::move(aRequest), aOptions, collector);
+  collector->SetCall(call);
+  return call;
 }
 
 } // namespace fescuetiller
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -328,6 +328,134 @@
 
 namespace {
 
+/** A server that responds to a request with a text, and then repeats another
+ * one until the client closes the connection. */
+class EndlessPeer
+{
+public:
+  EndlessPeer(asio::io_context& aContext,
+              std::string aBegin,
+              const std::string& aRepeated)
+    : acceptor(aContext, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , socket(aContext)
+    , begin(std::move(aBegin))
+  {
+    constexpr size_t kPieceBytes = 16 * 1024;
+    while (this->repeated.size() < kPieceBytes) {
+      this->repeated += aRepeated;
+    }
+    this->acceptor.async_accept(this->socket,
+                                [this](boost::system::error_code aError) {
+                                  REQUIRE_FALSE(aError);
+                                  this->Write(this->begin);
+                                });
+  }
+
+  Tcp::endpoint Address() const { return this->acceptor.local_endpoint(); }
+
+  bool clientDisconnected = false;
+  size_t written = 0; ///< Bytes.
+
+private:
+  void Write(const std::string& aText)
+  {
+    asio::async_write(this->socket,
+                      asio::buffer(aText),
+                      [this](boost::system::error_code aError, size_t aSize) {
+                        this->written += aSize;
+                        this->clientDisconnected = aError.failed();
+                        if (!aError) {
+                          this->Write(this->repeated);
+                        }
+                      });
+  }
+
+  Tcp::acceptor acceptor;
+  Tcp::socket socket;
+  std::string begin;
+  std::string repeated;
+};
+
+} // namespace
+
+// Guards against reading what a peer in trouble sends for as long as it sends
+// it.
+SCENARIO("A call ends although its peer sends without end", "[http][endless]")
+{
+  Fixture fixture;
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+  for (const auto& [name, begin, repeated] :
+       { std::tuple("a status line", std::string("HTTP/1.1 200 "), "x"),
+         std::tuple("a header line", head + "A: ", "x"),
+         std::tuple("header lines", head, "A: b\r\n"),
+         std::tuple("bytes that are no response", std::string(), "x"),
+         std::tuple("empty lines", std::string(), "\r\n"),
+         std::tuple(
+           "interim responses", std::string(), "HTTP/1.1 100 Continue\r\n\r\n"),
+         std::tuple("responses to other requests",
+                    std::string(),
+                    "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0"
+                    "\r\n\r\n"),
+         std::tuple("a body without a length", head + "\r\n", "x"),
+         std::tuple("chunks", head + chunked, "1\r\nx\r\n"),
+         std::tuple("a chunk's extension", head + chunked + "1;", "x"),
+         std::tuple("trailers", head + chunked + "0\r\n", "A: b\r\n") }) {
+    GIVEN(std::string("a peer that sends without end ") + name)
+    {
+      EndlessPeer peer(fixture.context, begin, repeated);
+      auto call = fixture.Call(peer.Address(), "1", milliseconds(300));
+      THEN("the call fails, and closes the connection")
+      {
+        CHECK_FALSE(call->ended);
+        CHECK_FALSE(call->response);
+        REQUIRE(call->failure);
+        CHECK(call->failure->stage != CallStage::NotSent);
+        fixture.RunUntil([&] { return peer.clientDisconnected; });
+        CHECK(peer.clientDisconnected);
+      }
+    }
+  }
+  GIVEN("a peer that sends without end after a complete response")
+  {
+    EndlessPeer peer(fixture.context, ResponseText("1", "one"), "x");
+    auto call = fixture.Call(peer.Address(), "1");
+    THEN("the response is complete, and its connection is not used again")
+    {
+      REQUIRE(call->response);
+      CHECK(call->response->body() == "one");
+      fixture.context.run_for(milliseconds(20));
+      CHECK(fixture.pool.Take(peer.Address(), BootClock::now()) == nullptr);
+    }
+  }
+  GIVEN("a long response whose timeout ends when it begins")
+  {
+    EndlessPeer peer(fixture.context,
+                     head + chunked,
+                     "400\r\n" + std::string(1024, 'x') + "\r\n");
+    CallOptions options;
+    options.timeout = milliseconds(300);
+    options.stallTimeout = milliseconds(300);
+    std::optional<Result<HttpResponse>> result;
+    Fetch(fixture.pool,
+          peer.Address(),
+          RequestOf("1"),
+          options,
+          [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+    fixture.RunUntil([&] { return result.has_value(); });
+    THEN("it fails at the size limit, and the connection is closed")
+    {
+      REQUIRE(result);
+      CHECK_FALSE(*result);
+      fixture.RunUntil([&] { return peer.clientDisconnected; });
+      CHECK(peer.clientDisconnected);
+    }
+  }
+}
+
+namespace {
+
 /** A server and a client socket connected to it. */
 struct ServerFixture
 {
