Do not check the configuration while its table is loaded

A check that got the answer that its version is outdated began to load the table, and so did the next checks until the first load had ended: 8 reads of the whole configuration in place of 2 over a link of 100 kB/s, after the store had returned from an older copy.

--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -513,7 +513,7 @@
 void
 ControlNode::CheckConfiguration(Time aNow)
 {
-  if (this->configurationWatch.IsLoaded() &&
+  if (this->configurationWatch.IsWatching() &&
       this->configurationCheck.Begin(aNow)) {
     this->configurationWatch.Check([this](const Result<void>& aResult) {
       this->OnConfigurationChecked(aResult);
--- a/src/fescuetillerd/tablewatch.cpp
+++ b/src/fescuetillerd/tablewatch.cpp
@@ -42,10 +42,17 @@
   return this->loaded;
 }
 
+bool
+TableWatch::IsWatching() const
+{
+  return this->loaded && !this->loading;
+}
+
 void
 TableWatch::ReloadAfter(Duration aPause)
 {
   if (this->loaded) {
+    this->loading = true;
     ++this->loads;
     this->RunAfter(aPause, [this] { this->Load(); });
   }
@@ -54,7 +61,7 @@
 void
 TableWatch::Restart()
 {
-  if (this->loaded) {
+  if (this->IsWatching()) {
     ++this->loads;
     this->Watch();
   }
@@ -126,6 +133,7 @@
 void
 TableWatch::Load()
 {
+  this->loading = true;
   this->hooks.load([this, load = ++this->loads](Result<RowVersion> aVersion) {
     if (load != this->loads) {
       return;
@@ -136,6 +144,7 @@
       return;
     }
     this->loaded = true;
+    this->loading = false;
     this->version = std::max(this->version, *aVersion);
     this->log.Write({ "table-loaded",
                       { { "table", this->table },
--- a/src/fescuetillerd/tablewatch.h
+++ b/src/fescuetillerd/tablewatch.h
@@ -40,6 +40,8 @@
 
   void Start();
   bool IsLoaded() const;
+  /** Whether the table is loaded, and is not being loaded again. */
+  bool IsWatching() const;
   /** Loads the table again after a pause, since the store's era has changed. */
   void ReloadAfter(Duration aPause);
   /** Watches anew, since the store may never respond to the present call. */
@@ -75,6 +77,7 @@
   /** Number of loads; a response to a call before the last one is ignored. */
   uint64_t loads = 0;
   bool loaded = false;
+  bool loading = false;
   bool storeLost = false;
   Duration retryPause = Duration(0); ///< Grows with each failed call.
 };
--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -553,3 +553,25 @@
                            kMaxOutdatedTime));
   }
 }
+
+// A check that found the watched version outdated began the load of the table
+// again, and so did the next one, before the first load had ended.
+SCENARIO("A load over a slow link is not begun again by the next check",
+         "[configuration][silence][storereturn]")
+{
+  SlowLinkFixture fixture;
+  fixture.store.SetConfiguration(ConfigurationText(1, 2));
+  fixture.StartFar();
+  REQUIRE(fixture.RunUntil([&] { return fixture.far->isMember; }));
+  fixture.store.Copy();
+  fixture.store.SetConfiguration(ConfigurationText(2, 1500));
+  REQUIRE(fixture.RunUntil([&] { return fixture.far->version == 2; }));
+
+  fixture.link->SetBytesPerSecond(100000);
+  fixture.store.SetConfiguration(ConfigurationText(3, 1600));
+  fixture.store.Restore();
+  auto before = fixture.store.ReadCount("op");
+  CHECK(fixture.RunUntil([&] { return fixture.far->version == 3; }));
+  CHECK(fixture.far->routes == 1600);
+  CHECK(fixture.store.ReadCount("op") == before + 1);
+}
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -53,6 +53,13 @@
     });
 }
 
+size_t
+StoreStandIn::ReadCount(const std::string& aTable) const
+{
+  auto found = this->readCounts.find(aTable);
+  return found == this->readCounts.end() ? 0 : found->second;
+}
+
 json
 StoreStandIn::ToJson(const Key& aKey, const Row& aRow)
 {
@@ -202,6 +209,7 @@
 StoreStandIn::ReadRows(const std::shared_ptr<Exchange>& aExchange,
                        std::map<std::string, std::string> aQuery)
 {
+  ++this->readCounts[aQuery["table"]];
   json found = json::array();
   bool more = false;
   Key from{ aQuery["table"], aQuery["part"], aQuery["from"] };
--- a/tests/standins/storestandin.h
+++ b/tests/standins/storestandin.h
@@ -41,6 +41,9 @@
   /** Whether the fault has left a watch of a table without a response. */
   bool HasUnansweredWatch(const std::string& aTable) const;
 
+  /** Number of reads of a table so far. */
+  size_t ReadCount(const std::string& aTable) const;
+
   /** Keeps a copy of the rows. */
   void Copy();
   /** Comes back from the last copy, in the next era. */
@@ -106,6 +109,7 @@
   std::list<Watcher> watchers;
   std::vector<std::shared_ptr<Exchange>> unanswered;
   std::string fault = "none";
+  std::map<std::string, size_t> readCounts; ///< By table.
 };
 
 } // namespace fescuetiller
