--- a/tests/daemon/crashes.sh
+++ b/tests/daemon/crashes.sh
@@ -9,7 +9,7 @@
 set -u
 build=$1
 here=$(cd "$(dirname "$0")" && pwd)
-network=127.0.5
+network=127.0.6
 . "$here/deployment.sh"
 start_deployment
 
