Run requests that a client sends before the first response at the same time

Cause: ServerSession read the next request only after it had written the response before it, so each lookup waited for all lookups before it. And once data of a further request had arrived, it no longer looked whether the client had closed the connection.

A request that is not idempotent runs alone. A response that closes the connection is the last one of those passed on; nothing behind it is run. Data behind it is discarded for up to 500 ms instead of resetting the connection, which would lose the response. Requests that wait are read ahead up to 64 KiB, so that the client's leaving is seen.

Ruled out: waiting requests that are parsed without a bound (memory), passing on by HTTP method (the route's kind says what may be repeated).

--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -58,6 +58,17 @@
   this->self = std::move(aSelf);
 }
 
+bool
+Ingress::MayRunConcurrently(const HttpRequest& aRequest) const
+{
+  if (this->routes == nullptr) {
+    return false;
+  }
+  const auto* route = this->routes->Find(
+    std::string(aRequest[http::field::host]), std::string(aRequest.target()));
+  return route != nullptr && route->kind != RequestKind::NonIdempotent;
+}
+
 void
 Ingress::OnRequest(std::shared_ptr<Exchange> aExchange)
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -40,6 +40,9 @@
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
 
+  /** Whether a request may run at the same time as others that its client sent
+   * over the same connection: only if it is idempotent. */
+  bool MayRunConcurrently(const HttpRequest& aRequest) const;
   void OnRequest(std::shared_ptr<Exchange> aExchange);
   /** Handles a request to the router's own interface; see ParseCallerRequest.
    */
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -60,6 +60,9 @@
                })
   , timer(aContext)
 {
+  this->clientServer.mayRunConcurrently = [this](const HttpRequest& aRequest) {
+    return this->ingress.MayRunConcurrently(aRequest);
+  };
   this->executor.onServerConnectionRefused = [this] {
     if (this->onServerConnectionRefused) {
       this->onServerConnectionRefused();
@@ -168,8 +171,11 @@
   for (auto* server : this->HttpServers()) {
     responding = responding || server->HasPendingResponses();
   }
-  bool dismissing = this->peerServer.HasDismissedClients() &&
-                    BootClock::now() < this->dismissedUntil;
+  // Connections of clients are closed after the linger time at the latest.
+  bool dismissing = (this->peerServer.HasDismissedClients() &&
+                     BootClock::now() < this->dismissedUntil) ||
+                    this->clientServer.HasDismissedClients() ||
+                    this->callerServer.HasDismissedClients();
   if (responding || dismissing || this->ingress.InFlightCount() > 0 ||
       !this->executor.IsIdle()) {
     return false;
--- a/src/http/peekbyte.cpp
+++ b/src/http/peekbyte.cpp
@@ -11,4 +11,11 @@
   return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+ssize_t
+ReadAvailable(Tcp::socket& aSocket, const asio::mutable_buffer& aBuffer)
+{
+  return ::recv(
+    aSocket.native_handle(), aBuffer.data(), aBuffer.size(), MSG_DONTWAIT);
+}
+
 } // namespace fescuetiller
--- a/src/http/peekbyte.h
+++ b/src/http/peekbyte.h
@@ -12,4 +12,10 @@
 ssize_t
 PeekByte(Tcp::socket& aSocket);
 
+/** Reads without waiting what has arrived.
+ * @return Number of bytes; 0 if the peer closed the connection, -1 if there is
+ * nothing yet (errno EAGAIN or EWOULDBLOCK) or the connection failed. */
+ssize_t
+ReadAvailable(Tcp::socket& aSocket, const asio::mutable_buffer& aBuffer);
+
 } // namespace fescuetiller
--- /dev/null
+++ b/src/http/pendingresponse.cpp
@@ -0,0 +1,116 @@
+#include "http/pendingresponse.h"
+
+namespace fescuetiller {
+
+void
+PendingResponse::SetWhole(HttpResponse aResponse)
+{
+  this->whole = std::move(aResponse);
+}
+
+void
+PendingResponse::Start(ResponseHeaders aHeaders)
+{
+  this->streamed = std::make_unique<Streamed>();
+  this->streamed->base() = aHeaders.message.base();
+  this->streamed->version(11);
+  if (aHeaders.contentLength) {
+    this->streamed->content_length(*aHeaders.contentLength);
+  } else {
+    this->streamed->chunked(true);
+  }
+}
+
+void
+PendingResponse::SetChunk(asio::const_buffer aChunk,
+                          std::function<void()> aNext)
+{
+  this->chunk = aChunk;
+  this->next = std::move(aNext);
+}
+
+void
+PendingResponse::End()
+{
+  this->ended = true;
+}
+
+void
+PendingResponse::Abort()
+{
+  this->aborted = true;
+  this->chunk = {};
+  this->next = nullptr;
+}
+
+PendingResponse::Step
+PendingResponse::NextStep() const
+{
+  if (this->aborted) {
+    return Step::Abort;
+  }
+  if (this->whole) {
+    return Step::Whole;
+  }
+  if (this->streamed == nullptr) {
+    return Step::Wait;
+  }
+  if (this->next != nullptr) {
+    return Step::Chunk;
+  }
+  return this->ended ? Step::End : Step::Wait;
+}
+
+size_t
+PendingResponse::HeldBytes() const
+{
+  return this->whole ? this->whole->body().size() : this->chunk.size();
+}
+
+void
+PendingResponse::SetKeepAlive(bool aKeepAlive)
+{
+  if (this->whole) {
+    this->whole->version(11);
+    this->whole->keep_alive(aKeepAlive);
+    bool bodyless = this->headRequest || this->whole->result_int() == 204 ||
+                    this->whole->result_int() == 304;
+    if (!bodyless) {
+      this->whole->content_length(this->whole->body().size());
+    }
+  } else if (this->streamed != nullptr && this->serializer == nullptr) {
+    this->streamed->keep_alive(aKeepAlive);
+  }
+}
+
+HttpResponse&
+PendingResponse::Whole()
+{
+  return *this->whole;
+}
+
+PendingResponse::Serializer&
+PendingResponse::Prepare()
+{
+  auto& body = this->streamed->body();
+  bool atEnd = this->next == nullptr;
+  // The serializer takes a non-const pointer but does not modify the data.
+  body.data = atEnd ? nullptr : const_cast<void*>(this->chunk.data());
+  body.size = atEnd ? 0 : this->chunk.size();
+  body.more = !atEnd;
+  if (this->serializer == nullptr) {
+    this->serializer = std::make_unique<Serializer>(*this->streamed);
+  }
+  return *this->serializer;
+}
+
+std::function<void()>
+PendingResponse::TakeChunkCallback()
+{
+  auto callback = std::move(this->next);
+  this->next = nullptr;
+  this->chunk = {};
+  return callback;
+}
+
+} // namespace fescuetiller
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -164,7 +164,7 @@
 HttpServer::StartSession(Tcp::socket aSocket)
 {
   auto session = std::make_shared<ServerSession>(
-    std::move(aSocket), this->handler, this->limits);
+    std::move(aSocket), this->handler, this->mayRunConcurrently, this->limits);
   this->sessions.insert(session);
   if (this->finalResponse) {
     session->Dismiss(*this->finalResponse);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,6 +22,10 @@
 
   HttpServer(asio::io_context& aContext, Handler aHandler);
 
+  /** Whether a request may run at the same time as others of its connection. If
+   * it is not set, each request waits for the response to the one before. */
+  ServerSession::ConcurrencyRule mayRunConcurrently;
+
   Result<void> Listen(const Tcp::endpoint& aAddress);
   /** Listens on an address in text form; does nothing if it is empty. */
   Result<void> Listen(const std::string& aAddress);
@@ -45,7 +49,7 @@
   void DismissClients(const HttpResponse& aFinalResponse);
 
   /** Whether clients have not closed all connections over which the final
-   * response was sent. */
+   * response, or a response that closes the connection, was sent. */
   bool HasDismissedClients() const;
 
   /** Whether a request has not been read or has no response yet, or a response
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -1,5 +1,6 @@
 #include "http/serversession.h"
 
+#include <algorithm>
 #include <cerrno>
 
 #include "http/peekbyte.h"
@@ -15,13 +16,19 @@
 constexpr unsigned kHeaderTooLarge = 431;
 /** Largest buffer that an idle connection keeps. */
 constexpr size_t kIdleBufferBytes = 4 * 1024;
+/** How much is read ahead of requests that have to wait. What exceeds it stays
+ * with the client. */
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
 
 } // namespace
 
-Exchange::Exchange(HttpRequest aRequest, std::weak_ptr<ServerSession> aSession)
+Exchange::Exchange(HttpRequest aRequest,
+                   std::weak_ptr<ServerSession> aSession,
+                   std::shared_ptr<PendingResponse> aResponse)
   : request(std::move(aRequest))
   , receivedAt(BootClock::now())
   , session(std::move(aSession))
+  , response(std::move(aResponse))
 {
 }
 
@@ -37,7 +44,7 @@
 {
   this->responseStarted = true;
   if (auto open = this->session.lock()) {
-    open->Respond(std::move(aResponse));
+    open->Respond(this->response, std::move(aResponse));
   }
 }
 
@@ -45,24 +52,26 @@
 Exchange::StartResponse(ResponseHeaders aHeaders)
 {
   this->responseStarted = true;
-  if (auto open = this->session.lock()) {
-    open->StartResponse(std::move(aHeaders));
-  }
+  this->response->Start(std::move(aHeaders));
 }
 
 void
 Exchange::WriteChunk(asio::const_buffer aChunk, std::function<void()> aNext)
 {
-  if (auto open = this->session.lock()) {
-    open->WriteChunk(aChunk, std::move(aNext));
+  auto open = this->session.lock();
+  if (open != nullptr && this->responseStarted) {
+    this->response->SetChunk(aChunk, std::move(aNext));
+    open->OnResponseChanged(this->response);
   }
 }
 
 void
 Exchange::EndResponse()
 {
-  if (auto open = this->session.lock()) {
-    open->EndResponse();
+  auto open = this->session.lock();
+  if (open != nullptr && this->responseStarted) {
+    this->response->End();
+    open->OnResponseChanged(this->response);
   }
 }
 
@@ -71,7 +80,7 @@
 {
   this->onClientDisconnect = nullptr;
   if (auto open = this->session.lock()) {
-    open->Close();
+    open->Abort(this->response);
   }
 }
 
@@ -83,9 +92,11 @@
 
 ServerSession::ServerSession(Tcp::socket aSocket,
                              const Handler& aHandler,
+                             const ConcurrencyRule& aMayRunConcurrently,
                              const SessionLimits& aLimits)
   : socket(std::move(aSocket))
   , handler(aHandler)
+  , mayRunConcurrently(aMayRunConcurrently)
   , limits(aLimits)
   , since(BootClock::now())
 {
@@ -108,17 +119,26 @@
 bool
 ServerSession::IsBusy() const
 {
-  return this->state == State::Busy;
+  return this->state == State::Open && !this->pipeline.IsEmpty();
 }
 
 void
 ServerSession::CloseIfTimedOut(Time aNow)
 {
-  bool slow = this->state == State::Reading &&
-              aNow - this->since > this->limits.headerTimeout;
-  bool idle =
-    this->state == State::Idle && aNow - this->since > this->limits.idleTimeout;
-  if (slow || idle) {
+  auto elapsed = aNow - this->since;
+  if (this->state == State::Dismissed) {
+    if (this->finalResponse == nullptr && elapsed > this->limits.lingerTime) {
+      this->Close();
+    }
+    return;
+  }
+  bool slow =
+    this->input == Input::Part && elapsed > this->limits.headerTimeout;
+  bool idle = this->input == Input::Nothing && this->pipeline.IsEmpty() &&
+              elapsed > this->limits.idleTimeout;
+  if (slow && !this->pipeline.IsEmpty()) {
+    this->pipeline.StopReading();
+  } else if (slow || idle) {
     this->Close();
   }
 }
@@ -132,20 +152,26 @@
   this->state = State::Closed;
   error_code ignored; // The socket is closed in any case.
   this->socket.close(ignored);
-  this->NotifyDisconnect();
+  auto unanswered = std::move(this->responses);
+  this->responses.clear();
+  for (const auto& pending : unanswered) {
+    pending->Abort();
+    this->NotifyDisconnect(*pending);
+  }
 }
 
 bool
 ServerSession::HasUnreadData()
 {
-  return (this->state == State::Idle || this->state == State::Reading) &&
+  return this->state == State::Open && this->pipeline.IsEmpty() &&
          PeekByte(this->socket) > 0;
 }
 
 void
 ServerSession::CloseIfIdle()
 {
-  if (this->state == State::Idle && !this->HasUnreadData()) {
+  if (this->state == State::Open && this->pipeline.IsEmpty() &&
+      this->input == Input::Nothing && !this->HasUnreadData()) {
     this->Close();
   }
 }
@@ -153,7 +179,8 @@
 void
 ServerSession::DismissIfIdle(HttpResponse aFinalResponse)
 {
-  if (this->state == State::Idle && !this->HasUnreadData()) {
+  if (this->state == State::Open && this->pipeline.IsEmpty() &&
+      this->input == Input::Nothing && !this->HasUnreadData()) {
     this->Dismiss(std::move(aFinalResponse));
   }
 }
@@ -162,13 +189,15 @@
 ServerSession::Dismiss(HttpResponse aFinalResponse)
 {
   this->state = State::Dismissed;
-  this->response = std::make_unique<HttpResponse>(std::move(aFinalResponse));
-  this->response->version(11);
-  this->response->keep_alive(false);
-  this->response->content_length(this->response->body().size());
+  this->since = BootClock::now();
+  this->finalResponse =
+    std::make_unique<HttpResponse>(std::move(aFinalResponse));
+  this->finalResponse->version(11);
+  this->finalResponse->keep_alive(false);
+  this->finalResponse->content_length(this->finalResponse->body().size());
   http::async_write(
     this->socket,
-    *this->response,
+    *this->finalResponse,
     [self = this->shared_from_this()](error_code aError, size_t) {
       if (self->state != State::Dismissed) {
         return;
@@ -189,13 +218,32 @@
   return this->state == State::Dismissed;
 }
 
+/** Closes the connection after the last response. If the client sends requests
+ * before it has responses, the connection stays open until the client closes it
+ * or the linger time has passed. */
+void
+ServerSession::CloseAfterResponse()
+{
+  error_code ignored; // A lost connection is seen below.
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (!this->pipelined && this->buffer.size() == 0 &&
+      PeekByte(this->socket) <= 0) {
+    this->Close();
+    return;
+  }
+  this->state = State::Dismissed;
+  this->since = BootClock::now();
+  this->DiscardData();
+}
+
 /** Reads until the client closes the connection: closing it with unread data
  * would reset it, and the client could lose the final response. */
 void
 ServerSession::DiscardData()
 {
+  this->discarded.resize(kIdleBufferBytes);
   this->socket.async_read_some(
-    this->buffer.prepare(kIdleBufferBytes),
+    asio::buffer(this->discarded),
     [self = this->shared_from_this()](error_code aError, size_t) {
       if (self->state != State::Dismissed) {
         return;
@@ -209,9 +257,9 @@
 }
 
 void
-ServerSession::NotifyDisconnect()
+ServerSession::NotifyDisconnect(const PendingResponse& aPending)
 {
-  auto current = this->exchange.lock();
+  auto current = aPending.exchange.lock();
   if (current == nullptr || current->clientDisconnected) {
     return;
   }
@@ -228,14 +276,14 @@
 void
 ServerSession::WaitForData()
 {
-  if (this->waitingForData || this->state == State::Closed) {
+  if (this->waitingForData || this->state != State::Open) {
     return;
   }
   this->waitingForData = true;
   this->socket.async_wait(Tcp::socket::wait_read,
                           [self = this->shared_from_this()](error_code aError) {
                             self->waitingForData = false;
-                            if (self->state == State::Closed) {
+                            if (self->state != State::Open) {
                               return;
                             }
                             if (aError) {
@@ -249,27 +297,67 @@
 void
 ServerSession::OnReadable()
 {
-  if (this->state == State::Idle) {
+  if (this->input == Input::Part) {
+    return; // The pending read gets the data.
+  }
+  this->pipelined = this->pipelined || !this->pipeline.IsEmpty();
+  if (this->input == Input::Nothing && this->pipeline.MayRead()) {
     this->ReadHeader();
-    return;
+  } else {
+    this->ReadAhead();
   }
-  if (this->state != State::Busy) {
+}
+
+/** Reads data that has to wait, to detect that the client disconnects. */
+void
+ServerSession::ReadAhead()
+{
+  if (this->buffer.size() >= kMaxReadAheadBytes) {
     return;
   }
-  auto count = PeekByte(this->socket);
+  auto space = this->buffer.prepare(kIdleBufferBytes);
+  auto count = ReadAvailable(this->socket, space);
   if (count > 0) {
-    this->pipelined = true; // Read when the current response is written.
-  } else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-    this->WaitForData();
-  } else {
+    this->buffer.commit(static_cast<size_t>(count));
+  } else if (count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
     this->Close();
+    return;
+  }
+  this->WaitForData();
+}
+
+/** Continues with the next request if it may be read now. */
+void
+ServerSession::ReadNext()
+{
+  if (this->state != State::Open) {
+    return;
+  }
+  if (this->input == Input::Held) {
+    if (this->pipeline.MayPassOn(this->concurrent)) {
+      this->ReadBody();
+    }
+    return;
+  }
+  if (this->input == Input::Part) {
+    return;
+  }
+  if (this->pipeline.MayRead() && this->buffer.size() > 0) {
+    this->pipelined = true;
+    this->ReadHeader();
+    return;
   }
+  if (this->pipeline.IsEmpty() && this->buffer.size() == 0 &&
+      this->buffer.capacity() > kIdleBufferBytes) {
+    this->buffer = boost::beast::flat_buffer();
+  }
+  this->WaitForData();
 }
 
 void
 ServerSession::ReadHeader()
 {
-  this->state = State::Reading;
+  this->input = Input::Part;
   this->since = BootClock::now();
   this->parser = std::make_unique<Parser>();
   this->parser->header_limit(this->limits.maxHeaderBytes);
@@ -279,20 +367,38 @@
     this->buffer,
     *this->parser,
     [self = this->shared_from_this()](error_code aError, size_t) {
-      if (self->state == State::Closed) {
+      if (self->state != State::Open || self->input != Input::Part) {
         return;
       }
       if (aError) {
         self->RejectRequest(aError);
         return;
       }
-      if (self->parser->get()[http::field::expect] == "100-continue") {
-        self->SendContinue();
-      }
-      self->ReadBody();
+      self->OnHeader();
     });
 }
 
+void
+ServerSession::OnHeader()
+{
+  if (this->DropRequestIfStopped()) {
+    return;
+  }
+  this->headerReadAt = BootClock::now();
+  const auto& request = this->parser->get();
+  // The client waits for an interim response before it sends the body, and
+  // that response belongs to the oldest request.
+  this->concurrent = request[http::field::expect].empty() &&
+                     this->mayRunConcurrently &&
+                     this->mayRunConcurrently(request);
+  if (!this->pipeline.MayPassOn(this->concurrent)) {
+    this->input = Input::Held;
+    this->WaitForData();
+    return;
+  }
+  this->ReadBody();
+}
+
 void
 ServerSession::SendContinue()
 {
@@ -309,7 +415,12 @@
 void
 ServerSession::ReadBody()
 {
-  if (this->state == State::Closed) {
+  this->input = Input::Part;
+  this->since = BootClock::now();
+  if (this->parser->get()[http::field::expect] == "100-continue") {
+    this->SendContinue();
+  }
+  if (this->state != State::Open) {
     return;
   }
   if (this->parser->is_done()) {
@@ -321,7 +432,7 @@
     this->buffer,
     *this->parser,
     [self = this->shared_from_this()](error_code aError, size_t) {
-      if (self->state == State::Closed) {
+      if (self->state != State::Open || self->input != Input::Part) {
         return;
       }
       if (aError) {
@@ -332,6 +443,22 @@
     });
 }
 
+/** Drops the request that is being read if the connection is closed after the
+ * responses before it: its client sends it again.
+ * @return Whether it was dropped. */
+bool
+ServerSession::DropRequestIfStopped()
+{
+  if (this->pipeline.IsEmpty() ||
+      (!this->pipeline.IsStopped() && !this->limits.closeAfterResponse)) {
+    return false;
+  }
+  this->pipeline.StopReading();
+  this->input = Input::Nothing;
+  this->WaitForData();
+  return true;
+}
+
 void
 ServerSession::RejectRequest(const error_code& aError)
 {
@@ -347,156 +474,149 @@
     this->Close();
     return;
   }
-  this->state = State::Busy;
-  this->keepAlive = false;
-  this->Respond(TextResponse(status, aError.message() + "\n"));
+  this->input = Input::Nothing;
+  auto pending = std::make_shared<PendingResponse>();
+  this->responses.push_back(pending);
+  this->pipeline.OnPassedOn(false);
+  this->pipeline.StopReading();
+  this->WaitForData();
+  this->Respond(pending, TextResponse(status, aError.message() + "\n"));
 }
 
 void
 ServerSession::OnRequest()
 {
-  this->state = State::Busy;
+  if (this->DropRequestIfStopped()) {
+    return;
+  }
+  this->input = Input::Nothing;
   this->since = BootClock::now();
-  this->pipelined = false;
   auto request = this->parser->release();
   this->parser.reset();
-  this->keepAlive = request.keep_alive();
-  this->headRequest = request.method() == http::verb::head;
-  auto current =
-    std::make_shared<Exchange>(std::move(request), this->weak_from_this());
-  this->exchange = current;
-  if (this->buffer.size() > 0) {
-    this->pipelined = true;
-  } else {
-    this->WaitForData();
+  auto pending = std::make_shared<PendingResponse>();
+  pending->headRequest = request.method() == http::verb::head;
+  this->responses.push_back(pending);
+  this->pipeline.OnPassedOn(this->concurrent);
+  if (!request.keep_alive()) {
+    this->pipeline.StopReading();
   }
+  auto current = std::make_shared<Exchange>(
+    std::move(request), this->weak_from_this(), pending);
+  current->receivedAt = this->headerReadAt;
+  pending->exchange = current;
   this->handler(std::move(current));
+  this->ReadNext();
 }
 
 void
-ServerSession::Respond(HttpResponse aResponse)
+ServerSession::Respond(const std::shared_ptr<PendingResponse>& aPending,
+                       HttpResponse aResponse)
 {
-  if (this->state != State::Busy) {
-    return;
-  }
-  bool keep = this->keepAlive && !this->limits.closeAfterResponse;
-  this->response = std::make_unique<HttpResponse>(std::move(aResponse));
-  this->response->version(11);
-  this->response->keep_alive(keep);
-  bool bodyless = this->headRequest || this->response->result_int() == 204 ||
-                  this->response->result_int() == 304;
-  if (!bodyless) {
-    this->response->content_length(this->response->body().size());
-  }
-  http::async_write(
-    this->socket,
-    *this->response,
-    [self = this->shared_from_this(), keep](error_code aError, size_t) {
-      self->response.reset();
-      if (aError) {
-        self->Close();
-        return;
-      }
-      self->FinishResponse(keep);
-    });
+  aPending->SetWhole(std::move(aResponse));
+  this->OnResponseChanged(aPending);
 }
 
 void
-ServerSession::StartResponse(ResponseHeaders aHeaders)
+ServerSession::OnResponseChanged(
+  const std::shared_ptr<PendingResponse>& aPending)
 {
-  if (this->state != State::Busy) {
+  if (this->state != State::Open || this->responses.empty()) {
     return;
   }
-  this->streamedResponse = std::make_unique<StreamedResponse>();
-  this->streamedResponse->base() = aHeaders.message.base();
-  this->streamedResponse->version(11);
-  this->keepAlive = this->keepAlive && !this->limits.closeAfterResponse;
-  this->streamedResponse->keep_alive(this->keepAlive);
-  if (aHeaders.contentLength) {
-    this->streamedResponse->content_length(*aHeaders.contentLength);
-  } else {
-    this->streamedResponse->chunked(true);
+  if (aPending == this->responses.front()) {
+    this->WriteNext();
+  } else if (aPending->waitedBytes == 0) {
+    aPending->waitedBytes = aPending->HeldBytes();
+    this->pipeline.OnResponseWaiting(aPending->waitedBytes);
   }
-  this->streamedResponse->body().data = nullptr;
-  this->streamedResponse->body().more = true;
-  this->serializer =
-    std::make_unique<http::response_serializer<http::buffer_body>>(
-      *this->streamedResponse);
 }
 
 void
-ServerSession::WriteChunk(asio::const_buffer aChunk,
-                          std::function<void()> aNext)
+ServerSession::Abort(const std::shared_ptr<PendingResponse>& aPending)
 {
-  if (this->state != State::Busy || this->serializer == nullptr) {
+  auto found =
+    std::find(this->responses.begin(), this->responses.end(), aPending);
+  if (found == this->responses.end()) {
+    return;
+  }
+  if (found == this->responses.begin()) {
+    this->Close();
     return;
   }
-  // The serializer takes a non-const pointer but does not modify the data.
-  this->streamedResponse->body().data = const_cast<void*>(aChunk.data());
-  this->streamedResponse->body().size = aChunk.size();
-  this->streamedResponse->body().more = true;
-  http::async_write(this->socket,
-                    *this->serializer,
-                    [self = this->shared_from_this(),
-                     next = std::move(aNext)](error_code aError, size_t) {
-                      if (self->state == State::Closed) {
-                        return;
-                      }
-                      if (aError && aError != http::error::need_buffer) {
-                        self->Close();
-                        return;
-                      }
-                      next();
-                    });
+  // The responses before it are written; those behind it cannot be any more.
+  aPending->Abort();
+  this->pipeline.StopReading();
+  std::vector<std::shared_ptr<PendingResponse>> behind(std::next(found),
+                                                       this->responses.end());
+  for (const auto& pending : behind) {
+    this->NotifyDisconnect(*pending);
+  }
 }
 
 void
-ServerSession::EndResponse()
+ServerSession::WriteNext()
 {
-  if (this->state != State::Busy || this->serializer == nullptr) {
+  if (this->writing || this->state != State::Open || this->responses.empty()) {
     return;
   }
-  this->streamedResponse->body().data = nullptr;
-  this->streamedResponse->body().size = 0;
-  this->streamedResponse->body().more = false;
-  http::async_write(
-    this->socket,
-    *this->serializer,
-    [self = this->shared_from_this()](error_code aError, size_t) {
-      bool keep = self->keepAlive;
-      self->serializer.reset();
-      self->streamedResponse.reset();
-      if (aError) {
-        self->Close();
-        return;
-      }
-      self->FinishResponse(keep);
-    });
+  auto& pending = *this->responses.front();
+  auto step = pending.NextStep();
+  if (step == PendingResponse::Step::Wait) {
+    return;
+  }
+  if (step == PendingResponse::Step::Abort) {
+    this->Close();
+    return;
+  }
+  if (this->limits.closeAfterResponse) {
+    this->pipeline.StopReading();
+  }
+  pending.SetKeepAlive(!this->pipeline.ClosesAfterNextResponse());
+  this->writing = true;
+  auto onWritten =
+    [self = this->shared_from_this(), written = this->responses.front(), step](
+      error_code aError, size_t) { self->OnWritten(step, aError); };
+  if (step == PendingResponse::Step::Whole) {
+    http::async_write(this->socket, pending.Whole(), std::move(onWritten));
+  } else {
+    http::async_write(this->socket, pending.Prepare(), std::move(onWritten));
+  }
 }
 
 void
-ServerSession::FinishResponse(bool aKeepAlive)
+ServerSession::OnWritten(PendingResponse::Step aStep, const error_code& aError)
 {
-  if (this->state == State::Closed) {
+  this->writing = false;
+  if (this->state != State::Open) {
     return;
   }
-  this->exchange.reset();
-  if (!aKeepAlive) {
-    error_code ignored; // The connection is closed below in any case.
-    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (aError && aError != http::error::need_buffer) {
     this->Close();
     return;
   }
-  this->state = State::Idle;
-  this->since = BootClock::now();
-  if (this->pipelined) {
-    this->ReadHeader();
+  if (aStep != PendingResponse::Step::Chunk) {
+    this->FinishResponse();
     return;
   }
-  if (this->buffer.capacity() > kIdleBufferBytes) {
-    this->buffer = boost::beast::flat_buffer();
+  auto next = this->responses.front()->TakeChunkCallback();
+  next();
+  this->WriteNext();
+}
+
+void
+ServerSession::FinishResponse()
+{
+  this->pipeline.OnResponseWritten(this->responses.front()->waitedBytes);
+  this->responses.pop_front();
+  if (this->input != Input::Part) {
+    this->since = BootClock::now();
   }
-  this->WaitForData();
+  if (this->pipeline.IsEmpty() && this->pipeline.IsStopped()) {
+    this->CloseAfterResponse();
+    return;
+  }
+  this->WriteNext();
+  this->ReadNext();
 }
 
 } // namespace fescuetiller
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "http/messages.h"
+#include "http/pendingresponse.h"
+#include "http/requestpipeline.h"
 
 namespace fescuetiller {
 
@@ -17,6 +20,10 @@
   /** For receiving a whole request, headers and body. */
   Duration headerTimeout = std::chrono::seconds(3);
   Duration idleTimeout = std::chrono::seconds(60);
+  /** How long a connection stays open after its last response, while requests
+   * behind it arrive that are not read. Closing it at once would reset it, and
+   * the client could lose the response. */
+  Duration lingerTime = std::chrono::milliseconds(500);
   bool closeAfterResponse = false;
 };
 
@@ -31,7 +38,9 @@
 class Exchange
 {
 public:
-  Exchange(HttpRequest aRequest, std::weak_ptr<ServerSession> aSession);
+  Exchange(HttpRequest aRequest,
+           std::weak_ptr<ServerSession> aSession,
+           std::shared_ptr<PendingResponse> aResponse);
   ~Exchange();
 
   HttpRequest request;
@@ -47,8 +56,8 @@
   /** Writes a part of the body. @param aNext Called when it is written. */
   void WriteChunk(asio::const_buffer aChunk, std::function<void()> aNext);
   void EndResponse();
-  /** Closes the connection, so that the client sees a response that was started
-   * as incomplete. */
+  /** Closes the connection once the responses before this one are written, so
+   * that the client sees a response that was started as incomplete. */
   void Abort();
 
   bool HasStartedResponse() const;
@@ -57,24 +66,32 @@
   friend class ServerSession;
 
   std::weak_ptr<ServerSession> session;
+  std::shared_ptr<PendingResponse> response;
   bool responseStarted = false;
   bool clientDisconnected = false;
 };
 
-/** A client's connection. Reads one request at a time, passes it to the handler
- * and writes the response before it reads the next one. */
+/**
+ * A client's connection. Passes its requests to the handler and writes the
+ * responses in the order of the requests. Requests that a client sends before
+ * it has the response to the first one run at the same time, if the concurrency
+ * rule allows it; others wait until the responses before theirs are written.
+ */
 class ServerSession : public std::enable_shared_from_this<ServerSession>
 {
 public:
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+  /** Whether a request may run at the same time as others of its connection. */
+  using ConcurrencyRule = std::function<bool(const HttpRequest&)>;
 
   ServerSession(Tcp::socket aSocket,
                 const Handler& aHandler,
+                const ConcurrencyRule& aMayRunConcurrently,
                 const SessionLimits& aLimits);
 
   void Start();
-  /** Closes the connection if it exceeded the idle timeout or the timeout for
-   * receiving a request. */
+  /** Closes the connection if it exceeded the idle timeout, the timeout for
+   * receiving a request or the linger time. */
   void CloseIfTimedOut(Time aNow);
   bool IsClosed() const;
   /** Whether a request has no response yet or the response is being written. */
@@ -90,52 +107,73 @@
   void Dismiss(HttpResponse aFinalResponse);
   /** Dismisses the client unless a part of a request has arrived. */
   void DismissIfIdle(HttpResponse aFinalResponse);
-  /** Whether the final response was sent and the client may still read it. */
+  /** Whether the last response was sent and the client may still read it. */
   bool IsDismissed() const;
 
-  void Respond(HttpResponse aResponse);
-  void StartResponse(ResponseHeaders aHeaders);
-  void WriteChunk(asio::const_buffer aChunk, std::function<void()> aNext);
-  void EndResponse();
-
 private:
+  friend class Exchange;
+
   enum class State
   {
-    Idle,      ///< Nothing of the next request has been received.
-    Reading,   ///< A part of a request has been received.
-    Busy,      ///< A request was passed on, its response is not complete.
-    Dismissed, ///< The final response was sent; what arrives is discarded.
+    Open,
+    Dismissed, ///< The last response was sent; what arrives is discarded.
     Closed,
   };
+  /** How much of the next request has been received. */
+  enum class Input
+  {
+    Nothing,
+    Part, ///< It is being read.
+    Held, ///< Its headers; the rest waits for the responses before it.
+  };
   using Parser = http::request_parser<http::string_body>;
-  using StreamedResponse = http::response<http::buffer_body>;
 
   void WaitForData();
   void OnReadable();
+  void ReadAhead();
+  void ReadNext();
   void ReadHeader();
+  void OnHeader();
+  void SendContinue();
   void ReadBody();
   void OnRequest();
   void RejectRequest(const boost::system::error_code& aError);
-  void SendContinue();
-  void FinishResponse(bool aKeepAlive);
+  bool DropRequestIfStopped();
+
+  void Respond(const std::shared_ptr<PendingResponse>& aPending,
+               HttpResponse aResponse);
+  /** A further part of a response is known. */
+  void OnResponseChanged(const std::shared_ptr<PendingResponse>& aPending);
+  void Abort(const std::shared_ptr<PendingResponse>& aPending);
+  /** Writes what is known of the oldest response, if it is not being written.
+   */
+  void WriteNext();
+  void OnWritten(PendingResponse::Step aStep,
+                 const boost::system::error_code& aError);
+  void FinishResponse();
+  void CloseAfterResponse();
   void DiscardData();
-  void NotifyDisconnect();
+  void NotifyDisconnect(const PendingResponse& aPending);
 
   Tcp::socket socket;
   const Handler& handler;
+  const ConcurrencyRule& mayRunConcurrently;
   const SessionLimits& limits;
   boost::beast::flat_buffer buffer;
+  std::string discarded; ///< Buffer for data that is not handled.
   std::unique_ptr<Parser> parser;
-  std::weak_ptr<Exchange> exchange;
-  std::unique_ptr<HttpResponse> response; ///< Being written as a whole.
-  std::unique_ptr<StreamedResponse> streamedResponse;
-  std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
-  State state = State::Idle;
-  Time since;                  ///< When the current state was entered.
+  RequestPipeline pipeline;
+  /** Responses of the pipeline, in the order of their requests. */
+  std::deque<std::shared_ptr<PendingResponse>> responses;
+  std::unique_ptr<HttpResponse> finalResponse;
+  State state = State::Open;
+  Input input = Input::Nothing;
+  Time since; ///< When the state or the input last changed.
+  Time headerReadAt;
   bool waitingForData = false; ///< An asynchronous wait is pending.
-  bool pipelined = false; ///< The next request arrived before the response.
-  bool keepAlive = true;
-  bool headRequest = false; ///< The request's method is HEAD.
+  bool writing = false;
+  bool pipelined = false;  ///< Requests were sent before earlier responses.
+  bool concurrent = false; ///< The request that is being read may run so.
 };
 
 } // namespace fescuetiller
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -313,6 +313,51 @@
   }
 }
 
+// Guards against requests that wait for all those that their client sent before
+// over the same connection.
+SCENARIO("Lookups that a client sends before the first response run together",
+         "[path][pipeline]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  fixture.serverActions = { ServerAction::Hang,
+                            ServerAction::Hang,
+                            ServerAction::Hang };
+  Tcp::socket client(fixture.context);
+  client.connect(fixture.clientAddress);
+  auto send = [&](const std::string& aVerb, const std::string& aPath) {
+    auto text = aVerb + " " + aPath +
+                " HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n" +
+                headers::kRequestId + ": r" + aPath + "\r\n" + headers::kKey +
+                ": 7\r\n\r\n";
+    asio::write(client, asio::buffer(text));
+  };
+
+  GIVEN("two lookups and a booking")
+  {
+    send("GET", "/look/1");
+    send("GET", "/look/2");
+    send("POST", "/book/3");
+    fixture.context.run_for(milliseconds(50));
+    THEN("the lookups run at the same time, the booking after them")
+    {
+      REQUIRE(fixture.serverRequests.size() == 2);
+      CHECK(fixture.serverRequests[0].target() == "/look/1");
+      CHECK(fixture.serverRequests[1].target() == "/look/2");
+    }
+  }
+  GIVEN("two bookings")
+  {
+    send("POST", "/book/1");
+    send("POST", "/book/2");
+    fixture.context.run_for(milliseconds(50));
+    THEN("they run one after the other")
+    {
+      CHECK(fixture.serverRequests.size() == 1);
+    }
+  }
+}
+
 SCENARIO("A request that the server never answers times out", "[path]")
 {
   RequestPathFixture fixture;
