Keep the times of other daemons by request class

Cause: PeerTable kept one expected time and one overhead a member; each report replaced the one of another class, so a short call was sent by the time of a download.

Test: testrouting [peers], "a peer that is slow only with the long responses of another class"; with one entry a member (tried by mutation) it fails.

--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -212,6 +212,7 @@
     }
   }
   PeerCriteria criteria;
+  criteria.requestClass = this->dispatch.requestClass;
   criteria.ownZone = this->ingress.settings.zone;
   double preference = this->route.kind == RequestKind::Download
                         ? kDownloadZonePreference
@@ -326,11 +327,14 @@
     auto now = BootClock::now();
     this->ingress.peers.OnReport(now,
                                  this->currentMember,
+                                 this->dispatch.requestClass,
                                  report->load,
                                  report->expectedTime,
                                  report->untilHeartbeat);
-    this->ingress.peers.OnOverhead(
-      now, this->currentMember, now - this->sentAt - report->elapsed);
+    this->ingress.peers.OnOverhead(now,
+                                   this->currentMember,
+                                   this->dispatch.requestClass,
+                                   now - this->sentAt - report->elapsed);
     if (this->remoteCall != nullptr) {
       this->ingress.serverNotices.OnResponse(now, this->currentAddress, notice);
     }
@@ -507,8 +511,10 @@
   auto self = this->shared_from_this();
   if (this->remoteCall != nullptr) {
     auto now = BootClock::now();
-    this->ingress.peers.OnClientDisconnect(
-      now, this->currentMember, now - this->sentAt);
+    this->ingress.peers.OnClientDisconnect(now,
+                                           this->currentMember,
+                                           this->dispatch.requestClass,
+                                           now - this->sentAt);
     this->remoteCall->Cancel();
   }
   if (this->localExecution != nullptr) {
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -48,13 +48,16 @@
 void
 PeerTable::OnReport(Time aNow,
                     const std::string& aMember,
+                    const std::string& aClass,
                     double aLoad,
                     Duration aExpected,
                     Duration aUntilHeartbeat)
 {
   auto& peer = this->peers[aMember];
+  auto& times = peer.classes[aClass];
+  times.expected = aExpected;
+  times.reportedAt = aNow;
   peer.load = aLoad;
-  peer.expected = aExpected;
   peer.nextHeartbeat = aNow + aUntilHeartbeat;
   peer.reportedAt = aNow;
   peer.failures = 0;
@@ -63,28 +66,33 @@
 }
 
 void
-PeerTable::OnOverhead(Time aNow, const std::string& aMember, Duration aOverhead)
+PeerTable::OnOverhead(Time aNow,
+                      const std::string& aMember,
+                      const std::string& aClass,
+                      Duration aOverhead)
 {
-  auto& peer = this->peers[aMember];
-  bool known = aNow - peer.overheadAt < kMaxOverheadAge;
-  auto change = aOverhead - peer.overhead;
-  peer.overhead = known ? peer.overhead + std::chrono::duration_cast<Duration>(
-                                            change * kOverheadWeight)
-                        : aOverhead;
-  peer.overheadAt = aNow;
+  auto& times = this->peers[aMember].classes[aClass];
+  bool known = aNow - times.overheadAt < kMaxOverheadAge;
+  auto change = aOverhead - times.overhead;
+  times.overhead =
+    known ? times.overhead +
+              std::chrono::duration_cast<Duration>(change * kOverheadWeight)
+          : aOverhead;
+  times.overheadAt = aNow;
 }
 
 void
 PeerTable::OnClientDisconnect(Time aNow,
                               const std::string& aMember,
+                              const std::string& aClass,
                               Duration aWaited)
 {
-  const auto& peer = this->peers[aMember];
+  const auto& times = this->peers[aMember].classes[aClass];
   // The response would have arrived later, so this is a lower bound of the
   // overhead.
-  auto least = aWaited - peer.expected;
-  if (least > peer.overhead || aNow - peer.overheadAt >= kMaxOverheadAge) {
-    this->OnOverhead(aNow, aMember, std::max(least, Duration(0)));
+  auto least = aWaited - times.expected;
+  if (least > times.overhead || aNow - times.overheadAt >= kMaxOverheadAge) {
+    this->OnOverhead(aNow, aMember, aClass, std::max(least, Duration(0)));
   }
 }
 
@@ -132,11 +140,12 @@
     auto found = this->peers.find(candidate.member);
     if (found != this->peers.end()) {
       const auto& peer = found->second;
-      if (aNow - peer.reportedAt < kMaxReportAge) {
-        cost += peer.expected;
-      }
-      if (aNow - peer.overheadAt < kMaxOverheadAge) {
-        cost += peer.overhead;
+      auto times = peer.classes.find(aCriteria.requestClass);
+      if (times != peer.classes.end()) {
+        bool reported = aNow - times->second.reportedAt < kMaxReportAge;
+        bool measured = aNow - times->second.overheadAt < kMaxOverheadAge;
+        cost += reported ? times->second.expected : Duration(0);
+        cost += measured ? times->second.overhead : Duration(0);
       }
       cost += kInFlightTime * static_cast<int>(peer.inFlight);
       cost += aNow < peer.avoidUntil ? kFailingPeerCost : Duration(0);
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -19,6 +19,7 @@
 /** Criteria by which PeerTable::Pick selects one of the candidates. */
 struct PeerCriteria
 {
+  std::string requestClass;
   std::string ownZone;
   /** A daemon in another zone is picked only if its response is expected
    * earlier by more than this. */
@@ -41,22 +42,28 @@
 
   /** Handles the load report that a peer attaches to its responses.
    * @param aLoad Offered load of its backend server.
-   * @param aExpected Time that the peer would take for another such request.
+   * @param aExpected Time that the peer would take for another request of the
+   * class.
    * @param aUntilHeartbeat Time until its backend server's next heartbeat. */
   void OnReport(Time aNow,
                 const std::string& aMember,
+                const std::string& aClass,
                 double aLoad,
                 Duration aExpected,
                 Duration aUntilHeartbeat);
 
   /** Records by how much the time until a response exceeded the time measured
    * by the peer. The difference is spent on the network and in the daemons. */
-  void OnOverhead(Time aNow, const std::string& aMember, Duration aOverhead);
+  void OnOverhead(Time aNow,
+                  const std::string& aMember,
+                  const std::string& aClass,
+                  Duration aOverhead);
 
   /** Records that the client disconnected after it had waited for the peer's
    * response for the given time. */
   void OnClientDisconnect(Time aNow,
                           const std::string& aMember,
+                          const std::string& aClass,
                           Duration aWaited);
 
   /** Records that the peer was unreachable or broke off a response. */
@@ -84,13 +91,19 @@
   std::map<std::string, Report> Reports(Time aNow) const;
 
 private:
-  struct Peer
+  /** Times of the requests of one class. */
+  struct ClassTimes
   {
-    uint32_t inFlight = 0; ///< Requests sent and not ended.
-    double load = 0;
     Duration expected = Duration(0); ///< Service time and wait at the peer.
+    Time reportedAt;
     Duration overhead = Duration(0); ///< Moving mean; see OnOverhead.
     Time overheadAt;                 ///< When the overhead was last measured.
+  };
+  struct Peer
+  {
+    uint32_t inFlight = 0; ///< Requests sent and not ended.
+    double load = 0;
+    std::map<std::string, ClassTimes> classes;
     Time nextHeartbeat;
     Time reportedAt;
     Time avoidUntil;       ///< No requests are sent to the peer before.
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -10,6 +10,7 @@
 using std::chrono::seconds;
 
 constexpr Time kStart = Time(seconds(100));
+constexpr const char* kClass = "lookup";
 
 Route
 RouteOf(const std::string& aName,
@@ -101,6 +102,7 @@
   std::vector<PeerCandidate> candidates{ { "a", "here" }, { "b", "here" } };
   PeerCriteria criteria;
   criteria.ownZone = "here";
+  criteria.requestClass = kClass;
 
   GIVEN("a peer that failed")
   {
@@ -132,7 +134,8 @@
     }
     WHEN("it responds")
     {
-      peers.OnReport(kStart + milliseconds(300), "a", 0.1, Duration(0), {});
+      peers.OnReport(
+        kStart + milliseconds(300), "a", kClass, 0.1, Duration(0), {});
       THEN("requests are allowed without a limit again")
       {
         CHECK(peers.AllowRequest(kStart + milliseconds(301), "a"));
@@ -149,12 +152,30 @@
                                          { "far", "there" } };
   PeerCriteria criteria;
   criteria.ownZone = "here";
+  criteria.requestClass = kClass;
   criteria.zonePreference = milliseconds(60);
 
+  GIVEN("a peer that is slow only with the long responses of another class")
+  {
+    // Guards against short calls that avoid a daemon whose link is full of
+    // downloads, which do not delay them.
+    for (const auto* member : { "near", "far" }) {
+      peers.OnReport(kStart, member, kClass, 0.5, milliseconds(50), {});
+      peers.OnOverhead(kStart, member, kClass, milliseconds(5));
+    }
+    peers.OnReport(kStart, "near", "download", 0.5, milliseconds(900), {});
+    peers.OnOverhead(kStart, "near", "download", milliseconds(400));
+    THEN("it is still picked for this one")
+    {
+      CHECK(peers.Pick(kStart, candidates, criteria) == "near");
+      criteria.requestClass = "download";
+      CHECK(peers.Pick(kStart, candidates, criteria) == "far");
+    }
+  }
   GIVEN("equal expected times")
   {
-    peers.OnReport(kStart, "near", 0.5, milliseconds(50), {});
-    peers.OnReport(kStart, "far", 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "near", kClass, 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "far", kClass, 0.5, milliseconds(50), {});
     THEN("the own zone is preferred")
     {
       CHECK(peers.Pick(kStart, candidates, criteria) == "near");
@@ -173,11 +194,11 @@
     // Without the overhead, daemons on a tenth of a core or behind a slow link
     // get as many requests as others, and half of the calls through them miss
     // their deadline.
-    peers.OnReport(kStart, "near", 0.5, milliseconds(50), {});
-    peers.OnReport(kStart, "far", 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "near", kClass, 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "far", kClass, 0.5, milliseconds(50), {});
     for (int count = 0; count < 5; ++count) {
-      peers.OnOverhead(kStart, "near", milliseconds(200));
-      peers.OnOverhead(kStart, "far", milliseconds(5));
+      peers.OnOverhead(kStart, "near", kClass, milliseconds(200));
+      peers.OnOverhead(kStart, "far", kClass, milliseconds(5));
     }
     THEN("the other one is picked")
     {
@@ -186,16 +207,16 @@
     THEN("it is picked again when the measured overhead is outdated")
     {
       auto later = kStart + seconds(6);
-      peers.OnReport(later, "near", 0.5, milliseconds(50), {});
-      peers.OnReport(later, "far", 0.5, milliseconds(50), {});
+      peers.OnReport(later, "near", kClass, 0.5, milliseconds(50), {});
+      peers.OnReport(later, "far", kClass, 0.5, milliseconds(50), {});
       CHECK(peers.Pick(later, candidates, criteria) == "near");
     }
   }
   GIVEN("a client that disconnected after a long wait for the near peer")
   {
-    peers.OnReport(kStart, "near", 0.5, milliseconds(50), {});
-    peers.OnReport(kStart, "far", 0.5, milliseconds(50), {});
-    peers.OnClientDisconnect(kStart, "near", milliseconds(300));
+    peers.OnReport(kStart, "near", kClass, 0.5, milliseconds(50), {});
+    peers.OnReport(kStart, "far", kClass, 0.5, milliseconds(50), {});
+    peers.OnClientDisconnect(kStart, "near", kClass, milliseconds(300));
     THEN("the other one is picked")
     {
       CHECK(peers.Pick(kStart, candidates, criteria) == "far");
@@ -203,8 +224,8 @@
   }
   GIVEN("a client that disconnected after a short wait")
   {
-    peers.OnOverhead(kStart, "near", milliseconds(20));
-    peers.OnClientDisconnect(kStart, "near", milliseconds(1));
+    peers.OnOverhead(kStart, "near", kClass, milliseconds(20));
+    peers.OnClientDisconnect(kStart, "near", kClass, milliseconds(1));
     THEN("the overhead does not change")
     {
       CHECK(peers.Pick(kStart, candidates, criteria) == "near");
@@ -212,8 +233,8 @@
   }
   GIVEN("a longer queue in the own zone than the preference allows for")
   {
-    peers.OnReport(kStart, "near", 1.5, milliseconds(300), {});
-    peers.OnReport(kStart, "far", 0.2, milliseconds(50), {});
+    peers.OnReport(kStart, "near", kClass, 1.5, milliseconds(300), {});
+    peers.OnReport(kStart, "far", kClass, 0.2, milliseconds(50), {});
     THEN("the peer in the other zone is picked")
     {
       CHECK(peers.Pick(kStart, candidates, criteria) == "far");
