Let long responses wait for the network link, and short ones pass

Cause: a daemon wrote each download as fast as the connection took it, up to 130 kB (SIOCOUTQ) on each of a dozen connections, so connects, calls and their answers waited behind up to a megabyte on a link of 10 Mbit/s. And downloads were admitted by slots alone, which are not what is short there.

Now PacedResponse reads a long response from the server at once, which frees its slot, and Uplink sends the responses in order, no more in flight than the link carries in 40 ms. LinkLoad learns the link's speed from what is acknowledged, so it is what other traffic leaves, and estimates when a further response would have arrived. SlotQueue refuses at once what cannot be in time ("link-full"), with a Retry-After of the time until the link has carried the others; reports count it, so downloads go to members whose links have room.

Ruled out: waiting for writes to complete (each connection takes 130 kB at once), a rate from the settings (other traffic uses the link, too).

Tests: testadmission [link], on a simulated link; without the limit, or with the estimate alone, they fail.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -4,6 +4,7 @@
  * next slot of a backend server and which is refused at once. */
 
 #include "admission/crashrecords.h"
+#include "admission/linkload.h"
 #include "admission/requestlimit.h"
 #include "admission/servicetimes.h"
 #include "admission/slotqueue.h"
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -61,6 +61,15 @@
   return aRequest.nested ? kNestedRank : aRequest.priority + kStarvedRank + 1;
 }
 
+/** Lengthens a delay by id, so that clients refused at the same time retry at
+ * different times. */
+Duration
+SpreadDelay(Duration aDelay, uint64_t aId)
+{
+  double spread = kRetrySpread * static_cast<double>(aId % 64) / 64;
+  return std::chrono::duration_cast<Duration>(aDelay * (1 + spread));
+}
+
 /** Decay factor for the counts of a class over the given time. */
 double
 ShareDecay(Time aNow, Time aSince)
@@ -107,10 +116,18 @@
       (aRequest.targetTime - aRequest.arrivedAt) * kUnknownTimeShare));
 }
 
+Time
+SlotQueue::EstimateEnd(Time aStart, const SlotRequest& aRequest) const
+{
+  return std::max(Time(aStart + this->EstimateServiceTime(aRequest)),
+                  aRequest.linkFreeAt) +
+         aRequest.transmission;
+}
+
 bool
 SlotQueue::CanMeetTarget(Time aNow, const SlotRequest& aRequest) const
 {
-  return aNow + this->EstimateServiceTime(aRequest) <= aRequest.targetTime;
+  return this->EstimateEnd(aNow, aRequest) <= aRequest.targetTime;
 }
 
 bool
@@ -179,12 +196,8 @@
 Duration
 SlotQueue::RetryDelay(Time aNow, uint64_t aId) const
 {
-  auto wait =
-    std::max<Duration>(this->EstimateWait(aNow, nullptr), kMinRetryDelay);
-  // Spread by id, so that clients refused at the same time retry at different
-  // times.
-  double spread = kRetrySpread * static_cast<double>(aId % 64) / 64;
-  return std::chrono::duration_cast<Duration>(wait * (1 + spread));
+  return SpreadDelay(
+    std::max<Duration>(this->EstimateWait(aNow, nullptr), kMinRetryDelay), aId);
 }
 
 /** Decay factor for the offered work since it was last updated. */
@@ -287,14 +300,17 @@
   bool inTime = this->CanMeetTarget(aNow, aRequest);
   auto untilGranted = Duration(aRequest.notBefore - aNow);
   auto wait = std::max(this->EstimateWait(aNow, &aRequest), untilGranted);
-  auto end = aNow + wait + usual;
+  auto end = this->EstimateEnd(aNow + wait, aRequest);
   auto margin = std::chrono::duration_cast<Duration>(wait * kWaitMargin);
   bool late = !inTime || end + margin > aRequest.targetTime;
   auto left = aRequest.deadline - aNow - usual;
+  // Late responses would make those behind them late, too, while the link is
+  // the bottleneck.
+  bool linkFull = aRequest.linkFreeAt > aNow + wait + usual;
   bool hopeless =
     end > aRequest.deadline ||
     (late && (wait > std::chrono::duration_cast<Duration>(left * kLateShare) ||
-              this->OfferedLoad(aNow) > kFullLoad));
+              linkFull || this->OfferedLoad(aNow) > kFullLoad));
   // A free slot is used even if the class is expected to take too long.
   // Otherwise no request of the class would run, and a shorter time would never
   // be learned.
@@ -302,12 +318,18 @@
     this->limit.TimeUntil(aNow, this->waiting.size() + 1) > Duration(0);
   bool free = aRequest.notBefore <= aNow && aRequest.deadline > aNow &&
               this->running.size() + this->waiting.size() < this->slots &&
-              !limited;
+              !limited && !linkFull;
   if (hopeless && !free) {
-    std::string reason = limited ? "server-limit" : "no-time";
+    std::string reason = limited    ? "server-limit"
+                         : linkFull ? "link-full"
+                                    : "no-time";
+    auto untilLinkFree =
+      linkFull ? Duration(aRequest.linkFreeAt - aNow) : Duration(0);
     return { { aRequest.id,
-               wait == untilGranted ? "granted-too-late" : reason,
-               std::max(this->RetryDelay(aNow, aRequest.id), untilGranted),
+               wait == untilGranted && !linkFull ? "granted-too-late" : reason,
+               std::max({ this->RetryDelay(aNow, aRequest.id),
+                          untilGranted,
+                          SpreadDelay(untilLinkFree, aRequest.id) }),
                wait } };
   }
   this->waiting.push_back(aRequest);
@@ -380,7 +402,7 @@
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     auto start = std::max(Time(aNow + untilAllowed), entry->notBefore);
     auto usual = blocked ? this->EstimateServiceTime(*entry) : Duration(0);
-    bool expired = start + usual > entry->deadline;
+    bool expired = start + usual + entry->transmission > entry->deadline;
     bool late = !this->CanMeetTarget(aNow, *entry);
     auto waited = aNow - entry->arrivedAt;
     bool displaced =
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -24,6 +24,10 @@
   /** The earliest time at which the request may start. Later than its arrival
    * if its key has not been granted to the server yet. */
   Time notBefore;
+  /** When the network link has carried the responses before this one. */
+  Time linkFreeAt;
+  /** Time that the link takes for the response. */
+  Duration transmission = Duration(0);
 };
 
 /** A request that will not run, with the reason and the time after which the
@@ -124,6 +128,8 @@
   };
 
   Duration EstimateServiceTime(const SlotRequest& aRequest) const;
+  /** When the response to a request would have arrived that starts then. */
+  Time EstimateEnd(Time aStart, const SlotRequest& aRequest) const;
   bool CanMeetTarget(Time aNow, const SlotRequest& aRequest) const;
   bool ComesBefore(Time aNow,
                    const SlotRequest& aLeft,
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -44,6 +44,7 @@
   const Dispatch dispatch;
   const Time arrivedAt;
   Time deadline;
+  bool usesLink = false; ///< The response goes to another daemon.
   /** Estimated wait for a slot that led to the refusal; otherwise 0. */
   Duration expectedWait = Duration(0);
 
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -351,7 +351,8 @@
 std::shared_ptr<Cancellable>
 Executor::Start(HttpRequest aRequest,
                 const Dispatch& aDispatch,
-                std::shared_ptr<ResponseReceiver> aReceiver)
+                std::shared_ptr<ResponseReceiver> aReceiver,
+                const std::optional<LinkEstimate>& aLink)
 {
   auto now = BootClock::now();
   SlotRequest slot;
@@ -362,12 +363,17 @@
   slot.arrivedAt = now;
   slot.targetTime = now + aDispatch.untilTarget;
   slot.deadline = now + aDispatch.untilDeadline;
+  if (aLink) {
+    slot.linkFreeAt = now + aLink->untilFree;
+    slot.transmission = aLink->transmission;
+  }
   std::optional<Key> key;
   auto refusal = this->CheckAdmission(aDispatch, aRequest, now, slot, key);
   auto execution = std::make_shared<Execution>(
     *this, slot.id, std::move(aRequest), aDispatch, std::move(aReceiver));
   execution->key = key;
   execution->deadline = slot.deadline;
+  execution->usesLink = aLink.has_value();
   this->executions[slot.id] = execution;
   // Posted, so that the receiver is not called before Start has returned.
   asio::post(this->context, [this, execution, slot, refusal, now] {
@@ -494,6 +500,11 @@
   auto report = this->MakeStateReport(aOutcome, aReason, aRetryAfter);
   report.expectedTime =
     this->queue.ExpectedLatency(now, aExecution.dispatch.requestClass);
+  if (aExecution.usesLink && this->estimateLink) {
+    auto link = this->estimateLink(aExecution.dispatch.requestClass);
+    report.expectedTime =
+      std::max(report.expectedTime, link.untilFree) + link.transmission;
+  }
   report.elapsed = now - aExecution.arrivedAt;
   return report;
 }
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -55,13 +55,19 @@
   /** Requests under which servers ended. */
   CrashRecords& Crashes();
 
+  /** Estimates when the network link could carry the response to a request of a
+   * class. */
+  std::function<LinkEstimate(const std::string& aClass)> estimateLink;
+
   /** Runs a request as soon as it gets a slot. The receiver gets the server's
    * response or a refusal, either with an execution report, and not before
-   * Start has returned. */
+   * Start has returned.
+   * @param aLink For a request of another daemon. */
   std::shared_ptr<Cancellable> Start(
     HttpRequest aRequest,
     const Dispatch& aDispatch,
-    std::shared_ptr<ResponseReceiver> aReceiver);
+    std::shared_ptr<ResponseReceiver> aReceiver,
+    const std::optional<LinkEstimate>& aLink = std::nullopt);
 
   /** Whether a request with this id holds a slot of the backend server. */
   bool IsRunning(const std::string& aRequestId) const;
--- /dev/null
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -0,0 +1,133 @@
+#include "fescuetillerd/pacedresponse.h"
+
+#include <utility>
+
+namespace fescuetiller {
+
+PacedResponse::PacedResponse(Uplink& aUplink,
+                             std::shared_ptr<Exchange> aExchange,
+                             uint64_t aId)
+  : uplink(aUplink)
+  , exchange(std::move(aExchange))
+  , id(aId)
+{
+}
+
+void
+PacedResponse::OnCompleteResponse(HttpResponse aResponse)
+{
+  RemoveHopByHopFields(aResponse);
+  this->exchange->onClientDisconnect = nullptr;
+  this->uplink.load.OnSent(this->id, aResponse.body().size());
+  constexpr unsigned kFirstRedirect = 300;
+  this->uplink.load.OnEnded(this->id, aResponse.result_int() < kFirstRedirect);
+  this->exchange->Respond(std::move(aResponse));
+}
+
+void
+PacedResponse::OnHeaders(ResponseHeaders aHeaders)
+{
+  RemoveHopByHopFields(aHeaders.message);
+  this->uplink.load.OnStarted(this->id, aHeaders.contentLength);
+  this->exchange->StartResponse(std::move(aHeaders));
+  this->uplink.OnStarted(this->shared_from_this());
+}
+
+void
+PacedResponse::OnBodyChunk(asio::const_buffer aChunk,
+                           std::function<void()> aNext)
+{
+  this->chunks.emplace_back(static_cast<const char*>(aChunk.data()),
+                            aChunk.size());
+  this->uplink.bufferedBytes += aChunk.size();
+  if (this->uplink.MayBuffer()) {
+    aNext();
+  } else {
+    this->next = std::move(aNext);
+  }
+  this->uplink.SendNext();
+}
+
+void
+PacedResponse::OnBodyEnd()
+{
+  this->complete = true;
+  if (this->IsSent()) {
+    this->End();
+  }
+}
+
+void
+PacedResponse::OnFailure(const CallFailure&)
+{
+  this->Cancel();
+  this->exchange->Abort();
+}
+
+void
+PacedResponse::Cancel()
+{
+  if (this->over) {
+    return;
+  }
+  this->over = true;
+  this->next = nullptr;
+  for (const auto& chunk : this->chunks) {
+    this->uplink.bufferedBytes -= chunk.size();
+  }
+  this->chunks.resize(this->writing ? 1 : 0);
+  this->uplink.load.OnEnded(this->id, false);
+}
+
+bool
+PacedResponse::CanSend() const
+{
+  return !this->over && !this->writing && !this->chunks.empty();
+}
+
+bool
+PacedResponse::IsSent() const
+{
+  return this->complete && this->chunks.empty();
+}
+
+bool
+PacedResponse::IsOver() const
+{
+  return this->over;
+}
+
+void
+PacedResponse::SendChunk()
+{
+  this->writing = true;
+  this->exchange->WriteChunk(
+    asio::buffer(this->chunks.front()), [self = this->shared_from_this()] {
+      self->writing = false;
+      if (self->over) {
+        return;
+      }
+      auto size = self->chunks.front().size();
+      self->chunks.pop_front();
+      self->uplink.bufferedBytes -= size;
+      self->uplink.load.OnSent(self->id, size);
+      if (self->next != nullptr && self->uplink.MayBuffer()) {
+        std::exchange(self->next, nullptr)();
+      }
+      if (self->IsSent()) {
+        self->End();
+      }
+      self->uplink.SendNext();
+    });
+}
+
+void
+PacedResponse::End()
+{
+  this->over = true;
+  this->uplink.load.OnEnded(this->id, true);
+  this->exchange->onClientDisconnect = nullptr;
+  this->exchange->EndResponse();
+}
+
+} // namespace fescuetiller
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -1,6 +1,6 @@
 #include "fescuetillerd/trafficnode.h"
 
-#include "fescuetillerd/exchangewriter.h"
+#include "fescuetillerd/pacedresponse.h"
 
 namespace fescuetiller {
 
@@ -39,6 +39,7 @@
              ParseEndpoint(aSettings.server).value_or(Tcp::endpoint()),
              aSettings.service,
              aLog)
+  , uplink(aContext)
   , ingress(aContext,
             executor,
             { aSettings.service,
@@ -63,6 +64,9 @@
   this->clientServer.mayRunConcurrently = [this](const HttpRequest& aRequest) {
     return this->ingress.MayRunConcurrently(aRequest);
   };
+  this->executor.estimateLink = [this](const std::string& aClass) {
+    return this->uplink.Estimate(aClass);
+  };
   this->executor.onServerConnectionRefused = [this] {
     if (this->onServerConnectionRefused) {
       this->onServerConnectionRefused();
@@ -199,9 +203,14 @@
   if (auto notice = TakeServerNotice(request, this->log)) {
     this->executor.OnServerNotice(*notice);
   }
-  auto execution = this->executor.Start(
-    std::move(request), *dispatch, std::make_shared<ExchangeWriter>(aExchange));
-  aExchange->onClientDisconnect = [execution] { execution->Cancel(); };
+  auto link = this->uplink.Estimate(dispatch->requestClass);
+  auto response = this->uplink.Expect(aExchange, dispatch->requestClass);
+  auto execution =
+    this->executor.Start(std::move(request), *dispatch, response, link);
+  aExchange->onClientDisconnect = [execution, response] {
+    execution->Cancel();
+    response->Cancel();
+  };
 }
 
 void
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -7,6 +7,7 @@
 
 #include "fescuetillerd/ingress.h"
 #include "fescuetillerd/nodesettings.h"
+#include "fescuetillerd/uplink.h"
 
 namespace fescuetiller {
 
@@ -80,6 +81,7 @@
   NodeSettings settings;
   EventLog& log;
   Executor executor;
+  Uplink uplink;
   Ingress ingress;
   HttpServer clientServer;
   HttpServer callerServer; ///< Listens only if the settings name an address.
--- /dev/null
+++ b/src/fescuetillerd/uplink.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "admission/admission.h"
+#include "http/http.h"
+
+namespace fescuetiller {
+
+class PacedResponse;
+
+/**
+ * Sends the responses to other daemons over this machine's network link. Long
+ * ones are sent in the order in which they began, no faster than the link
+ * carries them (LinkLoad). Runs on the traffic thread.
+ */
+class Uplink
+{
+public:
+  explicit Uplink(asio::io_context& aContext);
+
+  /** Makes the receiver of the response to a request. */
+  std::shared_ptr<PacedResponse> Expect(
+    const std::shared_ptr<Exchange>& aExchange,
+    const std::string& aClass);
+
+  LinkEstimate Estimate(const std::string& aClass) const;
+
+private:
+  friend class PacedResponse;
+
+  /** Whether responses may be read ahead of what the link carries. */
+  bool MayBuffer() const;
+  void OnStarted(const std::shared_ptr<PacedResponse>& aResponse);
+  /** Sends what may be sent now. */
+  void SendNext();
+  void Measure(Time aNow);
+  void MeasureAgain();
+
+  asio::steady_timer timer;
+  bool timerArmed = false;
+  LinkLoad load;
+  uint64_t nextId = 1;
+  size_t bufferedBytes = 0; ///< Of all responses.
+  /** Long responses that are not sent completely, in order. */
+  std::deque<std::shared_ptr<PacedResponse>> sending;
+  /** Exchanges whose connections still have data in flight, by connection. */
+  std::map<uint64_t, std::shared_ptr<Exchange>> inFlight;
+};
+
+} // namespace fescuetiller
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 
-#include "http/peekbyte.h"
+#include "http/socketstate.h"
 
 namespace fescuetiller {
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 
-#include "http/peekbyte.h"
+#include "http/socketstate.h"
 
 namespace fescuetiller {
 
@@ -90,6 +90,24 @@
   return this->responseStarted;
 }
 
+uint64_t
+Exchange::ConnectionId() const
+{
+  auto open = this->session.lock();
+  return open == nullptr ? 0
+                         : static_cast<uint64_t>(open->socket.native_handle());
+}
+
+std::optional<uint64_t>
+Exchange::BytesInFlight() const
+{
+  auto open = this->session.lock();
+  if (open == nullptr || open->IsClosed()) {
+    return std::nullopt;
+  }
+  return fescuetiller::BytesInFlight(open->socket);
+}
+
 ServerSession::ServerSession(Tcp::socket aSocket,
                              const Handler& aHandler,
                              const ConcurrencyRule& aMayRunConcurrently,
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -62,6 +62,12 @@
 
   bool HasStartedResponse() const;
 
+  /** Identifies the open connection; 0 if it is closed. */
+  uint64_t ConnectionId() const;
+  /** Bytes that were written over the connection and are not acknowledged yet;
+   * empty if it is closed. */
+  std::optional<uint64_t> BytesInFlight() const;
+
 private:
   friend class ServerSession;
 
--- a/src/http/peekbyte.cpp
+++ b/src/http/socketstate.cpp
@@ -1,5 +1,7 @@
-#include "http/peekbyte.h"
+#include "http/socketstate.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace fescuetiller {
@@ -18,4 +20,12 @@
     aSocket.native_handle(), aBuffer.data(), aBuffer.size(), MSG_DONTWAIT);
 }
 
+uint64_t
+BytesInFlight(Tcp::socket& aSocket)
+{
+  int bytes = 0;
+  bool known = ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known && bytes > 0 ? static_cast<uint64_t>(bytes) : 0;
+}
+
 } // namespace fescuetiller
--- a/src/http/peekbyte.h
+++ b/src/http/socketstate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include <sys/types.h>
 
 #include "http/messages.h"
@@ -18,4 +20,8 @@
 ssize_t
 ReadAvailable(Tcp::socket& aSocket, const asio::mutable_buffer& aBuffer);
 
+/** Bytes that were written and that the peer has not acknowledged yet. */
+uint64_t
+BytesInFlight(Tcp::socket& aSocket);
+
 } // namespace fescuetiller
