Leave a margin for the link, and drop responses that nobody waits for

Cause: the estimate of the link was compared with the target time as it is, though the link's speed changes with the traffic of others. Waiting responses had no deadline. The stall time did not depend on the link's speed.

Now a quarter of the time until the link is free is added as a margin. Uplink drops a response a second after its deadline.

--- a/src/admission/linkload.cpp
+++ b/src/admission/linkload.cpp
@@ -15,9 +15,13 @@
  */
 constexpr uint64_t kMinInFlightBytes = 32 * 1024;
 constexpr uint64_t kMaxInFlightBytes = 8 * 1024 * 1024;
-/** A connection on which nothing was acknowledged for this time waits for its
- * receiver, not for the link. */
-constexpr Duration kStallTime = milliseconds(250);
+/** Bounds of the time without an acknowledgement after which a connection waits
+ * for its receiver, not for the link. */
+constexpr Duration kMinStallTime = milliseconds(250);
+constexpr Duration kMaxStallTime = milliseconds(1000);
+/** That time as a multiple of the time in which the link carries what may be in
+ * flight. */
+constexpr double kStallFactor = 3;
 /** Half-life of the learned speed. */
 constexpr Duration kSpeedHalfLife = milliseconds(1000);
 /** Age at which the learned speed is no longer used. */
@@ -134,13 +138,18 @@
     auto known = this->BytesPerSecond(aNow);
     if (inFlight > 0 || aNow - this->measuredAt <= kMaxInterval ||
         (known && bytes / seconds > *known)) {
-      this->Learn(aNow, bytes, seconds);
+      this->silentSeconds += seconds;
+      if (this->drained > 0) {
+        this->Learn(aNow, bytes, this->silentSeconds);
+        this->silentSeconds = 0;
+      }
     }
     if (inFlight == 0 && this->inFlightBefore >= this->inFlightLimit) {
       this->inFlightLimit =
         std::min(this->inFlightLimit * 2, kMaxInFlightBytes);
     }
   }
+  this->silentSeconds = inFlight > 0 ? this->silentSeconds : 0;
   this->drained = 0;
   this->inFlightBefore = inFlight;
   this->measuredAt = aNow;
@@ -154,9 +163,6 @@
   this->learnedBytes = this->learnedBytes * decay + aBytes;
   this->learnedSeconds = this->learnedSeconds * decay + aSeconds;
   this->learnedAt = aNow;
-  if (this->learnedBytes <= 0) {
-    return;
-  }
   double speed = this->learnedBytes / this->learnedSeconds;
   this->inFlightLimit =
     std::clamp(static_cast<uint64_t>(speed * ToSeconds(kMaxQueueTime)),
@@ -173,12 +179,23 @@
   return this->learnedBytes / this->learnedSeconds;
 }
 
+Duration
+LinkLoad::StallTime(Time aNow) const
+{
+  auto speed = this->BytesPerSecond(aNow);
+  auto drain = speed ? FromSeconds(static_cast<double>(this->inFlightLimit) *
+                                   kStallFactor / *speed)
+                     : Duration(0);
+  return std::clamp(drain, kMinStallTime, kMaxStallTime);
+}
+
 uint64_t
 LinkLoad::InFlight(Time aNow) const
 {
+  auto stallTime = this->StallTime(aNow);
   uint64_t sum = 0;
   for (const auto& [id, connection] : this->connections) {
-    sum += aNow - connection.changedAt < kStallTime ? connection.inFlight : 0;
+    sum += aNow - connection.changedAt < stallTime ? connection.inFlight : 0;
   }
   return sum;
 }
--- a/src/admission/linkload.h
+++ b/src/admission/linkload.h
@@ -73,6 +73,9 @@
   };
 
   uint64_t InFlight(Time aNow) const;
+  /** Time without an acknowledgement after which a connection waits for its
+   * receiver, not for the link. */
+  Duration StallTime(Time aNow) const;
   void Learn(Time aNow, double aBytes, double aSeconds);
 
   std::map<uint64_t, Response> responses;
@@ -82,6 +85,9 @@
   uint64_t inFlightBefore = 0; ///< After the last round.
   uint64_t inFlightLimit;      ///< No more is sent beyond it.
   Time measuredAt;
+  /** Since the last acknowledgement. Counts as time of the link when the next
+   * one arrives, unless the connections have stalled. */
+  double silentSeconds = 0;
   double learnedBytes = 0; ///< Decaying sum.
   double learnedSeconds = 0;
   Time learnedAt;
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -31,6 +31,9 @@
  * it, requests whose wait was underestimated would be refused only after
  * waiting. */
 constexpr double kWaitMargin = 1.2;
+/** The same for the time until the network link is free: its speed changes with
+ * the traffic of others. */
+constexpr double kLinkMargin = 0.25;
 /** Lower bound of the share of the slots that a request is expected to get. */
 constexpr double kMinAvailableShare = 0.1;
 /** Shortest delay after which a refused client may retry. */
@@ -301,7 +304,10 @@
   auto untilGranted = Duration(aRequest.notBefore - aNow);
   auto wait = std::max(this->EstimateWait(aNow, &aRequest), untilGranted);
   auto end = this->EstimateEnd(aNow + wait, aRequest);
-  auto margin = std::chrono::duration_cast<Duration>(wait * kWaitMargin);
+  auto untilLinkFree =
+    std::max(Duration(aRequest.linkFreeAt - aNow), Duration(0));
+  auto margin = std::chrono::duration_cast<Duration>(
+    std::max(wait * kWaitMargin, untilLinkFree * kLinkMargin));
   bool late = !inTime || end + margin > aRequest.targetTime;
   auto left = aRequest.deadline - aNow - usual;
   // Late responses would make those behind them late, too, while the link is
@@ -323,13 +329,12 @@
     std::string reason = limited    ? "server-limit"
                          : linkFull ? "link-full"
                                     : "no-time";
-    auto untilLinkFree =
-      linkFull ? Duration(aRequest.linkFreeAt - aNow) : Duration(0);
     return { { aRequest.id,
                wait == untilGranted && !linkFull ? "granted-too-late" : reason,
                std::max({ this->RetryDelay(aNow, aRequest.id),
                           untilGranted,
-                          SpreadDelay(untilLinkFree, aRequest.id) }),
+                          linkFull ? SpreadDelay(untilLinkFree, aRequest.id)
+                                   : Duration(0) }),
                wait } };
   }
   this->waiting.push_back(aRequest);
--- a/src/fescuetillerd/pacedresponse.cpp
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -6,10 +6,12 @@
 
 PacedResponse::PacedResponse(Uplink& aUplink,
                              std::shared_ptr<Exchange> aExchange,
-                             uint64_t aId)
+                             uint64_t aId,
+                             Time aDeadline)
   : uplink(aUplink)
   , exchange(std::move(aExchange))
   , id(aId)
+  , deadline(aDeadline)
 {
 }
 
--- a/src/fescuetillerd/pacedresponse.h
+++ b/src/fescuetillerd/pacedresponse.h
@@ -22,7 +22,8 @@
 public:
   PacedResponse(Uplink& aUplink,
                 std::shared_ptr<Exchange> aExchange,
-                uint64_t aId);
+                uint64_t aId,
+                Time aDeadline);
 
   /** Drops what has not been sent: the other daemon does not wait for it. */
   void Cancel();
@@ -48,6 +49,7 @@
   Uplink& uplink;
   std::shared_ptr<Exchange> exchange;
   uint64_t id;
+  Time deadline; ///< When the other daemon stops waiting for it.
   std::deque<std::string> chunks; ///< Read from the server, not sent yet.
   std::function<void()> next;     ///< Requests the next chunk.
   bool writing = false;           ///< The first chunk is being written.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -204,7 +204,10 @@
     this->executor.OnServerNotice(*notice);
   }
   auto link = this->uplink.Estimate(dispatch->requestClass);
-  auto response = this->uplink.Expect(aExchange, dispatch->requestClass);
+  auto response =
+    this->uplink.Expect(aExchange,
+                        dispatch->requestClass,
+                        BootClock::now() + dispatch->untilDeadline);
   auto execution =
     this->executor.Start(std::move(request), *dispatch, response, link);
   aExchange->onClientDisconnect = [execution, response] {
@@ -222,6 +225,7 @@
   }
   this->executor.CloseIdleConnections(now);
   this->ingress.CloseIdleConnections(now);
+  this->uplink.DropExpired(now);
   auto repeated = this->executor.Crashes().Next(now, kRepeatedCrashRecords);
   if (!repeated.empty() && this->onCrashRecords) {
     this->onCrashRecords(std::move(repeated));
--- a/src/fescuetillerd/uplink.cpp
+++ b/src/fescuetillerd/uplink.cpp
@@ -11,6 +11,9 @@
 /** Bound of the response bodies that wait for the link. Beyond it, servers wait
  * until their responses are sent. */
 constexpr size_t kMaxBufferedBytes = 4 * 1024 * 1024;
+/** How long after its deadline a response is kept. The other daemon closes the
+ * connection before. */
+constexpr Duration kExpiryMargin = std::chrono::seconds(1);
 
 } // namespace
 
@@ -21,11 +24,24 @@
 
 std::shared_ptr<PacedResponse>
 Uplink::Expect(const std::shared_ptr<Exchange>& aExchange,
-               const std::string& aClass)
+               const std::string& aClass,
+               Time aDeadline)
 {
   auto id = this->nextId++;
   this->load.Expect(id, aClass);
-  return std::make_shared<PacedResponse>(*this, aExchange, id);
+  return std::make_shared<PacedResponse>(*this, aExchange, id, aDeadline);
+}
+
+void
+Uplink::DropExpired(Time aNow)
+{
+  auto responses = this->sending; // Aborting may end others.
+  for (const auto& response : responses) {
+    if (!response->IsOver() && aNow > response->deadline + kExpiryMargin) {
+      response->OnFailure({});
+    }
+  }
+  this->SendNext();
 }
 
 LinkEstimate
--- a/src/fescuetillerd/uplink.h
+++ b/src/fescuetillerd/uplink.h
@@ -21,13 +21,19 @@
 public:
   explicit Uplink(asio::io_context& aContext);
 
-  /** Makes the receiver of the response to a request. */
+  /** Makes the receiver of the response to a request.
+   * @param aDeadline When the other daemon stops waiting for it. */
   std::shared_ptr<PacedResponse> Expect(
     const std::shared_ptr<Exchange>& aExchange,
-    const std::string& aClass);
+    const std::string& aClass,
+    Time aDeadline);
 
   LinkEstimate Estimate(const std::string& aClass) const;
 
+  /** Drops responses that nobody waits for any more, such as those to daemons
+   * that disappeared without closing their connections. */
+  void DropExpired(Time aNow);
+
 private:
   friend class PacedResponse;
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -492,6 +492,9 @@
     this->Close();
     return;
   }
+  if (this->DropRequestIfStopped()) {
+    return;
+  }
   this->input = Input::Nothing;
   auto pending = std::make_shared<PendingResponse>();
   this->responses.push_back(pending);
--- a/tests/http/pipelinetest.cpp
+++ b/tests/http/pipelinetest.cpp
@@ -432,6 +432,7 @@
   {
     fixture.Send(Get("1") + "GET /2 HT");
     fixture.server.CloseTimedOut(BootClock::now() + seconds(10));
+    fixture.Send("garbled\r\n\r\n");
     fixture.Respond(0, "<1>");
     fixture.Run();
     THEN("the one before it is answered, and the connection is closed")
