--- a/src/fescuetillerd/pacedresponse.cpp
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "platform/headers.h"
+
 namespace fescuetiller {
 
 PacedResponse::PacedResponse(Uplink& aUplink,
@@ -10,6 +12,7 @@
                              Time aDeadline)
   : uplink(aUplink)
   , exchange(std::move(aExchange))
+  , requestId(exchange->request[headers::kRequestId])
   , id(aId)
   , deadline(aDeadline)
 {
--- a/src/fescuetillerd/pacedresponse.h
+++ b/src/fescuetillerd/pacedresponse.h
@@ -48,6 +48,7 @@
 
   Uplink& uplink;
   std::shared_ptr<Exchange> exchange;
+  std::string requestId;
   uint64_t id;
   Time deadline; ///< When the other daemon stops waiting for it.
   std::deque<std::string> chunks; ///< Read from the server, not sent yet.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -39,7 +39,7 @@
              ParseEndpoint(aSettings.server).value_or(Tcp::endpoint()),
              aSettings.service,
              aLog)
-  , uplink(aContext)
+  , uplink(aContext, aLog)
   , ingress(aContext,
             executor,
             { aSettings.service,
@@ -199,15 +199,15 @@
     aExchange->Respond(TextResponse(400, "no dispatch\n"));
     return;
   }
-  auto request = std::move(aExchange->request);
-  if (auto notice = TakeServerNotice(request, this->log)) {
-    this->executor.OnServerNotice(*notice);
-  }
   auto link = this->uplink.Estimate(dispatch->requestClass);
   auto response =
     this->uplink.Expect(aExchange,
                         dispatch->requestClass,
                         BootClock::now() + dispatch->untilDeadline);
+  auto request = std::move(aExchange->request);
+  if (auto notice = TakeServerNotice(request, this->log)) {
+    this->executor.OnServerNotice(*notice);
+  }
   auto execution =
     this->executor.Start(std::move(request), *dispatch, response, link);
   aExchange->onClientDisconnect = [execution, response] {
--- a/src/fescuetillerd/uplink.cpp
+++ b/src/fescuetillerd/uplink.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-Uplink::Uplink(asio::io_context& aContext)
-  : timer(aContext)
+Uplink::Uplink(asio::io_context& aContext, EventLog& aLog)
+  : log(aLog)
+  , timer(aContext)
 {
 }
 
@@ -38,6 +39,9 @@
   auto responses = this->sending; // Aborting may end others.
   for (const auto& response : responses) {
     if (!response->IsOver() && aNow > response->deadline + kExpiryMargin) {
+      this->log.Write({ "response-dropped",
+                        { { "request", response->requestId },
+                          { "reason", "not read by its deadline" } } });
       response->OnFailure({});
     }
   }
--- a/src/fescuetillerd/uplink.h
+++ b/src/fescuetillerd/uplink.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "admission/admission.h"
+#include "fescuetillerd/eventlog.h"
 #include "http/http.h"
 
 namespace fescuetiller {
@@ -19,7 +20,7 @@
 class Uplink
 {
 public:
-  explicit Uplink(asio::io_context& aContext);
+  Uplink(asio::io_context& aContext, EventLog& aLog);
 
   /** Makes the receiver of the response to a request.
    * @param aDeadline When the other daemon stops waiting for it. */
@@ -45,6 +46,7 @@
   void Measure(Time aNow);
   void MeasureAgain();
 
+  EventLog& log;
   asio::steady_timer timer;
   bool timerArmed = false;
   LinkLoad load;
--- a/tests/daemon/uplinktest.cpp
+++ b/tests/daemon/uplinktest.cpp
@@ -51,7 +51,8 @@
   HttpServer server{ context, [this](std::shared_ptr<Exchange> aExchange) {
                       this->exchanges.push_back(std::move(aExchange));
                     } };
-  Uplink uplink{ context };
+  EventLog log{ "test", { 0, 0, 0 } };
+  Uplink uplink{ context, log };
   std::vector<std::unique_ptr<Receiver>> receivers;
   std::vector<std::shared_ptr<PacedResponse>> responses;
   size_t accepted = 0; ///< Chunks after which the next one was requested.
