--- a/tests/standins/slowlink.cpp
+++ b/tests/standins/slowlink.cpp
@@ -8,6 +8,8 @@
 
 /** Most bytes that are forwarded at a time. */
 constexpr size_t kPieceBytes = 4096;
+/** Receive buffer of a connection to the server if the link is shared. */
+constexpr int kSharedBufferBytes = 4096;
 
 } // namespace
 
@@ -69,6 +71,25 @@
   this->bytesPerSecond = aRate;
 }
 
+void
+SlowLink::ShareLimit()
+{
+  this->shared = true;
+}
+
+Duration
+SlowLink::DelayOf(size_t aBytes)
+{
+  auto carried =
+    Duration(std::chrono::seconds(1)) * aBytes / this->bytesPerSecond;
+  if (!this->shared) {
+    return carried;
+  }
+  auto now = BootClock::now();
+  this->freeAt = std::max(this->freeAt, now) + carried;
+  return this->freeAt - now;
+}
+
 void
 SlowLink::SilenceConnections()
 {
@@ -90,6 +111,12 @@
         return;
       }
       this->Accept();
+      if (this->shared) {
+        error_code ignored; // The link only holds more.
+        relay->server.open(this->server.protocol(), ignored);
+        relay->server.set_option(
+          asio::socket_base::receive_buffer_size(kSharedBufferBytes), ignored);
+      }
       relay->server.async_connect(
         this->server, [this, relay](error_code aError) {
           if (aError) {
@@ -136,8 +163,7 @@
         write();
         return;
       }
-      relay->timer.expires_after(Duration(std::chrono::seconds(1)) * aSize /
-                                 this->bytesPerSecond);
+      relay->timer.expires_after(this->DelayOf(aSize));
       relay->timer.async_wait([write](error_code aError) {
         if (!aError) {
           write();
--- a/tests/standins/slowlink.h
+++ b/tests/standins/slowlink.h
@@ -22,6 +22,10 @@
   /** Sets the limit; 0: no limit. */
   void SetBytesPerSecond(size_t aRate);
 
+  /** From now on, the limit applies to all new connections together, and the
+   * link holds little of what it has not carried yet. */
+  void ShareLimit();
+
   /** Discards what arrives over the present connections, and keeps them open.
    */
   void SilenceConnections();
@@ -30,6 +34,8 @@
   struct Relay;
 
   void Accept();
+  /** Time until a piece has been carried. */
+  Duration DelayOf(size_t aBytes);
   /** Reads some bytes from one socket and writes them to the other. */
   void Forward(const std::shared_ptr<Relay>& aRelay,
                Tcp::socket& aFrom,
@@ -40,6 +46,8 @@
   Tcp::endpoint server;
   Tcp::acceptor acceptor;
   size_t bytesPerSecond = 0;
+  bool shared = false;
+  Time freeAt; ///< When the shared link has carried what it holds.
   std::vector<std::weak_ptr<Relay>> relays;
 };
 
