Show in logs and metrics which requests clients send again

ClientRetries recognizes a client's next attempt: the request is the same, and so is the time until which the client waits (its time left is in each attempt). The log event of a request names the time since the first attempt; a counter tells how many retries were answered or refused. Decisions do not change.

Retries are admitted as if they were new.

--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -40,6 +40,14 @@
   this->latencySums[aClass] += seconds;
 }
 
+void
+Counters::CountClientRetry(const std::string& aClass,
+                           const std::string& aOutcome)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->clientRetries[{ aClass, aOutcome }];
+}
+
 void
 Counters::CountEvent(const std::string& aName)
 {
@@ -70,6 +78,14 @@
                    { "reason", key.reason } },
                  static_cast<double>(count));
   }
+  writer.Describe("fescuetiller_client_retries_total",
+                  "counter",
+                  "Requests that clients sent again, by class and outcome.");
+  for (const auto& [key, count] : this->clientRetries) {
+    writer.Write("fescuetiller_client_retries_total",
+                 { { "class", key.first }, { "outcome", key.second } },
+                 static_cast<double>(count));
+  }
   writer.Describe("fescuetiller_request_seconds",
                   "histogram",
                   "Time from reading a request to its answer.");
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -32,6 +32,10 @@
                     const std::string& aReason,
                     Duration aDuration);
 
+  /** Counts a request that its client sent again, in addition to
+   * CountRequest. */
+  void CountClientRetry(const std::string& aClass, const std::string& aOutcome);
+
   /** Counts a logged event by name. */
   void CountEvent(const std::string& aName);
 
@@ -47,6 +51,8 @@
   using Histogram = boost::histogram::histogram<std::tuple<LatencyAxis>>;
   mutable std::mutex mutex;
   std::map<RequestKey, uint64_t> requests;
+  /** By class and outcome. */
+  std::map<std::pair<std::string, std::string>, uint64_t> clientRetries;
   std::map<std::string, Histogram> latencies; ///< Seconds, by request class.
   std::map<std::string, double> latencySums;  ///< Seconds, by request class.
   std::map<std::string, uint64_t> events;
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -71,6 +71,7 @@
   PeerTable peers;
   ServerNotices serverNotices;
   std::map<std::string, RetryBudget> budgets; ///< By service.
+  ClientRetries clientRetries;
   size_t inFlight = 0; ///< Number of IngressRequests that exist.
 };
 
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -45,12 +45,13 @@
 constexpr double kZonePreference = 0.25;
 constexpr double kDownloadZonePreference = 0.8;
 
+constexpr unsigned kFirstServerError = 500;
+
 /** Whether a status that the router itself responds with guarantees that the
  * request has not run and never will. */
 bool
 IsRefusalStatus(unsigned aStatus)
 {
-  constexpr unsigned kFirstServerError = 500;
   return aStatus == 503 || aStatus < kFirstServerError;
 }
 
@@ -134,6 +135,30 @@
   return blocked.has_value();
 }
 
+void
+IngressRequest::RecognizeRetry()
+{
+  auto& retries = this->ingress.clientRetries;
+  if (!retries.IsEmpty()) {
+    this->firstSentAt = retries.TakeFirstSentAt(
+      this->startedAt,
+      FingerprintOf(this->exchange->request, this->ingress.settings.service),
+      *this->clientDeadline);
+  }
+}
+
+void
+IngressRequest::ExpectRetry()
+{
+  if (this->clientDeadline) {
+    this->ingress.clientRetries.OnUnsuccessful(
+      BootClock::now(),
+      FingerprintOf(this->exchange->request, this->ingress.settings.service),
+      *this->clientDeadline,
+      this->firstSentAt.value_or(this->startedAt));
+  }
+}
+
 bool
 IngressRequest::ReadRequest()
 {
@@ -160,6 +185,8 @@
         std::string(request[headers::kTimeLeft]), requested) &&
       requested >= 0) {
     timeout = std::min<Duration>(timeout, milliseconds(requested));
+    this->clientDeadline = this->startedAt + milliseconds(requested);
+    this->RecognizeRetry();
   }
   this->deadline = this->startedAt + timeout;
   this->dispatch.service = this->ingress.destinations.Pick(this->route);
@@ -364,6 +391,9 @@
     return;
   }
   this->ended = true;
+  if (aResponse.result_int() >= kFirstServerError) {
+    this->ExpectRetry();
+  }
   this->RecordOutcome("answered", std::to_string(aResponse.result_int()));
   RemoveHopByHopFields(aResponse);
   this->AnnotateResponse(aResponse, "answered");
@@ -412,6 +442,7 @@
   this->EndAttempt();
   if (this->exchange->HasStartedResponse()) {
     this->ended = true;
+    this->ExpectRetry();
     this->RecordOutcome("failed",
                         "answer broke off: " + ToString(aFailure.error));
     this->exchange->Abort();
@@ -521,6 +552,7 @@
     this->localExecution->Cancel();
   }
   this->EndAttempt();
+  this->ExpectRetry();
   this->RecordOutcome("cancelled", "client left");
 }
 
@@ -545,6 +577,7 @@
 {
   this->ended = true;
   this->timer.cancel();
+  this->ExpectRetry();
   std::string outcome = IsRefusalStatus(aStatus) ? "refused" : "failed";
   this->RecordOutcome(outcome, aReason);
   auto response = TextResponse(aStatus, aReason + "\n");
@@ -573,6 +606,10 @@
                                       aOutcome,
                                       aOutcome == "answered" ? "" : aReason,
                                       now - this->startedAt);
+  if (this->firstSentAt) {
+    this->ingress.counters.CountClientRetry(this->dispatch.requestClass,
+                                            aOutcome);
+  }
   this->ingress.log.Write(
     aOutcome == "answered" ? EventPriority::Routine : EventPriority::Notable,
     [&] { return this->MakeLogEvent(now, aOutcome, aReason); });
@@ -600,6 +637,10 @@
       { "hops", std::to_string(this->hops) },
       { "taken_ms", std::to_string(ToMilliseconds(aNow - this->startedAt)) },
       { "time_left_ms", std::to_string(ToMilliseconds(this->deadline - aNow)) },
+      { "since_first_attempt_ms",
+        this->firstSentAt
+          ? std::to_string(ToMilliseconds(aNow - *this->firstSentAt))
+          : "" },
       { "configuration",
         routes == nullptr ? "" : std::to_string(routes->Config().version) },
       { "cluster", std::to_string(this->ingress.view->Version()) } }
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -49,6 +49,12 @@
   /** Finds the route, deadline, service and key. @return False if the request
    * was refused. */
   bool ReadRequest();
+  /** Finds out whether the client sends this request again. */
+  void RecognizeRetry();
+  /** Keeps what is needed to recognize the request if the client sends it
+   * again.
+   */
+  void ExpectRetry();
   /** Refuses the request if servers ended under it. @return Whether it did. */
   bool RefuseIfBlocked();
   /** Sends the request to a member that it chooses. */
@@ -91,6 +97,10 @@
   Dispatch dispatch;
   std::optional<Key> key;
   Time startedAt;
+  /** When the client's first attempt arrived, if this one is a retry. */
+  std::optional<Time> firstSentAt;
+  /** Until when the client waits, retries included; empty if it did not say. */
+  std::optional<Time> clientDeadline;
   Time deadline;
   std::string currentMember;  ///< Member of the last attempt.
   std::string currentAddress; ///< Of that member, if it is another one.
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -3,6 +3,7 @@
 /** Public header of the routing library, which selects the route of a request,
  * a service of the route and a daemon of the service. */
 
+#include "routing/clientretries.h"
 #include "routing/destinationpicker.h"
 #include "routing/peertable.h"
 #include "routing/retrybudget.h"
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -138,6 +138,18 @@
     return this->Send(this->clientAddress, std::move(request));
   }
 
+  /** Sends a request as a client that waits until a deadline. */
+  HttpResponse PostUntil(const std::string& aId, Time aDeadline)
+  {
+    HttpRequest request(http::verb::post, "/look/1", 11);
+    request.set(http::field::host, "a.example");
+    request.set(headers::kRequestId, aId);
+    request.set(headers::kTimeLeft,
+                std::to_string(ToMilliseconds(aDeadline - BootClock::now())));
+    request.set(headers::kKey, "7");
+    return this->Send(this->clientAddress, std::move(request));
+  }
+
   /** Sends a request as the daemon of another member. */
   HttpResponse PostAsDaemon(const std::string& aNotice)
   {
@@ -226,6 +238,34 @@
   }
 };
 
+/** A client whose first attempt was refused by the daemon of another member,
+ * and whose target time has passed since. */
+struct RefusedClientFixture : RequestPathFixture
+{
+  Time deadline = BootClock::now() + seconds(2);
+
+  RefusedClientFixture()
+  {
+    this->Configure("other");
+    ExecutionReport report;
+    report.outcome = ExecutionOutcome::Refused;
+    report.reason = "no-time";
+    report.retryAfter = milliseconds(50);
+    this->daemonFields[kExecutionReportField] = Encode(report);
+    REQUIRE(this->PostUntil("r1", this->deadline).result_int() == 503);
+    this->context.run_for(this->configuration->routes["look"].targetLatency);
+  }
+
+  /** What the other daemon was told about the last request. */
+  Dispatch LastDispatch() const
+  {
+    auto dispatch =
+      DecodeDispatch(std::string(this->serverRequests.back()[kDispatchField]));
+    REQUIRE(dispatch);
+    return *dispatch;
+  }
+};
+
 } // namespace
 
 SCENARIO("A request is forwarded to the backend server and its response to the "
@@ -279,6 +319,25 @@
   }
 }
 
+SCENARIO("A request that its client sends again is counted as a retry",
+         "[path][clientretries]")
+{
+  RefusedClientFixture fixture;
+  const std::string kCounted =
+    "fescuetiller_client_retries_total{class=\"look\",outcome=\"refused\"} 1";
+
+  GIVEN("the same client")
+  {
+    fixture.PostUntil("r2", fixture.deadline);
+    CHECK(fixture.counters.FormatText().find(kCounted) != std::string::npos);
+  }
+  GIVEN("another client that requests the same")
+  {
+    fixture.PostUntil("r3", BootClock::now() + seconds(2));
+    CHECK(fixture.counters.FormatText().find(kCounted) == std::string::npos);
+  }
+}
+
 SCENARIO("A request whose response was lost is retried only if idempotent",
          "[path]")
 {
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -284,6 +284,81 @@
   }
 }
 
+SCENARIO("A request that its client sends again is recognized",
+         "[clientretries]")
+{
+  ClientRetries retries;
+  constexpr RequestFingerprint kLookup = 1;
+  const Time kDeadline = kStart + milliseconds(1500);
+  CHECK(retries.IsEmpty());
+
+  GIVEN("a client whose first attempt was refused")
+  {
+    retries.OnUnsuccessful(
+      kStart + milliseconds(5), kLookup, kDeadline, kStart);
+    const Time kBack = kStart + milliseconds(300);
+    THEN("its retry counts from the first attempt, although it arrives later "
+         "than the client's time left tells")
+    {
+      CHECK(retries.TakeFirstSentAt(
+              kBack, kLookup, kDeadline + milliseconds(9)) == kStart);
+      AND_THEN("another client's request does not")
+      {
+        CHECK_FALSE(retries.TakeFirstSentAt(kBack, kLookup, kDeadline));
+      }
+      AND_THEN("a third attempt counts from the first one, too")
+      {
+        retries.OnUnsuccessful(kBack, kLookup, kDeadline, kStart);
+        CHECK(retries.TakeFirstSentAt(
+                kBack + milliseconds(200), kLookup, kDeadline) == kStart);
+      }
+    }
+    THEN("another request with the same deadline is not taken for it")
+    {
+      CHECK_FALSE(retries.TakeFirstSentAt(kBack, kLookup + 1, kDeadline));
+    }
+    THEN("a client that requests the same later is not taken for it")
+    {
+      CHECK_FALSE(
+        retries.TakeFirstSentAt(kBack, kLookup, kDeadline + milliseconds(300)));
+    }
+    THEN("it is forgotten when the client no longer waits")
+    {
+      CHECK_FALSE(
+        retries.TakeFirstSentAt(kDeadline + seconds(2), kLookup, kDeadline));
+      CHECK(retries.IsEmpty());
+    }
+  }
+  GIVEN("two clients that request the same and are refused")
+  {
+    const Time kSecond = kStart + milliseconds(30);
+    retries.OnUnsuccessful(kSecond, kLookup, kDeadline, kStart);
+    retries.OnUnsuccessful(
+      kSecond, kLookup, kDeadline + milliseconds(30), kSecond);
+    THEN("each of them is recognized by its own deadline")
+    {
+      CHECK(retries.TakeFirstSentAt(kStart + milliseconds(250),
+                                    kLookup,
+                                    kDeadline + milliseconds(28)) == kSecond);
+      CHECK(retries.TakeFirstSentAt(kStart + milliseconds(260),
+                                    kLookup,
+                                    kDeadline + milliseconds(3)) == kStart);
+    }
+  }
+  GIVEN("more refused clients than can be kept")
+  {
+    constexpr uint64_t kClients = 20000;
+    for (uint64_t client = 0; client < kClients; ++client) {
+      retries.OnUnsuccessful(kStart, client, kDeadline, kStart);
+    }
+    THEN("the last ones are not recognized")
+    {
+      CHECK(retries.TakeFirstSentAt(kStart, 0, kDeadline));
+      CHECK_FALSE(retries.TakeFirstSentAt(kStart, kClients - 1, kDeadline));
+    }
+  }
+}
+
 SCENARIO("Announcements of servers are kept by the address of their daemon",
          "[servernotices]")
 {
