Add a failing test: retries count their target time anew

A client whose first attempt was refused comes back when its target time has passed; the daemon beside the server is told that it can still be met ("untilTarget <= 0" fails).

--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -338,6 +338,27 @@
   }
 }
 
+// Guards against retries that take slots from requests that could still be
+// answered in time.
+SCENARIO("The target time of a request that its client sends again is counted "
+         "from the first attempt",
+         "[path][clientretries][knownred]")
+{
+  RefusedClientFixture fixture;
+
+  GIVEN("the client, which comes back when its target time has passed")
+  {
+    fixture.PostUntil("r2", fixture.deadline);
+    CHECK(fixture.LastDispatch().untilTarget <= Duration(0));
+    CHECK(fixture.LastDispatch().untilDeadline > Duration(0));
+  }
+  GIVEN("another client that requests the same")
+  {
+    fixture.PostUntil("r3", BootClock::now() + seconds(2));
+    CHECK(fixture.LastDispatch().untilTarget > Duration(0));
+  }
+}
+
 SCENARIO("A request whose response was lost is retried only if idempotent",
          "[path]")
 {
