Count the target time of retries from the client's first attempt

Cause: each attempt of a client got its whole target time again. Class of fault: a time limit that starts anew at each hop or attempt. The load simulation of the tests took the target time from the first attempt, which the daemon did not know; so its figures (docs/DESIGN.md) were better than the daemon's.

Fix: the ingress takes the target time from the first attempt that ClientRetries found. The queue already starts such requests after those that can meet their target. The wait that a client states is bounded, so that times do not overflow.

--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -113,10 +113,12 @@
 Duration
 SlotQueue::EstimateServiceTime(const SlotRequest& aRequest) const
 {
+  auto untilTarget = aRequest.targetTime - aRequest.arrivedAt;
+  // A retry may arrive after its target time.
   return this->times.Estimate(
     aRequest.requestClass,
-    std::chrono::duration_cast<Duration>(
-      (aRequest.targetTime - aRequest.arrivedAt) * kUnknownTimeShare));
+    std::chrono::duration_cast<Duration>(std::max(untilTarget, Duration(0)) *
+                                         kUnknownTimeShare));
 }
 
 Time
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -18,6 +18,8 @@
 /** Time reserved before the client's deadline for the response to travel back.
  */
 constexpr Duration kResponseTravelTime = milliseconds(8);
+/** Clients that say that they wait for longer are taken to wait for this. */
+constexpr milliseconds kMaxClientWait = std::chrono::hours(24);
 /** Extra time for a response that another daemon sends at its deadline. */
 constexpr Duration kResponseMargin = milliseconds(20);
 /** For connections to other daemons. Many times a round trip, so that one lost
@@ -184,8 +186,9 @@
   if (boost::conversion::try_lexical_convert(
         std::string(request[headers::kTimeLeft]), requested) &&
       requested >= 0) {
-    timeout = std::min<Duration>(timeout, milliseconds(requested));
-    this->clientDeadline = this->startedAt + milliseconds(requested);
+    auto wait = std::min(milliseconds(requested), kMaxClientWait);
+    timeout = std::min<Duration>(timeout, wait);
+    this->clientDeadline = this->startedAt + wait;
     this->RecognizeRetry();
   }
   this->deadline = this->startedAt + timeout;
@@ -291,8 +294,9 @@
   this->currentMember = aMember;
   this->sentAt = now;
   ++this->hops;
-  this->dispatch.untilTarget =
-    this->startedAt + this->route.targetLatency - now - kResponseTravelTime;
+  this->dispatch.untilTarget = this->firstSentAt.value_or(this->startedAt) +
+                               this->route.targetLatency - now -
+                               kResponseTravelTime;
   this->dispatch.untilDeadline = this->deadline - now - kResponseTravelTime;
   HttpRequest forwarded = this->exchange->request;
   RemoveHopByHopFields(forwarded);
--- a/src/routing/clientretries.cpp
+++ b/src/routing/clientretries.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kDeadlineTolerance = std::chrono::milliseconds(50);
 /** Interval between removals of expired entries. */
 constexpr Duration kRemovalInterval = std::chrono::seconds(1);
+/** Requests of clients that wait for longer are not kept. */
+constexpr Duration kMaxWait = std::chrono::minutes(1);
 /** Bounds the memory while nearly all requests are refused: about 1 MB. */
 constexpr size_t kMaxEntries = 10000;
 
@@ -25,7 +27,8 @@
                               Time aFirstSentAt)
 {
   this->RemoveExpired(aNow);
-  if (aClientDeadline > aNow && this->entries.size() < kMaxEntries) {
+  if (aClientDeadline > aNow && aClientDeadline < aNow + kMaxWait &&
+      this->entries.size() < kMaxEntries) {
     this->entries.emplace(aFingerprint, Entry{ aClientDeadline, aFirstSentAt });
   }
 }
--- a/tests/admission/baselinestest.cpp
+++ b/tests/admission/baselinestest.cpp
@@ -95,3 +95,31 @@
     CHECK(own >= earned(EarliestDeadlinePolicy(kSlots)));
   }
 }
+
+// Guards against an admission that serves refused clients late instead of
+// others in time.
+SCENARIO("Under lasting overload, clients that come back do not displace those "
+         "that can still be answered in time",
+         "[load][clientretries]")
+{
+  for (double load : { 1.5, 2.0, 3.0 }) {
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      auto classes = Classes(load);
+      auto simulate = [&](RetryTarget aTarget) {
+        return SimulateLoad(
+          SlotQueuePolicy(kSlots), classes, {}, kSimulatedTime, seed, aTarget);
+      };
+      auto recognized = simulate(RetryTarget::Recognized);
+      auto known = simulate(RetryTarget::FirstAttempt);
+      auto anew = simulate(RetryTarget::EachAttempt);
+      INFO("load " << load << ", seed " << seed);
+      INFO("recognized " << EarnedShare(recognized, classes) << ", known "
+                         << EarnedShare(known, classes) << ", anew "
+                         << EarnedShare(anew, classes));
+      constexpr double kTolerance = 0.03;
+      CHECK(EarnedShare(recognized, classes) >
+            EarnedShare(known, classes) - kTolerance);
+      CHECK(EarnedShare(recognized, classes) > EarnedShare(anew, classes));
+    }
+  }
+}
--- a/tests/admission/serverload.cpp
+++ b/tests/admission/serverload.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include "routing/routing.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -91,10 +93,17 @@
            [queue](Time, uint64_t) { queue->OnFinished(); } };
 }
 
+/** Number of different requests of a class. */
+constexpr uint64_t kThings = 200;
+/** Share of the requests of a class that are all the same. */
+constexpr double kHotShare = 0.3;
+constexpr double kMaxTravelMilliseconds = 10;
+
 /** A client with its request. */
 struct Client
 {
   SlotRequest request;
+  RequestFingerprint fingerprint = 0;
   const LoadClass* loadClass = nullptr;
   Time firstAt; ///< Arrival of the first attempt.
   bool retried = false;
@@ -107,11 +116,14 @@
   Simulation(const SlotPolicy& aPolicy,
              const std::vector<LoadClass>& aClasses,
              const std::vector<LoadEvent>& aEvents,
-             uint64_t aSeed)
+             uint64_t aSeed,
+             RetryTarget aRetryTarget)
     : policy(aPolicy)
     , classes(aClasses)
     , events(aEvents)
     , random(aSeed)
+    , retryTarget(aRetryTarget)
+    , clientRandom(aSeed)
   {
   }
 
@@ -153,7 +165,7 @@
       this->running.erase(this->running.begin());
       this->policy.finished(aNow, client.request.id);
       auto& result = this->results[client.loadClass->name];
-      if (aNow <= client.request.targetTime) {
+      if (aNow <= client.firstAt + client.loadClass->target) {
         ++result.inTime;
         result.earnedShare += client.loadClass->value;
       } else if (aNow <= client.request.deadline) {
@@ -174,20 +186,56 @@
         Client client;
         client.loadClass = &each;
         client.firstAt = aNow;
+        client.fingerprint = this->DrawFingerprint(each);
         ++this->results[each.name].offered;
         this->SendRequest(aNow, client);
       }
     }
   }
 
+  RequestFingerprint DrawFingerprint(const LoadClass& aClass)
+  {
+    std::bernoulli_distribution hot(kHotShare);
+    std::uniform_int_distribution<uint64_t> things(0, kThings - 1);
+    auto thing = hot(this->clientRandom) ? 0 : things(this->clientRandom);
+    return StableHash(aClass.name, thing);
+  }
+
+  /** When the client waits no longer, as its time left tells the daemon. */
+  Time StatedDeadline(const Client& aClient)
+  {
+    std::uniform_real_distribution<double> travel(0, kMaxTravelMilliseconds);
+    return aClient.firstAt + aClient.loadClass->deadline +
+           std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double, std::milli>(
+               travel(this->clientRandom)));
+  }
+
+  /** From when the target time of a request counts. */
+  Time CountedFrom(Time aNow, const Client& aClient)
+  {
+    switch (this->retryTarget) {
+      case RetryTarget::FirstAttempt:
+        return aClient.firstAt;
+      case RetryTarget::EachAttempt:
+        return aNow;
+      case RetryTarget::Recognized:
+        break;
+    }
+    return this->retries
+      .TakeFirstSentAt(aNow, aClient.fingerprint, this->StatedDeadline(aClient))
+      .value_or(aNow);
+  }
+
   void SendRequest(Time aNow, Client aClient)
   {
+    auto countedFrom = this->CountedFrom(aNow, aClient);
     auto& request = aClient.request;
     request.id = this->nextId++;
     request.requestClass = aClient.loadClass->name;
     request.priority = aClient.loadClass->priority;
     request.arrivedAt = aNow;
-    request.targetTime = aClient.firstAt + aClient.loadClass->target;
+    request.targetTime = countedFrom + aClient.loadClass->target;
     request.deadline = aClient.firstAt + aClient.loadClass->deadline;
     request.notBefore = aNow;
     this->waiting[request.id] = aClient;
@@ -212,6 +260,11 @@
       auto& result = this->results[client.loadClass->name];
       result.longestRefusedWait = std::max(
         result.longestRefusedWait, Duration(aNow - client.request.arrivedAt));
+      this->retries.OnUnsuccessful(aNow,
+                                   client.fingerprint,
+                                   this->StatedDeadline(client),
+                                   client.request.targetTime -
+                                     client.loadClass->target);
       auto retryAt = aNow + refusal.retryAfter;
       if (!client.retried &&
           retryAt < client.firstAt + client.loadClass->deadline / 2) {
@@ -238,6 +291,10 @@
   const std::vector<LoadClass>& classes;
   const std::vector<LoadEvent>& events;
   std::mt19937_64 random;
+  RetryTarget retryTarget;
+  std::mt19937_64
+    clientRandom; ///< Separate, so that the arrivals stay the same.
+  ClientRetries retries;
   uint64_t nextId = 1;
   std::map<uint64_t, Client> waiting;
   std::multimap<Time, Client> running;
@@ -293,9 +350,10 @@
              const std::vector<LoadClass>& aClasses,
              const std::vector<LoadEvent>& aEvents,
              Duration aTime,
-             uint64_t aSeed)
+             uint64_t aSeed,
+             RetryTarget aRetryTarget)
 {
-  return Simulation(aPolicy, aClasses, aEvents, aSeed).Run(aTime);
+  return Simulation(aPolicy, aClasses, aEvents, aSeed, aRetryTarget).Run(aTime);
 }
 
 double
--- a/tests/admission/serverload.h
+++ b/tests/admission/serverload.h
@@ -69,17 +69,27 @@
   double work = 1;    ///< Factor for the time in a slot.
 };
 
+/** From when the server's daemon counts the target time of a retry. */
+enum class RetryTarget
+{
+  FirstAttempt, ///< From the client's first attempt.
+  EachAttempt,  ///< From the retry itself.
+  Recognized,   ///< From the first attempt that ClientRetries finds.
+};
+
 /**
  * Simulates a server under load with a manual clock. A refused client retries
  * once after the delay that it was given, unless more than half of its time to
- * the deadline has passed by then.
+ * the deadline has passed by then. Many clients request the same, and what they
+ * send travels for up to 10 ms.
  */
 std::map<std::string, LoadResult>
 SimulateLoad(const SlotPolicy& aPolicy,
              const std::vector<LoadClass>& aClasses,
              const std::vector<LoadEvent>& aEvents,
              Duration aTime,
-             uint64_t aSeed);
+             uint64_t aSeed,
+             RetryTarget aRetryTarget = RetryTarget::FirstAttempt);
 
 /** Earned value over the value of all requests, for all classes. */
 double
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -342,7 +342,7 @@
 // answered in time.
 SCENARIO("The target time of a request that its client sends again is counted "
          "from the first attempt",
-         "[path][clientretries][knownred]")
+         "[path][clientretries]")
 {
   RefusedClientFixture fixture;
 
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -345,6 +345,15 @@
                                     kDeadline + milliseconds(3)) == kStart);
     }
   }
+  GIVEN("a client that waits for hours")
+  {
+    const Time kLater = kStart + std::chrono::hours(3);
+    retries.OnUnsuccessful(kStart, kLookup, kLater, kStart);
+    THEN("its request is not kept")
+    {
+      CHECK(retries.IsEmpty());
+    }
+  }
   GIVEN("more refused clients than can be kept")
   {
     constexpr uint64_t kClients = 20000;
