--- a/tests/admission/slotqueuetest.cpp
+++ b/tests/admission/slotqueuetest.cpp
@@ -463,3 +463,16 @@
   CHECK(refused[0].expectedWait >= seconds(2));
   CHECK(refused[0].retryAfter >= seconds(2));
 }
+
+// Guards against estimates that are negative since a retry arrives after its
+// target time.
+SCENARIO("A retry of a class without a learned time adds no negative load",
+         "[clientretries]")
+{
+  SlotQueue queue(AlwaysStart);
+  auto late = MakeRequest(1, "lookup", kStart);
+  late.targetTime = kStart - milliseconds(400);
+  CHECK(queue.Offer(kStart, late).empty());
+  CHECK(queue.OfferedLoad(kStart) >= 0);
+  CHECK(queue.Start(kStart) == std::vector<uint64_t>{ 1 });
+}
