Find the first attempt of a retry by fingerprint and deadline

While a hot request is refused, a daemon keeps many attempts with the same fingerprint, and each request of that kind went through all of them. They are ordered by deadline now; the search covers those within the tolerance. Same results: testrouting [clientretries], testadmission [clientretries].

--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -51,9 +51,7 @@
   bool ReadRequest();
   /** Finds out whether the client sends this request again. */
   void RecognizeRetry();
-  /** Keeps what is needed to recognize the request if the client sends it
-   * again.
-   */
+  /** Keeps what is needed to recognize the next attempt of the client. */
   void ExpectRetry();
   /** Refuses the request if servers ended under it. @return Whether it did. */
   bool RefuseIfBlocked();
--- a/src/routing/clientretries.cpp
+++ b/src/routing/clientretries.cpp
@@ -1,6 +1,6 @@
 #include "routing/clientretries.h"
 
-#include <algorithm>
+#include <iterator>
 
 namespace fescuetiller {
 
@@ -28,8 +28,9 @@
 {
   this->RemoveExpired(aNow);
   if (aClientDeadline > aNow && aClientDeadline < aNow + kMaxWait &&
-      this->entries.size() < kMaxEntries) {
-    this->entries.emplace(aFingerprint, Entry{ aClientDeadline, aFirstSentAt });
+      this->firstAttempts.size() < kMaxEntries) {
+    this->firstAttempts.emplace(
+      FingerprintAndDeadline(aFingerprint, aClientDeadline), aFirstSentAt);
   }
 }
 
@@ -39,26 +40,31 @@
                                Time aClientDeadline)
 {
   this->RemoveExpired(aNow);
-  auto [first, last] = this->entries.equal_range(aFingerprint);
-  auto distance = [&](const Entry& aEntry) {
-    return std::chrono::abs(aEntry.clientDeadline - aClientDeadline);
-  };
-  auto nearest =
-    std::min_element(first, last, [&](const auto& aLeft, const auto& aRight) {
-      return distance(aLeft.second) < distance(aRight.second);
-    });
-  if (nearest == last || distance(nearest->second) > kDeadlineTolerance) {
+  auto nearest = this->firstAttempts.end();
+  auto least = kDeadlineTolerance;
+  auto attempt = this->firstAttempts.lower_bound(
+    { aFingerprint, aClientDeadline - kDeadlineTolerance });
+  for (; attempt != this->firstAttempts.end(); ++attempt) {
+    const auto& [fingerprint, deadline] = attempt->first;
+    auto distance = std::chrono::abs(deadline - aClientDeadline);
+    if (fingerprint != aFingerprint || distance > least) {
+      break;
+    }
+    nearest = attempt;
+    least = distance;
+  }
+  if (nearest == this->firstAttempts.end()) {
     return std::nullopt;
   }
-  auto firstSentAt = nearest->second.firstSentAt;
-  this->entries.erase(nearest);
+  auto firstSentAt = nearest->second;
+  this->firstAttempts.erase(nearest);
   return firstSentAt;
 }
 
 bool
 ClientRetries::IsEmpty() const
 {
-  return this->entries.empty();
+  return this->firstAttempts.empty();
 }
 
 void
@@ -68,10 +74,12 @@
     return;
   }
   this->nextRemoval = aNow + kRemovalInterval;
-  for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-    entry = entry->second.clientDeadline + kDeadlineTolerance < aNow
-              ? this->entries.erase(entry)
-              : std::next(entry);
+  auto attempt = this->firstAttempts.begin();
+  while (attempt != this->firstAttempts.end()) {
+    auto deadline = attempt->first.second;
+    attempt = deadline + kDeadlineTolerance < aNow
+                ? this->firstAttempts.erase(attempt)
+                : std::next(attempt);
   }
 }
 
--- a/src/routing/clientretries.h
+++ b/src/routing/clientretries.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "model/model.h"
 
@@ -34,15 +35,12 @@
   bool IsEmpty() const;
 
 private:
-  struct Entry
-  {
-    Time clientDeadline;
-    Time firstSentAt;
-  };
+  using FingerprintAndDeadline = std::pair<RequestFingerprint, Time>;
 
   void RemoveExpired(Time aNow);
 
-  std::multimap<RequestFingerprint, Entry> entries;
+  /** When the first attempts arrived. */
+  std::multimap<FingerprintAndDeadline, Time> firstAttempts;
   Time nextRemoval;
 };
 
