--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -693,3 +693,16 @@
     }
   }
 }
+
+// Guards against requests that are passed on although their clients left while
+// the connection waited to be accepted.
+SCENARIO("A request that is read when its client has left is not passed on",
+         "[disconnect][knownred]")
+{
+  ServerFixture fixture;
+  asio::write(fixture.client,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  fixture.client.close();
+  fixture.context.run_for(milliseconds(30));
+  CHECK(fixture.exchanges.empty());
+}
