--- a/tests/admission/baselinestest.cpp
+++ b/tests/admission/baselinestest.cpp
@@ -116,6 +116,7 @@
       INFO("recognized " << EarnedShare(recognized, classes) << ", known "
                          << EarnedShare(known, classes) << ", anew "
                          << EarnedShare(anew, classes));
+      // Clients that request the same may be taken for each other.
       constexpr double kTolerance = 0.03;
       CHECK(EarnedShare(recognized, classes) >
             EarnedShare(known, classes) - kTolerance);
--- a/tests/admission/serverload.cpp
+++ b/tests/admission/serverload.cpp
@@ -94,7 +94,7 @@
 }
 
 /** Number of different requests of a class. */
-constexpr uint64_t kThings = 200;
+constexpr uint64_t kDistinctRequests = 200;
 /** Share of the requests of a class that are all the same. */
 constexpr double kHotShare = 0.3;
 constexpr double kMaxTravelMilliseconds = 10;
@@ -196,9 +196,9 @@
   RequestFingerprint DrawFingerprint(const LoadClass& aClass)
   {
     std::bernoulli_distribution hot(kHotShare);
-    std::uniform_int_distribution<uint64_t> things(0, kThings - 1);
-    auto thing = hot(this->clientRandom) ? 0 : things(this->clientRandom);
-    return StableHash(aClass.name, thing);
+    std::uniform_int_distribution<uint64_t> others(0, kDistinctRequests - 1);
+    auto request = hot(this->clientRandom) ? 0 : others(this->clientRandom);
+    return StableHash(aClass.name, request);
   }
 
   /** When the client waits no longer, as its time left tells the daemon. */
@@ -292,8 +292,8 @@
   const std::vector<LoadEvent>& events;
   std::mt19937_64 random;
   RetryTarget retryTarget;
-  std::mt19937_64
-    clientRandom; ///< Separate, so that the arrivals stay the same.
+  /** Separate from random, so that the arrivals stay the same. */
+  std::mt19937_64 clientRandom;
   ClientRetries retries;
   uint64_t nextId = 1;
   std::map<uint64_t, Client> waiting;
