Let the uplink tests wait for what happens, not for a time

Cause: the fixture ran its io_context for 10 ms after each connect. A process that is not scheduled for that long returns from run_for before the connection was accepted and its request read.

The fixture now runs until the request has arrived.

--- a/tests/daemon/uplinktest.cpp
+++ b/tests/daemon/uplinktest.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "fescuetillerd/pacedresponse.h"
@@ -38,6 +40,20 @@
     this->closed = error && error != asio::error::would_block;
   }
 
+  /** Whether the text has been sent to this daemon. */
+  bool Receives(const std::string& aText)
+  {
+    constexpr int kRounds = 2000;
+    for (int round = 0; round < kRounds; ++round) {
+      this->Read();
+      if (this->received.find(aText) != std::string::npos) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return false;
+  }
+
   Tcp::socket socket;
   std::string received;
   bool closed = false;
@@ -69,14 +85,31 @@
     this->context.run_for(aTime);
   }
 
-  /** Another daemon asks for a download; its response begins. */
-  std::shared_ptr<PacedResponse> Begin()
+  /** Runs until the condition holds, however long the process is suspended
+   * meanwhile. @return Whether it holds. */
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    constexpr int kRounds = 5000;
+    for (int round = 0; round < kRounds && !aCondition(); ++round) {
+      this->Run(milliseconds(1));
+    }
+    return aCondition();
+  }
+
+  /** Another daemon sends a request. */
+  std::shared_ptr<Exchange> Request()
   {
     this->receivers.push_back(
       std::make_unique<Receiver>(this->context, this->server.Address()));
-    this->Run(milliseconds(10));
-    REQUIRE(this->exchanges.size() == this->receivers.size());
-    auto exchange = this->exchanges.back();
+    REQUIRE(this->RunUntil(
+      [this] { return this->exchanges.size() == this->receivers.size(); }));
+    return this->exchanges.back();
+  }
+
+  /** Another daemon asks for a download; its response begins. */
+  std::shared_ptr<PacedResponse> Begin()
+  {
+    auto exchange = this->Request();
     auto response = this->uplink.Expect(
       exchange, "download", BootClock::now() + std::chrono::seconds(10));
     exchange->onClientDisconnect = [response] { response->Cancel(); };
@@ -161,6 +194,8 @@
     for (size_t count = 0; count < kDownloads; ++count) {
       fixture.Download();
     }
+    fixture.RunUntil(
+      [&fixture] { return fixture.accepted == kDownloads * kChunks; });
     fixture.Run(milliseconds(50));
     THEN("little of them is in flight")
     {
@@ -220,17 +255,14 @@
   {
     fixture.Download();
     fixture.Download();
-    fixture.receivers.push_back(
-      std::make_unique<Receiver>(fixture.context, fixture.server.Address()));
-    fixture.Run(milliseconds(10));
-    fixture.uplink.Expect(fixture.exchanges.back(), "call", BootClock::now())
+    auto exchange = fixture.Request();
+    fixture.uplink.Expect(exchange, "call", BootClock::now())
       ->OnCompleteResponse(TextResponse(200, "short"));
-    fixture.Run(milliseconds(10));
+    fixture.context.restart();
+    fixture.context.poll();
     THEN("it is sent at once")
     {
-      fixture.receivers.back()->Read();
-      CHECK(fixture.receivers.back()->received.find("short") !=
-            std::string::npos);
+      CHECK(fixture.receivers.back()->Receives("short"));
     }
   }
   GIVEN("a download that breaks off")
