Log what the slots of a server are used for, and handovers of moved keys

SlotUsage adds up the time of all slots by use; its sums are logged every 2 s, whatever the rate limit, and exported as fescuetiller_slot_seconds_total. The event keys-free names the handover token. A streamed response with an error status no longer counts as a service time, like other error responses.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -8,3 +8,4 @@
 #include "admission/requestlimit.h"
 #include "admission/servicetimes.h"
 #include "admission/slotqueue.h"
+#include "admission/slotusage.h"
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1201,6 +1201,7 @@
       "keys-free",
       { { "keys", ToString(move.plan.range) },
         { "target", move.plan.target },
+        { "handover", this->server.HandoverOf(move.plan.range) },
         { "held", report ? FormatRanges(report->grantedRanges) : "" },
         { "heartbeat", report ? std::to_string(report->sequence) : "" } });
   }
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -308,6 +308,7 @@
 ControlNode::OnReport(TrafficReport aReport)
 {
   this->counters.SetGauge("fescuetiller_offered_load", aReport.load);
+  this->counters.SetSlotTimes(aReport.slotTotals);
   this->counters.SetGauge("fescuetiller_server_connections",
                           static_cast<double>(aReport.serverConnections));
   this->counters.SetGauge(
--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -55,6 +55,13 @@
   ++this->events[aName];
 }
 
+void
+Counters::SetSlotTimes(const SlotTimes& aTimes)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->slotTimes = aTimes;
+}
+
 void
 Counters::SetGauge(const std::string& aName, double aValue)
 {
@@ -117,6 +124,14 @@
                  { { "event", name } },
                  static_cast<double>(count));
   }
+  writer.Describe("fescuetiller_slot_seconds_total",
+                  "counter",
+                  "Time of the backend server's slots by use.");
+  for (const auto& [use, time] : this->slotTimes.ByName()) {
+    writer.Write("fescuetiller_slot_seconds_total",
+                 { { "use", use } },
+                 std::chrono::duration<double>(time).count());
+  }
   for (const auto& [name, value] : this->gauges) {
     writer.Describe(name, "gauge", "State of this daemon.");
     writer.Write(name, {}, value);
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -6,6 +6,7 @@
 
 #include <boost/histogram.hpp>
 
+#include "admission/admission.h"
 #include "base/base.h"
 
 namespace fescuetiller {
@@ -39,6 +40,9 @@
   /** Counts a logged event by name. */
   void CountEvent(const std::string& aName);
 
+  /** Sets the use of the backend server's slots since the start. */
+  void SetSlotTimes(const SlotTimes& aTimes);
+
   void SetGauge(const std::string& aName, double aValue);
 
   /** Formats all metrics for a Prometheus scrape. */
@@ -57,6 +61,7 @@
   std::map<std::string, double> latencySums;  ///< Seconds, by request class.
   std::map<std::string, uint64_t> events;
   std::map<std::string, double> gauges;
+  SlotTimes slotTimes;
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/eventlog.cpp
+++ b/src/fescuetillerd/eventlog.cpp
@@ -55,6 +55,9 @@
 bool
 EventLog::AcquireToken(EventPriority aPriority)
 {
+  if (aPriority == EventPriority::Summary) {
+    return true;
+  }
   auto now = BootClock::now();
   double seconds =
     static_cast<double>((now - this->tokensUpdatedAt).count()) / 1e9;
--- a/src/fescuetillerd/eventlog.h
+++ b/src/fescuetillerd/eventlog.h
@@ -31,6 +31,7 @@
 {
   Routine, ///< A request with the outcome "answered".
   Notable, ///< A request with another outcome, or a change of state.
+  Summary, ///< Written at intervals; not subject to the rate limit.
 };
 
 /**
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -49,7 +49,7 @@
     this->call->Cancel();
   }
   this->executor.queue.Cancel(this->id);
-  this->Finish(false);
+  this->Finish(SlotUse::Cancelled);
   this->LogOutcome("cancelled", "caller left");
 }
 
@@ -57,6 +57,7 @@
 Execution::Run(Time aNow)
 {
   this->startedAt = aNow;
+  this->executor.slotUsage.OnStarted(aNow);
   this->server = this->executor.serving.server;
   this->executor.runningIds.insert(this->requestId);
   auto timeLeft = this->deadline - aNow;
@@ -78,13 +79,29 @@
                                    this->shared_from_this());
 }
 
+SlotUse
+Execution::UseByResponse(unsigned aStatus) const
+{
+  constexpr unsigned kFirstRedirect = 300;
+  if (aStatus >= kFirstRedirect) {
+    return SlotUse::Error;
+  }
+  bool inTime =
+    BootClock::now() - this->arrivedAt <= this->dispatch.untilTarget;
+  return inTime ? SlotUse::InTime : SlotUse::Late;
+}
+
 std::shared_ptr<ResponseReceiver>
-Execution::Finish(bool aRecordServiceTime)
+Execution::Finish(SlotUse aUse)
 {
   auto responseReceiver = std::move(this->receiver);
   this->receiver.reset();
-  this->executor.queue.OnFinished(
-    BootClock::now(), this->id, aRecordServiceTime);
+  auto now = BootClock::now();
+  bool succeeded = aUse == SlotUse::InTime || aUse == SlotUse::Late;
+  this->executor.queue.OnFinished(now, this->id, succeeded);
+  if (this->startedAt != Time()) {
+    this->executor.slotUsage.OnFinished(now, this->startedAt, aUse);
+  }
   this->executor.executions.erase(this->id);
   this->executor.runningIds.erase(this->requestId);
   this->executor.StartEligibleRequests();
@@ -136,7 +153,7 @@
   auto retryAfter = aReason == "server-unreachable"
                       ? kServerUnreachableRetryAfter
                       : kServerRefusalRetryAfter;
-  auto responseReceiver = this->Finish(false);
+  auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(
     aOutcome == ExecutionOutcome::Refused ? 503 : 502, aReason + "\n");
   auto report = this->executor.MakeReport(aOutcome, *this, aReason, retryAfter);
@@ -150,7 +167,7 @@
 {
   this->LogOutcome("refused", aReason);
   auto self = this->shared_from_this();
-  auto responseReceiver = this->Finish(false);
+  auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(503, aReason + "\n");
   auto report = this->executor.MakeReport(
     ExecutionOutcome::Refused, *this, aReason, aRetryAfter);
@@ -196,7 +213,7 @@
     this->fingerprint, this->server, this->startedAt, status);
   this->LogOutcome("answered", std::to_string(status));
   auto self = this->shared_from_this();
-  auto responseReceiver = this->Finish(status < 300);
+  auto responseReceiver = this->Finish(this->UseByResponse(status));
   this->executor.SetReport(
     aResponse, this->executor.MakeReport(ExecutionOutcome::Answered, *this));
   responseReceiver->OnCompleteResponse(std::move(aResponse));
@@ -226,7 +243,7 @@
     this->fingerprint, this->server, this->startedAt, this->status);
   this->LogOutcome("answered", "streamed");
   auto self = this->shared_from_this();
-  this->Finish(true)->OnBodyEnd();
+  this->Finish(this->UseByResponse(this->status))->OnBodyEnd();
 }
 
 void
@@ -249,7 +266,7 @@
       this->LogOutcome("failed",
                        "answer broke off: " + ToString(aFailure.error));
       auto self = this->shared_from_this();
-      this->Finish(false)->OnFailure(aFailure);
+      this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
       break;
     }
   }
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -50,10 +50,12 @@
 
 private:
   /** Ends the execution and frees its slot.
-   * @param aRecordServiceTime Whether the time in the slot counts as a service
-   * time of the class.
+   * @param aUse What the time in the slot was good for. A success counts as a
+   * service time of the class.
    * @return The receiver, which gets nothing further from this execution. */
-  std::shared_ptr<ResponseReceiver> Finish(bool aRecordServiceTime);
+  std::shared_ptr<ResponseReceiver> Finish(SlotUse aUse);
+  /** Use of the slot by a response of the server that ends now. */
+  SlotUse UseByResponse(unsigned aStatus) const;
   /** Responds that the backend server refused the request, could not be reached
    * or did not respond. */
   void RespondWithFailure(const std::string& aReason,
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -75,11 +75,27 @@
   }
   this->serving = aServing;
   this->queue.SetSlots(aServing.slots);
+  this->UpdateSlotCapacity();
   this->RecordCrashes();
   this->RefuseMovedRequests();
   this->StartEligibleRequests();
 }
 
+void
+Executor::UpdateSlotCapacity()
+{
+  auto now = BootClock::now();
+  bool mayRun =
+    this->serving.available && now + kSendMargin <= this->SendUntil();
+  const auto& ranges = this->serving.ranges;
+  bool hasKeys =
+    !this->serving.ownsKeys ||
+    std::any_of(ranges.begin(), ranges.end(), [&](const auto& aRange) {
+      return now + kSendMargin < aRange.grantedUntil;
+    });
+  this->slotUsage.SetCapacity(now, mayRun ? this->serving.slots : 0, hasKeys);
+}
+
 bool
 Executor::IsServerLeaving() const
 {
@@ -569,6 +585,12 @@
   return weights;
 }
 
+SlotTimes
+Executor::SlotTotals() const
+{
+  return this->slotUsage.Totals(BootClock::now());
+}
+
 bool
 Executor::IsIdle() const
 {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -83,6 +83,8 @@
   /** Requests per second that the backend server currently accepts; empty if it
    * states no limit. */
   std::optional<double> RequestsPerSecond();
+  /** What the backend server's slots were used for so far. */
+  SlotTimes SlotTotals() const;
   bool IsIdle() const;
   /** Makes the final response to another daemon before this process exits: its
    * next request over the connection is refused and does not run. */
@@ -106,6 +108,8 @@
   bool IsServerLeaving() const;
   /** Until when requests are sent to the server. */
   Time SendUntil() const;
+  /** Passes on to the slot usage how many slots requests can make use of. */
+  void UpdateSlotCapacity();
   const ServedRange* FindServedRange(Key aKey) const;
   /** Member that the key moved to recently; empty if unknown. */
   MemberId FindNewOwner(Key aKey) const;
@@ -164,6 +168,7 @@
    * before the control thread has passed on a state that says so. */
   std::optional<Time> leavingSince;
   SlotQueue queue;
+  SlotUsage slotUsage;
   KeyLoad keyLoad;
   CrashRecords crashes;
   std::vector<BrokenOff> brokenOff;
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -9,6 +9,8 @@
 /** Interval between reports to the control thread and between checks for idle
  * connections. */
 constexpr Duration kPeriodicInterval = std::chrono::milliseconds(500);
+/** Interval between log lines on the use of the server's slots. */
+constexpr Duration kSlotUsageLogInterval = std::chrono::seconds(2);
 /** Longer than other daemons keep their idle connections to this one, so that
  * the calling side closes them first. */
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
@@ -216,6 +218,28 @@
   };
 }
 
+void
+TrafficNode::LogSlotUsage(Time aNow)
+{
+  if (aNow < this->nextSlotUsageLog) {
+    return;
+  }
+  this->nextSlotUsageLog = aNow + kSlotUsageLogInterval;
+  auto totals = this->executor.SlotTotals();
+  if (totals == this->loggedSlotTotals) {
+    return;
+  }
+  this->loggedSlotTotals = totals;
+  this->log.Write(EventPriority::Summary, [&totals] {
+    Event event{ "slot-usage", {} };
+    for (const auto& [name, time] : totals.ByName()) {
+      event.fields.emplace_back(name + "_ms",
+                                std::to_string(ToMilliseconds(time)));
+    }
+    return event;
+  });
+}
+
 void
 TrafficNode::RunPeriodicTasks()
 {
@@ -236,9 +260,11 @@
                      this->executor.RequestsPerSecond(),
                      this->executor.UnusableShare(),
                      this->executor.Crashes().BlockedCount(now),
+                     this->executor.SlotTotals(),
                      this->executor.KeyWeights(),
                      this->ingress.PeerLoads() });
   }
+  this->LogSlotUsage(now);
   this->timer.expires_after(kPeriodicInterval);
   this->timer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -24,6 +24,7 @@
    * unused. */
   double unusableShare = 0;
   size_t blockedRequests = 0; ///< Requests that must not run again.
+  SlotTimes slotTotals;       ///< Use of the backend server's slots so far.
   std::vector<KeyWeight> keyWeights;
   std::map<MemberId, PeerLoad> peerLoads;
 };
@@ -76,6 +77,8 @@
   std::array<HttpServer*, 3> HttpServers();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
+  /** Logs what the server's slots were used for, if it has changed. */
+  void LogSlotUsage(Time aNow);
 
   asio::io_context& context;
   NodeSettings settings;
@@ -87,6 +90,8 @@
   HttpServer callerServer; ///< Listens only if the settings name an address.
   HttpServer peerServer;
   asio::steady_timer timer;
+  Time nextSlotUsageLog;
+  SlotTimes loggedSlotTotals; ///< Totals in the last log line.
   Time dismissedUntil; ///< Until when others may read the final response.
 };
 
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -319,6 +319,69 @@
   }
 }
 
+// Guards against capacity that seems unused under overload, since the log of
+// single requests is limited.
+SCENARIO("A daemon reports what the slots of its server were used for",
+         "[path][slotusage]")
+{
+  RequestPathFixture fixture;
+  SlotTimes totals;
+  fixture.node->onReport = [&totals](const TrafficReport& aReport) {
+    totals = aReport.slotTotals;
+  };
+  auto runUntil = [&](const std::function<bool()>& aCondition) {
+    for (int round = 0; round < 500 && !aCondition(); ++round) {
+      fixture.context.run_for(milliseconds(10));
+    }
+    return aCondition();
+  };
+  fixture.Configure();
+
+  GIVEN("a request that is answered in time")
+  {
+    fixture.Post("/book/1");
+    THEN("its time counts as such, and the rest as idle")
+    {
+      CHECK(runUntil([&] { return totals.inTime > Duration(0); }));
+      CHECK(totals.idle > totals.inTime);
+      CHECK(totals.error + totals.unanswered + totals.withoutKeys ==
+            Duration(0));
+    }
+  }
+  GIVEN("a server that breaks off the connection")
+  {
+    fixture.serverActions = { ServerAction::Disconnect };
+    fixture.Post("/book/1");
+    THEN("the time was used for nothing")
+    {
+      CHECK(runUntil([&] { return totals.unanswered > Duration(0); }));
+      CHECK(totals.inTime == Duration(0));
+    }
+  }
+  GIVEN("a server that holds no keys any more")
+  {
+    fixture.serving.ranges.clear();
+    fixture.Configure();
+    THEN("its slots are without keys")
+    {
+      CHECK(runUntil([&] { return totals.withoutKeys > Duration(0); }));
+    }
+  }
+  GIVEN("a server that is lost")
+  {
+    fixture.serving.available = false;
+    fixture.Configure();
+    REQUIRE(fixture.Post("/look/1").result_int() == 503);
+    THEN("its slots count no longer")
+    {
+      REQUIRE(runUntil([&] { return totals.idle > Duration(0); }));
+      auto before = totals;
+      fixture.context.run_for(seconds(1));
+      CHECK(totals == before);
+    }
+  }
+}
+
 SCENARIO("A request that its client sends again is counted as a retry",
          "[path][clientretries]")
 {
