Add failing tests: servers that drain together pass on keys without handovers

The simulated servers give each release a handover token; keys that a server gets without the token of the last release count as cold.

--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -144,6 +144,7 @@
   , random(aSeed)
   , broken(aBroken)
   , highest(kLastKey + 1, { 0, SIZE_MAX })
+  , handovers(kLastKey + 1)
 {
   this->CopyStore();
   for (size_t index = 0; index < aNodes; ++index) {
@@ -578,6 +579,7 @@
       continue;
     }
     node.seenFences[grant.range.first] = grant.fence;
+    this->CountColdKeys(node, grant);
     this->CheckGrant(aNode, grant);
     granted.push_back({ grant.range, grant.fence, until });
   }
@@ -589,7 +591,7 @@
     }
     for (const auto& range : left) {
       releasing = true;
-      node.released.push_back({ range, "h" });
+      this->Release(node, range);
     }
   }
   node.held = std::move(granted);
@@ -618,6 +620,39 @@
   }
 }
 
+void
+ClusterSimulation::Release(Node& aNode, const KeyRange& aRange)
+{
+  auto handover = "h" + std::to_string(++this->releases);
+  aNode.released.push_back({ aRange, handover });
+  std::fill(this->handovers.begin() + aRange.first,
+            this->handovers.begin() + aRange.last + 1,
+            handover);
+}
+
+void
+ClusterSimulation::CountColdKeys(const Node& aNode, const Grant& aGrant)
+{
+  std::vector<KeyRange> arriving{ aGrant.range };
+  for (const auto& held : aNode.held) {
+    arriving = Subtract(arriving, held.range);
+  }
+  for (const auto& range : arriving) {
+    for (Key key = range.first; key <= range.last; ++key) {
+      auto handover = std::exchange(this->handovers[key], "");
+      bool isFirst = this->highest[key].second == SIZE_MAX;
+      this->coldKeys +=
+        !isFirst && (handover.empty() || handover != aGrant.handover) ? 1 : 0;
+    }
+  }
+}
+
+size_t
+ClusterSimulation::ColdKeys() const
+{
+  return this->coldKeys;
+}
+
 void
 ClusterSimulation::CheckGrant(size_t aNode, const Grant& aGrant)
 {
--- a/tests/cluster/clustersimulation.h
+++ b/tests/cluster/clustersimulation.h
@@ -83,6 +83,10 @@
   /** Share of the keys that a node's server holds. */
   double HeldBy(size_t aNode) const;
 
+  /** Number of keys so far that a server got without the handover token with
+   * which the server before it released them. */
+  size_t ColdKeys() const;
+
   /** Describes ranges that their owner's server does not hold, with the state
    * and the latest events of the owner. */
   std::string DescribeUnheldRanges() const;
@@ -120,6 +124,9 @@
                   Time aSentAt,
                   const HeartbeatReply& aReply);
   void CheckGrant(size_t aNode, const Grant& aGrant);
+  void CountColdKeys(const Node& aNode, const Grant& aGrant);
+  /** The server of a node releases keys with a new handover token. */
+  void Release(Node& aNode, const KeyRange& aRange);
   void AddNode();
   void CopyStore();
   /** Tells a daemon the era that a response of the store has shown to it. */
@@ -146,6 +153,10 @@
   Time packetLossUntil;
   /** Highest fence and the node that got it, by key. */
   std::vector<std::pair<Fence, size_t>> highest;
+  /** Handover tokens of released keys; empty while a key is held. */
+  std::vector<std::string> handovers;
+  size_t releases = 0;
+  size_t coldKeys = 0;
   std::vector<std::string> violations;
 };
 
--- a/tests/cluster/ownershipmatrixtest.cpp
+++ b/tests/cluster/ownershipmatrixtest.cpp
@@ -187,6 +187,29 @@
   }
 }
 
+// Guards against keys that are slow for seconds after planned removals: members
+// that drained at the same time chose each other, and passed on the rest of
+// their keys without handover tokens.
+SCENARIO(
+  "Members that drain at the same time pass on their keys with handovers",
+  "[matrix][handover][knownred]")
+{
+  constexpr uint64_t kSeeds = 20;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClusterSimulation simulation(kNodes, seed);
+    simulation.RunFor(seconds(8));
+    auto before = simulation.ColdKeys();
+    for (size_t node = 0; node < kNodes / 2; ++node) {
+      simulation.Inject(ClusterFault::ServerDraining, node);
+    }
+    simulation.RunFor(seconds(4));
+    INFO("seed " << seed);
+    CHECK(FirstViolation(simulation).empty());
+    CHECK(simulation.HeldShare() == 1.0);
+    CHECK(simulation.ColdKeys() - before == 0);
+  }
+}
+
 SCENARIO("Two faults leave one holder for each key", "[matrix][pairs][slow]")
 {
   for (int first = 1; first <= static_cast<int>(kLastClusterFault); ++first) {
--- a/tests/cluster/serverstatetest.cpp
+++ b/tests/cluster/serverstatetest.cpp
@@ -119,3 +119,28 @@
     }
   }
 }
+
+// Guards against keys that are slow after a move: a grant of some of the keys
+// that the server had released made the daemon forget the handovers of all.
+SCENARIO("A grant of some released keys leaves the handovers of the others",
+         "[serverstate][handover][knownred]")
+{
+  ServerState server(milliseconds(900), seconds(4));
+  auto report = ReportWith(1, false);
+  report.releasedRanges = { { kHeld, "token" }, { { 200, 299 }, "other" } };
+  server.OnHeartbeat(kStart, report);
+  REQUIRE(server.HandoverOf(kHeld) == "token");
+  server.OnGranted({ { { 40, 59 }, 4096, "" } }, kStart + seconds(3));
+
+  THEN("those on either side keep theirs")
+  {
+    CHECK(server.HandoverOf({ 0, 39 }) == "token");
+    CHECK(server.HandoverOf({ 60, 99 }) == "token");
+    CHECK(server.HandoverOf({ 200, 299 }) == "other");
+  }
+  THEN("the granted ones have none")
+  {
+    CHECK(server.HandoverOf({ 40, 59 }).empty());
+    CHECK(server.HandoverOf(kHeld).empty());
+  }
+}
