Send short responses of unstated length at once, not behind downloads

Cause: a response without a stated length is passed on in chunks, whatever its size, and PacedResponse took each of those for a long one. It waited for its turn on the network link behind all downloads that had begun before it.

Fix: such a response is sent at once while what has been sent of it is short, if its class usually is. One that turns out to be long waits for its turn from then on; downloads keep their order.

Tests: testdaemon [uplink], the new case on a short response failed before.

--- a/src/admission/linkload.cpp
+++ b/src/admission/linkload.cpp
@@ -26,8 +26,9 @@
 constexpr Duration kSpeedHalfLife = milliseconds(1000);
 /** Age at which the learned speed is no longer used. */
 constexpr Duration kMaxSpeedAge = std::chrono::seconds(4);
-/** Mean size from which on responses of a class wait for the link. Shorter ones
- * are sent whole, at once. */
+/** Size from which on responses wait for the link. Shorter ones are sent at
+ * once. If a server does not state the size, the mean size of the class is
+ * taken. */
 constexpr double kLongResponseBytes = 32 * 1024;
 /** Weight of a new response in the mean size of its class. */
 constexpr double kNewSizeWeight = 0.1;
@@ -80,6 +81,7 @@
   auto found = this->responses.find(aId);
   if (found != this->responses.end() && aBytes) {
     found->second.left = *aBytes;
+    found->second.sizeIsKnown = true;
   }
 }
 
@@ -200,6 +202,23 @@
   return sum;
 }
 
+bool
+LinkLoad::MaySendAtOnce(uint64_t aId, uint64_t aBytes) const
+{
+  auto found = this->responses.find(aId);
+  if (found == this->responses.end()) {
+    return false;
+  }
+  const auto& response = found->second;
+  auto mean = this->meanBytes.find(response.requestClass);
+  double expected = response.sizeIsKnown
+                      ? static_cast<double>(response.sent + response.left)
+                    : mean == this->meanBytes.end() ? 0
+                                                    : mean->second;
+  return expected < kLongResponseBytes &&
+         static_cast<double>(response.sent + aBytes) <= kLongResponseBytes;
+}
+
 bool
 LinkLoad::MaySend(Time aNow) const
 {
--- a/src/admission/linkload.h
+++ b/src/admission/linkload.h
@@ -49,6 +49,11 @@
   /** Completes a round of measurements. */
   void OnRoundMeasured(Time aNow);
 
+  /** Whether the next part of a response may be sent before its turn, since the
+   * response is short as far as one can tell: servers do not always state its
+   * size. */
+  bool MaySendAtOnce(uint64_t aId, uint64_t aBytes) const;
+
   /** Whether more may be passed to the connections now. */
   bool MaySend(Time aNow) const;
   /** Time after which a measurement may show that more may be sent. */
@@ -65,6 +70,7 @@
     std::string requestClass;
     uint64_t sent = 0;
     uint64_t left = 0; ///< Bytes that are expected to be sent.
+    bool sizeIsKnown = false;
   };
   struct ConnectionLoad
   {
--- a/src/fescuetillerd/pacedresponse.cpp
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -45,7 +45,7 @@
   this->chunks.emplace_back(static_cast<const char*>(aChunk.data()),
                             aChunk.size());
   this->uplink.bufferedBytes += aChunk.size();
-  if (this->uplink.MayBuffer()) {
+  if (this->uplink.MayBuffer() || this->MaySendAtOnce()) {
     aNext();
   } else {
     this->next = std::move(aNext);
@@ -102,6 +102,12 @@
   return this->over;
 }
 
+bool
+PacedResponse::MaySendAtOnce() const
+{
+  return this->uplink.load.MaySendAtOnce(this->id, this->chunks.front().size());
+}
+
 void
 PacedResponse::SendChunk()
 {
--- a/src/fescuetillerd/pacedresponse.h
+++ b/src/fescuetillerd/pacedresponse.h
@@ -11,9 +11,10 @@
 
 /**
  * Forwards the response of a call to the exchange with another daemon. A short
- * response is sent at once. A long one is read from the server as fast as that
- * sends it, which frees its slot, and waits for its turn on the network link.
- * If it ends prematurely, the exchange's connection is closed.
+ * response is sent at once, also if the server does not state that it is short.
+ * A long one is read from the server as fast as that sends it, which frees its
+ * slot, and waits for its turn on the network link. If it ends prematurely, the
+ * exchange's connection is closed.
  */
 class PacedResponse
   : public ResponseReceiver
@@ -43,6 +44,8 @@
   /** Whether the response ended and nothing of it waits or is being written. */
   bool IsSent() const;
   bool IsOver() const;
+  /** Whether the next part of the body need not wait for the link. */
+  bool MaySendAtOnce() const;
   void SendChunk();
   void End();
 
--- a/src/fescuetillerd/uplink.cpp
+++ b/src/fescuetillerd/uplink.cpp
@@ -95,9 +95,13 @@
     if (!response->CanSend()) {
       continue;
     }
-    if (!this->load.MaySend(now)) {
-      waiting = true;
-      break;
+    if (response->MaySendAtOnce()) {
+      response->SendChunk();
+      continue;
+    }
+    waiting = waiting || !this->load.MaySend(now);
+    if (waiting) {
+      continue;
     }
     response->SendChunk();
     auto exchange = response->exchange;
--- a/tests/daemon/uplinktest.cpp
+++ b/tests/daemon/uplinktest.cpp
@@ -106,25 +106,30 @@
     return this->exchanges.back();
   }
 
-  /** Another daemon asks for a download; its response begins. */
-  std::shared_ptr<PacedResponse> Begin()
+  /** Another daemon sends a request whose response begins.
+   * @param aLength Of its body; empty if the server does not state it. */
+  std::shared_ptr<PacedResponse> Begin(
+    const std::string& aClass = "download",
+    std::optional<uint64_t> aLength = kChunks * kChunkBytes)
   {
     auto exchange = this->Request();
     auto response = this->uplink.Expect(
-      exchange, "download", BootClock::now() + std::chrono::seconds(10));
+      exchange, aClass, BootClock::now() + std::chrono::seconds(10));
     exchange->onClientDisconnect = [response] { response->Cancel(); };
     ResponseHeaders headers;
     headers.message.result(200);
-    headers.contentLength = kChunks * kChunkBytes;
+    headers.contentLength = aLength;
     response->OnHeaders(std::move(headers));
     this->responses.push_back(response);
     return response;
   }
 
-  void SendChunk(PacedResponse& aResponse, char aByte)
+  void SendChunk(PacedResponse& aResponse,
+                 char aByte,
+                 size_t aBytes = kChunkBytes)
   {
     // Valid until the next chunk is requested, like that of a call.
-    auto chunk = std::make_shared<std::string>(kChunkBytes, aByte);
+    auto chunk = std::make_shared<std::string>(aBytes, aByte);
     aResponse.OnBodyChunk(asio::buffer(*chunk),
                           [this, chunk] { ++this->accepted; });
   }
@@ -174,9 +179,11 @@
     for (size_t index = 0; index < kChunks; ++index) {
       body += std::string(kChunkBytes, static_cast<char>('a' + index));
     }
-    auto end = aReceiver.received.find("\r\n\r\n");
-    return end != std::string::npos &&
-           aReceiver.received.substr(end + 4) == body;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code error;
+    parser.put(asio::buffer(aReceiver.received), error);
+    return !error && parser.is_done() && parser.get().body() == body;
   }
 };
 
@@ -265,6 +272,47 @@
       CHECK(fixture.receivers.back()->Receives("short"));
     }
   }
+  // Guards against calls whose callers left after their time limit since the
+  // server had not stated the length of its short response.
+  GIVEN("a short response without a stated length while downloads wait")
+  {
+    fixture.Download();
+    fixture.Download();
+    constexpr size_t kShortBytes = 300;
+    auto response = fixture.Begin("call", std::nullopt);
+    fixture.SendChunk(*response, 'x', kShortBytes);
+    response->OnBodyEnd();
+    fixture.context.restart();
+    fixture.context.poll();
+    THEN("it is sent at once")
+    {
+      CHECK(fixture.receivers.back()->Receives(std::string(kShortBytes, 'x')));
+    }
+  }
+  GIVEN("a response without a stated length that turns out to be long")
+  {
+    fixture.Download();
+    fixture.Download();
+    auto before = fixture.InFlight();
+    auto response = fixture.Begin("call", std::nullopt);
+    for (size_t index = 0; index < kChunks; ++index) {
+      fixture.SendChunk(*response, static_cast<char>('a' + index));
+    }
+    response->OnBodyEnd();
+    fixture.context.restart();
+    fixture.context.poll();
+    THEN("the rest of it waits behind the downloads")
+    {
+      CHECK(fixture.InFlight() <= before + kChunkBytes);
+    }
+    THEN("it arrives whole")
+    {
+      fixture.ReadAll();
+      for (const auto& receiver : fixture.receivers) {
+        CHECK(UplinkFixture::HasDownload(*receiver));
+      }
+    }
+  }
   GIVEN("a download that breaks off")
   {
     auto response = fixture.Begin();
