Resume reading of long responses that wait for memory

A response of which nothing waited any more, but whose next part had not been requested since the buffers were full, was never continued: only the end of its own writes looked for free memory. Its receiver waited until the deadline.

Now every response that waits for memory is looked at whenever some is freed.

Test: testdaemon [uplink], "a download whose first part finds the memory full", failed before (5 s without a request for the next part).

--- a/src/fescuetillerd/pacedresponse.cpp
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -82,6 +82,7 @@
   }
   this->chunks.resize(this->writing ? 1 : 0);
   this->uplink.load.OnEnded(this->id, false);
+  this->uplink.ResumeReading();
 }
 
 bool
@@ -122,12 +123,10 @@
       self->chunks.pop_front();
       self->uplink.bufferedBytes -= size;
       self->uplink.load.OnSent(self->id, size);
-      if (self->next != nullptr && self->uplink.MayBuffer()) {
-        std::exchange(self->next, nullptr)();
-      }
       if (self->IsSent()) {
         self->End();
       }
+      self->uplink.ResumeReading();
       self->uplink.SendNext();
     });
 }
--- a/src/fescuetillerd/uplink.cpp
+++ b/src/fescuetillerd/uplink.cpp
@@ -66,6 +66,17 @@
   this->sending.push_back(aResponse);
 }
 
+void
+Uplink::ResumeReading()
+{
+  auto responses = this->sending; // Reading may end a response.
+  for (const auto& response : responses) {
+    if (response->next != nullptr && this->MayBuffer()) {
+      std::exchange(response->next, nullptr)();
+    }
+  }
+}
+
 void
 Uplink::Measure(Time aNow)
 {
--- a/src/fescuetillerd/uplink.h
+++ b/src/fescuetillerd/uplink.h
@@ -41,6 +41,8 @@
   /** Whether responses may be read ahead of what the link carries. */
   bool MayBuffer() const;
   void OnStarted(const std::shared_ptr<PacedResponse>& aResponse);
+  /** Continues to read responses that wait for memory, if there is some. */
+  void ResumeReading();
   /** Sends what may be sent now. */
   void SendNext();
   void Measure(Time aNow);
--- a/tests/daemon/uplinktest.cpp
+++ b/tests/daemon/uplinktest.cpp
@@ -326,6 +326,32 @@
       CHECK_FALSE(UplinkFixture::HasDownload(*fixture.receivers.front()));
     }
   }
+  // Guards against a response that stays incomplete until its deadline: it
+  // waited for memory, which other responses freed after its last part was
+  // sent.
+  GIVEN("a download whose first part finds the memory full")
+  {
+    auto response = fixture.Begin();
+    constexpr size_t kMany = 40;
+    for (size_t count = 0; count < kMany; ++count) {
+      fixture.Download();
+    }
+    const std::string chunk(kChunkBytes, 'a');
+    bool requested = false;
+    response->OnBodyChunk(asio::buffer(chunk),
+                          [&requested] { requested = true; });
+    fixture.Run(milliseconds(20));
+    REQUIRE_FALSE(requested);
+    THEN("its next part is requested once others are sent")
+    {
+      CHECK(fixture.RunUntil([&] {
+        for (auto& receiver : fixture.receivers) {
+          receiver->Read();
+        }
+        return requested;
+      }));
+    }
+  }
   GIVEN("more downloads than a daemon keeps in memory")
   {
     constexpr size_t kMany = 40;
