--- a/src/fescuetillerd/pacedresponse.cpp
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -113,22 +113,22 @@
 PacedResponse::SendChunk()
 {
   this->writing = true;
-  this->exchange->WriteChunk(
-    asio::buffer(this->chunks.front()), [self = this->shared_from_this()] {
-      self->writing = false;
-      if (self->over) {
-        return;
-      }
-      auto size = self->chunks.front().size();
-      self->chunks.pop_front();
-      self->uplink.bufferedBytes -= size;
-      self->uplink.load.OnSent(self->id, size);
-      if (self->IsSent()) {
-        self->End();
-      }
-      self->uplink.ResumeReading();
-      self->uplink.SendNext();
-    });
+  this->exchange->WriteChunk(asio::buffer(this->chunks.front()),
+                             [self = this->shared_from_this()] {
+                               self->writing = false;
+                               if (self->over) {
+                                 return;
+                               }
+                               auto size = self->chunks.front().size();
+                               self->chunks.pop_front();
+                               self->uplink.bufferedBytes -= size;
+                               self->uplink.load.OnSent(self->id, size);
+                               if (self->IsSent()) {
+                                 self->End();
+                               }
+                               self->uplink.ResumeReading();
+                               self->uplink.SendNext();
+                             });
 }
 
 void
