--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -355,6 +355,7 @@
   if (grantTime < kMinGrantTime) {
     return {};
   }
+  this->server.ForgetReleasedOutside(this->OwnedKeyRanges());
   HeartbeatReply reply;
   reply.grants = Grants{ this->MakeGrants(), grantTime };
   if (!(this->granted == reply.grants->ranges)) {
@@ -1211,6 +1212,7 @@
     change,
     [this, change, ready](Time aDoneAt, const TransactionResult& aResult) {
       this->ApplyResult(aDoneAt, change, aResult);
+      this->server.ForgetReleasedOutside(this->OwnedKeyRanges());
       this->moves.erase(
         std::remove_if(this->moves.begin(),
                        this->moves.end(),
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -132,17 +132,35 @@
     }
     rest.push_back({ grant.range, aUntil });
     this->holdings = std::move(rest);
-    std::vector<ReleasedRange> stillReleased;
-    for (const auto& entry : this->released) {
-      for (const auto& part : Subtract(entry.range, grant.range)) {
-        stillReleased.push_back({ part, entry.handover });
-      }
-    }
-    this->released = std::move(stillReleased);
+    this->ForgetReleased(grant.range);
   }
   this->grantSequence = this->report ? this->report->sequence : 0;
 }
 
+void
+ServerState::ForgetReleasedOutside(const std::vector<KeyRange>& aOwned)
+{
+  std::vector<KeyRange> moved{ { 0, kLastKey } };
+  for (const auto& range : aOwned) {
+    moved = Subtract(moved, range);
+  }
+  for (const auto& range : moved) {
+    this->ForgetReleased(range);
+  }
+}
+
+void
+ServerState::ForgetReleased(const KeyRange& aRange)
+{
+  std::vector<ReleasedRange> stillReleased;
+  for (const auto& entry : this->released) {
+    for (const auto& part : Subtract(entry.range, aRange)) {
+      stillReleased.push_back({ part, entry.handover });
+    }
+  }
+  this->released = std::move(stillReleased);
+}
+
 bool
 ServerState::IsUnheld(Time aNow, const KeyRange& aRange) const
 {
--- a/src/cluster/serverstate.h
+++ b/src/cluster/serverstate.h
@@ -42,6 +42,11 @@
    * grants, allowing for a slow clock of the server. */
   void OnGranted(const std::vector<Grant>& aGrants, Time aUntil);
 
+  /** Forgets the handovers of released keys that have another owner now: if
+   * they come back, they come with another one.
+   * @param aOwned The ranges that the member owns. */
+  void ForgetReleasedOutside(const std::vector<KeyRange>& aOwned);
+
   /** Whether the server certainly holds no key of the range. */
   bool IsUnheld(Time aNow, const KeyRange& aRange) const;
   /** Handover token with which the server released the range; empty if unknown.
@@ -80,6 +85,7 @@
   };
 
   void Reset();
+  void ForgetReleased(const KeyRange& aRange);
   void UpdateHoldings(Time aNow, const ServerReport& aReport);
 
   Duration lossTimeout; ///< Time without heartbeats until it counts as lost.
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -647,6 +647,12 @@
   }
 }
 
+size_t
+ClusterSimulation::Releases() const
+{
+  return this->releases;
+}
+
 size_t
 ClusterSimulation::ColdKeys() const
 {
--- a/tests/cluster/clustersimulation.h
+++ b/tests/cluster/clustersimulation.h
@@ -86,6 +86,8 @@
   /** Number of keys so far that a server got without the handover token with
    * which the server before it released them. */
   size_t ColdKeys() const;
+  /** Number of ranges that servers have released so far. */
+  size_t Releases() const;
 
   /** Describes ranges that their owner's server does not hold, with the state
    * and the latest events of the owner. */
--- a/tests/cluster/ownershipmatrixtest.cpp
+++ b/tests/cluster/ownershipmatrixtest.cpp
@@ -210,6 +210,28 @@
   }
 }
 
+// Guards against keys that come back to a server with the handover of its own
+// earlier release.
+SCENARIO("Keys that move to and fro are passed on with handovers",
+         "[matrix][handover]")
+{
+  constexpr uint64_t kSeeds = 5;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClusterSimulation simulation(kNodes, seed);
+    simulation.RunFor(seconds(8));
+    auto before = simulation.ColdKeys();
+    auto releases = simulation.Releases();
+    for (size_t round = 0; round < 3 * kNodes; ++round) {
+      simulation.Inject(ClusterFault::HotKeys, round % kNodes);
+      simulation.RunFor(seconds(4));
+    }
+    INFO("seed " << seed);
+    CHECK(simulation.Releases() > releases + kNodes);
+    CHECK(FirstViolation(simulation).empty());
+    CHECK(simulation.ColdKeys() - before == 0);
+  }
+}
+
 SCENARIO("Two faults leave one holder for each key", "[matrix][pairs][slow]")
 {
   for (int first = 1; first <= static_cast<int>(kLastClusterFault); ++first) {
--- a/tests/cluster/serverstatetest.cpp
+++ b/tests/cluster/serverstatetest.cpp
@@ -144,3 +144,19 @@
     CHECK(server.HandoverOf(kHeld).empty());
   }
 }
+
+// Guards against keys that are slow when they come back to a server, with the
+// handover of its own earlier release.
+SCENARIO("The handover of keys that have moved away is not used again",
+         "[serverstate][handover]")
+{
+  ServerState server(milliseconds(900), seconds(4));
+  auto report = ReportWith(1, false);
+  report.releasedRanges = { { kHeld, "earlier" } };
+  server.OnHeartbeat(kStart, report);
+  server.ForgetReleasedOutside({ { 60, 200 } });
+
+  auto parts = server.DivideByHandover(kHeld, "new");
+  CHECK(parts == std::vector<ReleasedRange>{ { { 0, 59 }, "new" },
+                                             { { 60, 99 }, "earlier" } });
+}
