Keep the handovers of ranges that are merged or were released in parts

Two further ways in which keys came cold to a new owner, found by the test of keys that move to and fro: - Two ranges were merged in the store, which drops their handovers, before the server had got the one that had just come. Now only ranges that the server holds are merged. - A range that the server had released in parts, since they were merged after its last grant, has a handover for each part; the move took none. Now each part is recorded with its own.

--- a/src/admission/slotusage.h
+++ b/src/admission/slotusage.h
@@ -15,7 +15,7 @@
   InTime,     ///< Successful response by the target time.
   Late,       ///< Successful response after the target time.
   Error,      ///< Error response of the server.
-  Unanswered, ///< No or no complete response of the server.
+  Unanswered, ///< No complete response of the server, or it refused.
   Cancelled,  ///< The caller left.
 };
 
--- a/src/cluster/changes.cpp
+++ b/src/cluster/changes.cpp
@@ -187,14 +187,23 @@
 StoreTransaction
 MakeMergeChange(const ClusterView& aView,
                 const std::string& aService,
-                const MemberId& aOwner)
+                const MemberId& aOwner,
+                const std::vector<KeyRange>& aHeld)
 {
+  auto isHeld = [&](const KeyRange& aRange) {
+    std::vector<KeyRange> rest{ aRange };
+    for (const auto& held : aHeld) {
+      rest = Subtract(rest, held);
+    }
+    return rest.empty();
+  };
   StoreTransaction change;
   auto owned = RangesOwnedBy(aView, aService, aOwner);
   for (size_t index = 1; index < owned.size(); ++index) {
     const auto& left = *owned[index - 1];
     const auto& right = *owned[index];
-    if (left.record.range.last + 1 != right.record.range.first) {
+    if (left.record.range.last + 1 != right.record.range.first ||
+        !isHeld(left.record.range) || !isHeld(right.record.range)) {
       continue;
     }
     RangeRecord merged = left.record;
--- a/src/cluster/changes.h
+++ b/src/cluster/changes.h
@@ -63,11 +63,14 @@
                const MemberId& aOwner,
                const std::vector<KeyHandover>& aHandovers);
 
-/** Merges two adjacent ranges of a member; empty if there are none. */
+/** Merges two adjacent ranges of a member; empty if there are none. Ranges that
+ * the server does not hold yet are left alone, since each needs its handover.
+ * @param aHeld The ranges that the member's server holds. */
 StoreTransaction
 MakeMergeChange(const ClusterView& aView,
                 const std::string& aService,
-                const MemberId& aOwner);
+                const MemberId& aOwner,
+                const std::vector<KeyRange>& aHeld);
 
 /** Removes a lost member and divides its ranges among others. */
 StoreTransaction
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1171,6 +1171,26 @@
   }
 }
 
+/** Returns the handover of each move. Keys that the server released in several
+ * ranges have several, as far as these fit into one transaction. */
+std::vector<KeyHandover>
+OwnershipAgent::FindHandovers(const std::vector<PlannedMove>& aPlans) const
+{
+  std::vector<KeyHandover> handovers;
+  size_t left = aPlans.size();
+  for (const auto& plan : aPlans) {
+    --left;
+    auto parts = this->server.DivideByHandover(plan.range, "");
+    if (handovers.size() + parts.size() + left > kMaxParts) {
+      parts = { { plan.range, this->server.HandoverOf(plan.range) } };
+    }
+    for (const auto& part : parts) {
+      handovers.push_back({ { part.range, plan.target }, part.handover });
+    }
+  }
+  return handovers;
+}
+
 void
 OwnershipAgent::WriteMoves(Time aNow)
 {
@@ -1190,14 +1210,13 @@
   if (ready.empty()) {
     return;
   }
-  std::vector<KeyHandover> handovers;
-  handovers.reserve(ready.size());
+  std::vector<PlannedMove> plans;
+  plans.reserve(ready.size());
   for (const auto& move : ready) {
-    handovers.push_back(
-      { move.plan, this->server.HandoverOf(move.plan.range) });
+    plans.push_back(move.plan);
   }
-  auto change =
-    MakeMoveChange(this->view, this->identity.service, this->self, handovers);
+  auto change = MakeMoveChange(
+    this->view, this->identity.service, this->self, this->FindHandovers(plans));
   const auto& report = this->server.Report();
   for (const auto& move : ready) {
     this->LogEvent(
@@ -1275,7 +1294,14 @@
       !this->queue.IsEmpty()) {
     return;
   }
-  auto change = MakeMergeChange(this->view, this->identity.service, this->self);
+  std::vector<KeyRange> held;
+  if (const auto& report = this->server.Report()) {
+    for (const auto& range : report->grantedRanges) {
+      held.push_back(range.range);
+    }
+  }
+  auto change =
+    MakeMergeChange(this->view, this->identity.service, this->self, held);
   if (change.sets.empty()) {
     return;
   }
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -223,6 +223,8 @@
   void PlanMoves(Time aNow);
   void Evacuate(Time aNow);
   void DropStaleMoves(Time aNow);
+  std::vector<KeyHandover> FindHandovers(
+    const std::vector<PlannedMove>& aPlans) const;
   void WriteMoves(Time aNow);
   void DisseminateRows(const std::vector<StoreRow>& aRows);
   bool IsStoreReachable() const;
