Bound the number of grants that handovers divide

Grants are divided by the handover tokens of released keys. A response to a heartbeat may have at most 4 KiB, and a grant takes some 40 bytes, so ranges are divided into 64 grants at most. Found by reading; not seen.

Test: testcluster [handover], "not divided into more parts than there is room for". The documentation of the handovers is brought up to date.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -39,6 +39,10 @@
 constexpr Duration kUnownedRangeMargin = milliseconds(850);
 /** Number of ranges from which a member merges adjacent ones. */
 constexpr size_t kMergeThreshold = 16;
+/** Number of grants in a response to a heartbeat up to which ranges are divided
+ * by handover. With some 40 bytes each, the response stays below the platform's
+ * limit of 4 KiB. */
+constexpr size_t kMaxGrants = 64;
 /** Bytes of rows in one datagram, which then fits into an Ethernet frame. */
 constexpr size_t kMaxDatagramRowBytes = 1100;
 /** Encoded bytes of a row besides its value and key. */
@@ -387,8 +391,9 @@
                  this->server.IncarnationNumber() % kIncarnationsPerEpoch;
     for (const auto& part : parts) {
       // A move that was given up returns keys that the server has released.
+      auto room = kMaxGrants - std::min(kMaxGrants, grants.size());
       for (const auto& [range, handover] :
-           this->server.DivideByHandover(part, owned->record.handover)) {
+           this->server.DivideByHandover(part, owned->record.handover, room)) {
         grants.push_back({ range, fence, handover });
       }
     }
@@ -1180,10 +1185,8 @@
   size_t left = aPlans.size();
   for (const auto& plan : aPlans) {
     --left;
-    auto parts = this->server.DivideByHandover(plan.range, "");
-    if (handovers.size() + parts.size() + left > kMaxParts) {
-      parts = { { plan.range, this->server.HandoverOf(plan.range) } };
-    }
+    auto parts = this->server.DivideByHandover(
+      plan.range, "", kMaxParts - std::min(kMaxParts, handovers.size() + left));
     for (const auto& part : parts) {
       handovers.push_back({ { part.range, plan.target }, part.handover });
     }
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -184,7 +184,8 @@
 
 std::vector<ReleasedRange>
 ServerState::DivideByHandover(const KeyRange& aRange,
-                              const std::string& aOther) const
+                              const std::string& aOther,
+                              size_t aMaxParts) const
 {
   std::vector<ReleasedRange> parts;
   std::vector<KeyRange> rest{ aRange };
@@ -202,6 +203,10 @@
   for (const auto& range : rest) {
     parts.push_back({ range, aOther });
   }
+  if (parts.size() > aMaxParts) {
+    auto handover = this->HandoverOf(aRange);
+    return { { aRange, handover.empty() ? aOther : handover } };
+  }
   std::sort(
     parts.begin(), parts.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.range < aRight.range;
--- a/src/cluster/serverstate.h
+++ b/src/cluster/serverstate.h
@@ -54,9 +54,11 @@
   std::string HandoverOf(const KeyRange& aRange) const;
   /** Divides a range into parts that the server released, with the token of
    * each, and parts that it did not release.
-   * @param aOther Token for the latter. */
+   * @param aOther Token for the latter.
+   * @param aMaxParts With more parts than this, the range is not divided. */
   std::vector<ReleasedRange> DivideByHandover(const KeyRange& aRange,
-                                              const std::string& aOther) const;
+                                              const std::string& aOther,
+                                              size_t aMaxParts) const;
 
   /** Whether the server is neither lost nor draining. */
   bool IsAvailable(Time aNow) const;
--- a/tests/cluster/serverstatetest.cpp
+++ b/tests/cluster/serverstatetest.cpp
@@ -156,7 +156,27 @@
   server.OnHeartbeat(kStart, report);
   server.ForgetReleasedOutside({ { 60, 200 } });
 
-  auto parts = server.DivideByHandover(kHeld, "new");
+  constexpr size_t kMaxParts = 10;
+  auto parts = server.DivideByHandover(kHeld, "new", kMaxParts);
   CHECK(parts == std::vector<ReleasedRange>{ { { 0, 59 }, "new" },
                                              { { 60, 99 }, "earlier" } });
 }
+
+// Guards against responses to heartbeats that exceed the platform's limit.
+SCENARIO("A range is not divided into more parts than there is room for",
+         "[serverstate][handover]")
+{
+  ServerState server(milliseconds(900), seconds(4));
+  auto report = ReportWith(1, false);
+  constexpr size_t kReleased = 10;
+  for (Key key = 0; key < kReleased; ++key) {
+    report.releasedRanges.push_back(
+      { { 2 * key, 2 * key }, "h" + std::to_string(key) });
+  }
+  server.OnHeartbeat(kStart, report);
+
+  auto divided = server.DivideByHandover(kHeld, "other", 2 * kReleased);
+  CHECK(divided.size() == 2 * kReleased);
+  auto whole = server.DivideByHandover(kHeld, "other", 2 * kReleased - 1);
+  CHECK(whole == std::vector<ReleasedRange>{ { kHeld, "other" } });
+}
