Log and count what servers send that no request waits for

Event unexpected-data, metric fescuetiller_unexpected_data_total by sender, kind and whether it was accepted. No change of decisions.

--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -48,6 +48,15 @@
   ++this->clientRetries[{ aClass, aOutcome }];
 }
 
+void
+Counters::CountUnexpectedData(const std::string& aSender,
+                              const std::string& aKind,
+                              bool aAccepted)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->unexpectedData[{ aSender, aKind, aAccepted }];
+}
+
 void
 Counters::CountEvent(const std::string& aName)
 {
@@ -116,6 +125,17 @@
     writer.Write(
       "fescuetiller_request_seconds_count", { { "class", name } }, cumulative);
   }
+  writer.Describe("fescuetiller_unexpected_data_total",
+                  "counter",
+                  "Data of servers and daemons that no request waited for.");
+  for (const auto& [key, count] : this->unexpectedData) {
+    const auto& [sender, kind, accepted] = key;
+    writer.Write("fescuetiller_unexpected_data_total",
+                 { { "sender", sender },
+                   { "kind", kind },
+                   { "accepted", accepted ? "yes" : "no" } },
+                 static_cast<double>(count));
+  }
   writer.Describe("fescuetiller_events_total",
                   "counter",
                   "Decisions and changes of state by name.");
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <tuple>
 
 #include <boost/histogram.hpp>
 
@@ -37,6 +38,12 @@
    * CountRequest. */
   void CountClientRetry(const std::string& aClass, const std::string& aOutcome);
 
+  /** Counts data that no request waited for, by who sent it, by kind, and by
+   * whether it was taken as the response to a request. */
+  void CountUnexpectedData(const std::string& aSender,
+                           const std::string& aKind,
+                           bool aAccepted);
+
   /** Counts a logged event by name. */
   void CountEvent(const std::string& aName);
 
@@ -59,6 +66,8 @@
   std::map<std::pair<std::string, std::string>, uint64_t> clientRetries;
   std::map<std::string, Histogram> latencies; ///< Seconds, by request class.
   std::map<std::string, double> latencySums;  ///< Seconds, by request class.
+  /** By sender, kind and whether it was accepted. */
+  std::map<std::tuple<std::string, std::string, bool>, uint64_t> unexpectedData;
   std::map<std::string, uint64_t> events;
   std::map<std::string, double> gauges;
   SlotTimes slotTimes;
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -63,6 +63,11 @@
   , crashes(std::random_device()())
   , expiryTimer(aContext)
 {
+  this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
+    if (this->onUnexpectedData) {
+      this->onUnexpectedData(aData);
+    }
+  };
 }
 
 void
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -41,6 +41,8 @@
   /** Called when the server states in a response that it is about to shut down,
    * with the time of that response. */
   std::function<void(const ServerIncarnation&, Time)> onServerLeaving;
+  /** Called when the server sends data that no request waits for. */
+  std::function<void(const UnexpectedData&)> onUnexpectedData;
   /** Called with crash records that other daemons need. */
   std::function<void(CrashRecords::Records)> onCrashNews;
 
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -26,6 +26,11 @@
   , pool(aContext)
   , view(std::make_shared<ClusterView>())
 {
+  this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
+    if (this->onUnexpectedData) {
+      this->onUnexpectedData(aData);
+    }
+  };
 }
 
 RetryBudget&
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -35,6 +35,9 @@
           EventLog& aLog,
           Counters& aCounters);
 
+  /** Called when another daemon sends data that no request waits for. */
+  std::function<void(const UnexpectedData&)> onUnexpectedData;
+
   /** Changes the number of retries allowed per request. */
   void SetRetryRatio(double aRatio);
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -37,6 +37,7 @@
   : context(aContext)
   , settings(aSettings)
   , log(aLog)
+  , counters(aCounters)
   , executor(aContext,
              ParseEndpoint(aSettings.server).value_or(Tcp::endpoint()),
              aSettings.service,
@@ -74,6 +75,12 @@
       this->onServerConnectionRefused();
     }
   };
+  this->executor.onUnexpectedData = [this](const auto& aData) {
+    this->OnUnexpectedData("server", aData);
+  };
+  this->ingress.onUnexpectedData = [this](const auto& aData) {
+    this->OnUnexpectedData("daemon", aData);
+  };
   this->executor.onCrashNews = [this](CrashRecords::Records aNews) {
     if (this->onCrashRecords) {
       this->onCrashRecords(std::move(aNews));
@@ -218,6 +225,24 @@
   };
 }
 
+void
+TrafficNode::OnUnexpectedData(const std::string& aSender,
+                              const UnexpectedData& aData)
+{
+  this->counters.CountUnexpectedData(
+    aSender, ToString(aData.kind), aData.accepted);
+  this->log.Write(EventPriority::Routine, [&]() -> Event {
+    return { "unexpected-data",
+             { { "sender", aSender },
+               { "address", ToString(aData.peer) },
+               { "kind", ToString(aData.kind) },
+               { "request", aData.requestId },
+               { "response", aData.responseId },
+               { "status", std::to_string(aData.status) },
+               { "accepted", aData.accepted ? "yes" : "no" } } };
+  });
+}
+
 void
 TrafficNode::LogSlotUsage(Time aNow)
 {
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -77,12 +77,17 @@
   std::array<HttpServer*, 3> HttpServers();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
+  /** Logs and counts data that no request waited for.
+   * @param aSender "server" or "daemon". */
+  void OnUnexpectedData(const std::string& aSender,
+                        const UnexpectedData& aData);
   /** Logs what the server's slots were used for, if it has changed. */
   void LogSlotUsage(Time aNow);
 
   asio::io_context& context;
   NodeSettings settings;
   EventLog& log;
+  Counters& counters;
   Executor executor;
   Uplink uplink;
   Ingress ingress;
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -9,15 +9,43 @@
 
 namespace {
 
-/** Whether the peer neither closed the connection nor sent any data. */
-bool
-IsOpenAndIdle(Tcp::socket& aSocket)
+/** State of a connection that is not in use. */
+enum class IdleState
 {
-  return PeekByte(aSocket) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  Usable,
+  Closed,
+  HasData, ///< The peer sent something that no request waits for.
+};
+
+IdleState
+CheckIdle(Tcp::socket& aSocket)
+{
+  auto count = PeekByte(aSocket);
+  if (count > 0) {
+    return IdleState::HasData;
+  }
+  bool open = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return open ? IdleState::Usable : IdleState::Closed;
 }
 
 } // namespace
 
+const char*
+ToString(UnexpectedData::Kind aKind)
+{
+  switch (aKind) {
+    case UnexpectedData::Kind::OtherId:
+      return "other-id";
+    case UnexpectedData::Kind::NoId:
+      return "no-id";
+    case UnexpectedData::Kind::AfterResponse:
+      return "after-response";
+    case UnexpectedData::Kind::WhileIdle:
+      return "while-idle";
+  }
+  return "unknown";
+}
+
 Connection::Connection(asio::io_context& aContext)
   : socket(aContext)
 {
@@ -39,10 +67,20 @@
   while (!connections.empty()) {
     auto connection = std::move(connections.back());
     connections.pop_back();
-    if (aNow < connection->idleUntil && IsOpenAndIdle(connection->socket)) {
+    if (aNow >= connection->idleUntil) {
+      continue;
+    }
+    auto state = CheckIdle(connection->socket);
+    if (state == IdleState::Usable) {
       connection->reused = true;
       return connection;
     }
+    if (state == IdleState::HasData) {
+      UnexpectedData data;
+      data.kind = UnexpectedData::Kind::WhileIdle;
+      data.peer = aPeer;
+      this->Report(data);
+    }
   }
   return nullptr;
 }
@@ -75,6 +113,14 @@
   }
 }
 
+void
+ConnectionPool::Report(const UnexpectedData& aData) const
+{
+  if (this->onUnexpectedData) {
+    this->onUnexpectedData(aData);
+  }
+}
+
 asio::io_context&
 ConnectionPool::Context()
 {
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +23,28 @@
   bool reused = false; ///< Has been taken from the pool.
 };
 
+/** Data of a peer that is not the response to a request that waits. */
+struct UnexpectedData
+{
+  enum class Kind
+  {
+    OtherId,       ///< A response with the id of another request.
+    NoId,          ///< A response without an id.
+    AfterResponse, ///< Followed a complete response.
+    WhileIdle,     ///< Arrived when no request waited.
+  };
+
+  Kind kind = Kind::OtherId;
+  Tcp::endpoint peer;
+  std::string requestId;  ///< Of the request that waits; empty if none.
+  std::string responseId; ///< Of the response.
+  unsigned status = 0;    ///< Of the response.
+  bool accepted = false;  ///< Taken as the response to the request.
+};
+
+const char*
+ToString(UnexpectedData::Kind aKind);
+
 /**
  * Keeps idle connections for reuse, by peer. A connection that received data or
  * was closed by the peer while idle is dropped. Not thread-safe.
@@ -46,8 +70,14 @@
   asio::io_context& Context();
 
   uint64_t opened = 0; ///< Number of connections opened so far.
+  /** Called when a peer sends something that no request waits for. */
+  std::function<void(const UnexpectedData&)> onUnexpectedData;
 
 private:
+  friend class UpstreamCall;
+
+  void Report(const UnexpectedData& aData) const;
+
   asio::io_context& context;
   std::map<Tcp::endpoint, std::vector<std::unique_ptr<Connection>>> idle;
 };
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -239,7 +239,29 @@
     return true;
   }
   auto echoed = this->parser->get()[field];
-  return echoed.empty() || echoed == this->request[field];
+  if (echoed == this->request[field]) {
+    return true;
+  }
+  auto kind =
+    echoed.empty() ? UnexpectedData::Kind::NoId : UnexpectedData::Kind::OtherId;
+  this->ReportUnexpected(kind, echoed.empty());
+  return echoed.empty();
+}
+
+void
+UpstreamCall::ReportUnexpected(UnexpectedData::Kind aKind, bool aAccepted) const
+{
+  UnexpectedData data;
+  data.kind = aKind;
+  data.peer = this->peer;
+  const auto& field = this->options.correlationField;
+  if (!field.empty()) {
+    data.requestId = std::string(this->request[field]);
+    data.responseId = std::string(this->parser->get()[field]);
+  }
+  data.status = this->parser->get().result_int();
+  data.accepted = aAccepted;
+  this->pool.Report(data);
 }
 
 void
@@ -379,6 +401,9 @@
 {
   // A connection is not reused if the request is still being written or if
   // unexpected data followed the response.
+  if (this->connection->buffer.size() > 0) {
+    this->ReportUnexpected(UnexpectedData::Kind::AfterResponse, false);
+  }
   if (!this->requestWritten || !this->parser->keep_alive() ||
       this->parser->need_eof() || this->connection->buffer.size() > 0) {
     this->connection.reset();
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -73,6 +73,8 @@
             const boost::system::error_code& aError,
             const std::string& aMessage = "");
   bool IsResponseToRequest() const;
+  /** Reports data that may not belong to the request. */
+  void ReportUnexpected(UnexpectedData::Kind aKind, bool aAccepted) const;
   void PrepareParser();
   HttpResponse TakeResponse();
 
