Ignore the stated length of a response that has no body

A server's response to HEAD, or one with status 204 or 304, that states a very large length ended the daemon: memory for that length was allocated although no body follows (std::length_error; for lengths of some gigabytes std::bad_alloc).

Test: testhttp "The stated length of a response without a body has no effect", failed before in both cases with basic_string::_M_replace_aux.

--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -278,8 +278,14 @@
     this->stage = CallStage::ResponseStarted;
   }
   auto length = this->parser->content_length();
-  if (this->parser->is_done() || (length && *length <= kMaxWholeBodyBytes)) {
-    this->body.resize(length ? static_cast<size_t>(*length) : 0);
+  if (this->parser->is_done()) {
+    // Without a body, the stated length says nothing about what follows.
+    this->body.clear();
+    this->ReadWholeBody();
+    return;
+  }
+  if (length && *length <= kMaxWholeBodyBytes) {
+    this->body.resize(static_cast<size_t>(*length));
     this->ReadWholeBody();
     return;
   }
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -144,13 +144,23 @@
     const std::string& aId,
     Duration aTimeout = seconds(2),
     std::optional<Duration> aStallTimeout = std::nullopt)
+  {
+    return this->Call(aPeer, RequestOf(aId), aTimeout, aStallTimeout);
+  }
+
+  std::shared_ptr<CollectedResponse> Call(
+    const Tcp::endpoint& aPeer,
+    HttpRequest aRequest,
+    Duration aTimeout = seconds(2),
+    std::optional<Duration> aStallTimeout = std::nullopt)
   {
     CallOptions options;
     options.timeout = aTimeout;
     options.stallTimeout = aStallTimeout;
     options.correlationField = "X-Id";
     auto collected = std::make_shared<CollectedResponse>();
-    UpstreamCall::Start(this->pool, aPeer, RequestOf(aId), options, collected);
+    UpstreamCall::Start(
+      this->pool, aPeer, std::move(aRequest), options, collected);
     this->RunUntil([&] { return collected->IsComplete(); });
     return collected;
   }
@@ -381,6 +391,34 @@
 
 // Guards against reading what a peer in trouble sends for as long as it sends
 // it.
+// Guards against a process that ends: memory for the length that a response
+// states was allocated, although no body follows.
+SCENARIO("The stated length of a response without a body has no effect",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  const std::string kLength = "X-Id: 1\r\nContent-Length: "
+                              "18446744073709551614\r\n\r\n";
+
+  GIVEN("a HEAD request")
+  {
+    ScriptedPeer peer(fixture.context, { "HTTP/1.1 200 OK\r\n" + kLength });
+    auto request = RequestOf("1");
+    request.method(http::verb::head);
+    auto call = fixture.Call(peer.Address(), request);
+    REQUIRE(call->response);
+    CHECK(call->response->body().empty());
+  }
+  GIVEN("a response with status 204")
+  {
+    ScriptedPeer peer(fixture.context,
+                      { "HTTP/1.1 204 No Content\r\n" + kLength });
+    auto call = fixture.Call(peer.Address(), "1");
+    REQUIRE(call->response);
+    CHECK(call->response->body().empty());
+  }
+}
+
 SCENARIO("A call ends although its peer sends without end", "[http][endless]")
 {
   Fixture fixture;
