Take a response for that of a request only if it can be no other's

What callers saw: answers of other requests; 503 for requests that ran; bookings that ran twice.

Cause: a response of a backend server was matched to the request that waited by less than identifies an attempt. Without an id it was matched by its connection alone, which may have carried other requests; with an id, an earlier response to the same request, a refusal, was taken for the answer to its next attempt, since the retry went out over the same kept connection with the same id. The refusal then counted as binding, and the request was reported as not run, or sent once more.

Now, towards backend servers (CallOptions::mayRepeatResponses): a response without an id counts only as the first one on a new connection, which is then closed; a connection keeps the hashes of the ids that it carried, is not used for the same id again, and is closed after 1,000 requests; a connection that carried HEAD is closed, since the end of a repeated response to it is unknown. Responses to others are skipped also if they are long or in chunks (up to 1 MiB), where the call failed before. Between daemons, which never repeat a response, nothing changes, but refusals and failures carry the id.

Tests: testhttp [mixed], seven sections failed before ("again" == "two", "again" == "one", 1 == 2 connections, call without response).

--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -72,6 +72,7 @@
   options.connectTimeout = kConnectTimeout;
   options.timeout = timeLeft + kResponseMargin;
   options.correlationField = headers::kRequestId;
+  options.mayRepeatResponses = true;
   this->call = UpstreamCall::Start(this->executor.pool,
                                    this->executor.server,
                                    std::move(forwarded),
@@ -156,6 +157,7 @@
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(
     aOutcome == ExecutionOutcome::Refused ? 503 : 502, aReason + "\n");
+  response.set(headers::kRequestId, this->requestId);
   auto report = this->executor.MakeReport(aOutcome, *this, aReason, retryAfter);
   report.reachedServer = aReason != "server-unreachable";
   this->executor.SetReport(response, report);
@@ -169,6 +171,7 @@
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(503, aReason + "\n");
+  response.set(headers::kRequestId, this->requestId);
   auto report = this->executor.MakeReport(
     ExecutionOutcome::Refused, *this, aReason, aRetryAfter);
   if (this->key) {
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "base/ids.h"
 #include "http/socketstate.h"
 
 namespace fescuetiller {
@@ -56,31 +57,59 @@
 {
 }
 
+void
+Connection::OnSent(std::string_view aRequestId)
+{
+  this->sentIds.push_back(StableHash(aRequestId));
+}
+
+bool
+Connection::HasSent(std::string_view aRequestId) const
+{
+  return std::find(this->sentIds.begin(),
+                   this->sentIds.end(),
+                   StableHash(aRequestId)) != this->sentIds.end();
+}
+
+bool
+ConnectionPool::IsUsable(const Tcp::endpoint& aPeer,
+                         Connection& aConnection,
+                         Time aNow) const
+{
+  if (aNow >= aConnection.idleUntil) {
+    return false;
+  }
+  auto state = CheckIdle(aConnection.socket);
+  if (state == IdleState::HasData) {
+    UnexpectedData data;
+    data.kind = UnexpectedData::Kind::WhileIdle;
+    data.peer = aPeer;
+    this->Report(data);
+  }
+  return state == IdleState::Usable;
+}
+
 std::unique_ptr<Connection>
-ConnectionPool::Take(const Tcp::endpoint& aPeer, Time aNow)
+ConnectionPool::Take(const Tcp::endpoint& aPeer,
+                     Time aNow,
+                     std::string_view aRequestId)
 {
   auto found = this->idle.find(aPeer);
   if (found == this->idle.end()) {
     return nullptr;
   }
+  // The one that was used last is the least likely to be closed by the peer.
   auto& connections = found->second;
-  while (!connections.empty()) {
-    auto connection = std::move(connections.back());
-    connections.pop_back();
-    if (aNow >= connection->idleUntil) {
+  for (auto index = connections.size(); index > 0; --index) {
+    auto entry = connections.begin() + static_cast<std::ptrdiff_t>(index - 1);
+    if (!aRequestId.empty() && (*entry)->HasSent(aRequestId)) {
       continue;
     }
-    auto state = CheckIdle(connection->socket);
-    if (state == IdleState::Usable) {
-      connection->reused = true;
+    auto connection = std::move(*entry);
+    connections.erase(entry);
+    if (this->IsUsable(aPeer, *connection, aNow)) {
       return connection;
     }
-    if (state == IdleState::HasData) {
-      UnexpectedData data;
-      data.kind = UnexpectedData::Kind::WhileIdle;
-      data.peer = aPeer;
-      this->Report(data);
-    }
   }
   return nullptr;
 }
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -17,10 +18,17 @@
 {
   explicit Connection(asio::io_context& aContext);
 
+  /** Records that a request with this id is sent. */
+  void OnSent(std::string_view aRequestId);
+  /** Whether a request with this id was sent. */
+  bool HasSent(std::string_view aRequestId) const;
+
   Tcp::socket socket;
   boost::beast::flat_buffer buffer; ///< Bytes read but not parsed yet.
-  Time idleUntil;      ///< The connection must not be reused after this time.
-  bool reused = false; ///< Has been taken from the pool.
+  Time idleUntil;       ///< The connection must not be reused after this time.
+  size_t responses = 0; ///< Number of responses that began to arrive.
+  /** Hashes of the recorded ids. */
+  std::vector<uint64_t> sentIds;
 };
 
 /** Data of a peer that is not the response to a request that waits. */
@@ -55,8 +63,12 @@
   explicit ConnectionPool(asio::io_context& aContext);
 
   /** Takes an idle connection to the peer out of the pool; nullptr if there is
-   * none. */
-  std::unique_ptr<Connection> Take(const Tcp::endpoint& aPeer, Time aNow);
+   * none.
+   * @param aRequestId If not empty, a connection over which no request with
+   * this id was sent. */
+  std::unique_ptr<Connection> Take(const Tcp::endpoint& aPeer,
+                                   Time aNow,
+                                   std::string_view aRequestId = {});
 
   /** Adds a connection that may be reused until its idleUntil. */
   void Put(const Tcp::endpoint& aPeer, std::unique_ptr<Connection> aConnection);
@@ -78,6 +90,11 @@
 
   void Report(const UnexpectedData& aData) const;
 
+  /** Whether a connection can still carry requests. */
+  bool IsUsable(const Tcp::endpoint& aPeer,
+                Connection& aConnection,
+                Time aNow) const;
+
   asio::io_context& context;
   std::map<Tcp::endpoint, std::vector<std::unique_ptr<Connection>>> idle;
 };
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -21,10 +21,14 @@
  * being written, since the peer may respond before it has read the whole body.
  */
 constexpr size_t kLongBodyBytes = 16 * 1024;
+/** Size limit for the bodies of skipped responses, which hold up the call. */
+constexpr size_t kMaxSkippedBytes = 1024 * 1024;
 /** Size limit for response headers, a common default of HTTP servers. */
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 /** Largest buffer that an idle connection keeps. */
 constexpr size_t kIdleBufferBytes = 4 * 1024;
+/** Number of requests after which a connection is closed whose ids are kept. */
+constexpr size_t kMaxRequestsPerConnection = 1000;
 /** Share of the timeout in a peer's Keep-Alive header after which a connection
  * is not reused. The margin avoids sending a request while the peer closes the
  * connection. */
@@ -77,7 +81,10 @@
                                                       std::move(aRequest),
                                                       std::move(aOptions),
                                                       std::move(aReceiver)));
-  call->connection = aPool.Take(aPeer, call->startedAt);
+  call->connection = aPool.Take(
+    aPeer,
+    call->startedAt,
+    call->options.mayRepeatResponses ? call->RequestId() : std::string_view());
   // Posted, so that the receiver is not called before Start has returned.
   asio::post(aPool.Context(), [call] {
     if (call->ended) {
@@ -173,6 +180,9 @@
   // From here on the peer may have received the request, even if writing it
   // fails.
   this->stage = CallStage::Sent;
+  if (this->options.mayRepeatResponses) {
+    this->connection->OnSent(this->RequestId());
+  }
   http::async_write(
     this->connection->socket,
     this->request,
@@ -231,6 +241,13 @@
     });
 }
 
+std::string_view
+UpstreamCall::RequestId() const
+{
+  auto id = this->request[this->options.correlationField];
+  return { id.data(), id.size() };
+}
+
 bool
 UpstreamCall::IsResponseToRequest() const
 {
@@ -242,10 +259,14 @@
   if (echoed == this->request[field]) {
     return true;
   }
-  auto kind =
-    echoed.empty() ? UnexpectedData::Kind::NoId : UnexpectedData::Kind::OtherId;
-  this->ReportUnexpected(kind, echoed.empty());
-  return echoed.empty();
+  if (!echoed.empty()) {
+    this->ReportUnexpected(UnexpectedData::Kind::OtherId, false);
+    return false;
+  }
+  bool accepted =
+    !this->options.mayRepeatResponses || this->connection->responses == 0;
+  this->ReportUnexpected(UnexpectedData::Kind::NoId, accepted);
+  return accepted;
 }
 
 void
@@ -273,28 +294,25 @@
     this->ReadHeaders();
     return;
   }
-  this->skipping = !this->IsResponseToRequest();
-  if (!this->skipping) {
-    this->stage = CallStage::ResponseStarted;
+  bool expected = this->IsResponseToRequest();
+  ++this->connection->responses;
+  if (!expected) {
+    this->SkipResponse();
+    return;
   }
-  auto length = this->parser->content_length();
+  this->stage = CallStage::ResponseStarted;
+  // Without a body, the stated length says nothing about what follows.
   if (this->parser->is_done()) {
-    // Without a body, the stated length says nothing about what follows.
-    this->body.clear();
-    this->ReadWholeBody();
+    this->Complete();
     return;
   }
+  auto length = this->parser->content_length();
   if (length && *length <= kMaxWholeBodyBytes) {
     this->body.resize(static_cast<size_t>(*length));
     this->ReadWholeBody();
     return;
   }
   this->body.resize(kChunkBytes);
-  if (this->skipping) {
-    this->Fail(
-      "match answer", error_code(), "a long answer to another request");
-    return;
-  }
   this->streaming = true;
   this->connection->buffer.reserve(kChunkBytes);
   ResponseHeaders headers;
@@ -310,12 +328,30 @@
 }
 
 void
-UpstreamCall::ReadWholeBody()
+UpstreamCall::SkipResponse()
 {
+  // A response to HEAD has no body, so it is unknown where one to another
+  // request ends, and the other way round.
+  if (this->request.method() == http::verb::head ||
+      this->skippedBytes > kMaxSkippedBytes) {
+    this->Fail("match answer", error_code(), "an answer to another request");
+    return;
+  }
   if (this->parser->is_done()) {
-    this->Complete();
+    this->body.clear();
+    this->ReadHeaders();
     return;
   }
+  this->body.resize(kChunkBytes);
+  this->ReadBody(true, [this](size_t aSize) {
+    this->skippedBytes += aSize;
+    this->SkipResponse();
+  });
+}
+
+void
+UpstreamCall::ReadWholeBody()
+{
   this->ReadBody(false, [this](size_t aSize) {
     this->bodyBytes = aSize;
     this->Complete();
@@ -385,10 +421,6 @@
 void
 UpstreamCall::Complete()
 {
-  if (this->skipping) {
-    this->ReadHeaders();
-    return;
-  }
   this->ended = true;
   this->timer.cancel();
   auto finalReceiver = std::move(this->receiver);
@@ -402,16 +434,32 @@
   finalReceiver->OnCompleteResponse(std::move(response));
 }
 
+bool
+UpstreamCall::IsReusable() const
+{
+  // Data that no request waits for makes the rest of the connection unsafe.
+  if (!this->requestWritten || !this->parser->keep_alive() ||
+      this->parser->need_eof() || this->connection->buffer.size() > 0) {
+    return false;
+  }
+  if (!this->options.mayRepeatResponses) {
+    return true;
+  }
+  // A repeated response could not be recognized without an id, and after a HEAD
+  // request it is unknown where it would end.
+  const auto& field = this->options.correlationField;
+  return this->parser->get()[field] == this->request[field] &&
+         this->request.method() != http::verb::head &&
+         this->connection->sentIds.size() < kMaxRequestsPerConnection;
+}
+
 void
 UpstreamCall::ReturnConnection()
 {
-  // A connection is not reused if the request is still being written or if
-  // unexpected data followed the response.
   if (this->connection->buffer.size() > 0) {
     this->ReportUnexpected(UnexpectedData::Kind::AfterResponse, false);
   }
-  if (!this->requestWritten || !this->parser->keep_alive() ||
-      this->parser->need_eof() || this->connection->buffer.size() > 0) {
+  if (!this->IsReusable()) {
     this->connection.reset();
     return;
   }
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -26,6 +26,11 @@
    * response with another value belongs to another request and is skipped.
    * Empty to accept every response. */
   std::string correlationField;
+  /** Whether the peer may send a response more than once, also without the
+   * correlation field. Then a response without the field is only accepted as
+   * the first one on a new connection, and a request is not sent over a
+   * connection that has carried one with the same value of the field. */
+  bool mayRepeatResponses = false;
 };
 
 /**
@@ -64,6 +69,8 @@
   void WriteRequest();
   void ReadHeaders();
   void OnHeaders();
+  /** Reads and discards a response to another request. */
+  void SkipResponse();
   void ReadWholeBody();
   void ReadBody(bool aMore, std::function<void(size_t)> aRead);
   void ReadChunk();
@@ -72,7 +79,13 @@
   void Fail(const std::string& aOperation,
             const boost::system::error_code& aError,
             const std::string& aMessage = "");
+  /** Value of the correlation field. */
+  std::string_view RequestId() const;
+  /** Whether the headers that were read are those of the response to the
+   * request. */
   bool IsResponseToRequest() const;
+  /** Whether the connection may carry further requests. */
+  bool IsReusable() const;
   /** Reports data that may not belong to the request. */
   void ReportUnexpected(UnexpectedData::Kind aKind, bool aAccepted) const;
   void PrepareParser();
@@ -91,8 +104,8 @@
   Time startedAt;
   CallStage stage = CallStage::NotSent;
   bool requestWritten = false;
-  bool skipping = false;  ///< The response belongs to another request.
-  bool streaming = false; ///< The response is passed on in chunks.
+  size_t skippedBytes = 0; ///< Of the bodies of responses to other requests.
+  bool streaming = false;  ///< The response is passed on in chunks.
   bool ended = false;
 };
 
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -25,6 +25,14 @@
 
   Tcp::endpoint Address() const { return this->acceptor.local_endpoint(); }
 
+  /** Sends something that belongs to no request. */
+  void SendToLastClient(const std::string& aText)
+  {
+    auto client = this->lastClient.lock();
+    REQUIRE(client != nullptr);
+    asio::write(client->socket, asio::buffer(aText));
+  }
+
   bool closeAfterResponse = false;
   int connections = 0;
   int requests = 0;
@@ -47,7 +55,9 @@
       [this](boost::system::error_code aError, Tcp::socket aSocket) {
         if (!aError) {
           ++this->connections;
-          this->Read(std::make_shared<Client>(std::move(aSocket)));
+          auto client = std::make_shared<Client>(std::move(aSocket));
+          this->lastClient = client;
+          this->Read(client);
           this->Accept();
         }
       });
@@ -79,6 +89,7 @@
   }
 
   Tcp::acceptor acceptor;
+  std::weak_ptr<Client> lastClient;
   std::vector<std::string> responses;
 };
 
@@ -138,6 +149,21 @@
 {
   asio::io_context context{ 1 };
   ConnectionPool pool{ context };
+  std::vector<UnexpectedData> unexpected;
+
+  Fixture()
+  {
+    this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
+      this->unexpected.push_back(aData);
+    };
+  }
+
+  /** Whether the only data that no request waited for was of this kind. */
+  bool HasReported(UnexpectedData::Kind aKind, bool aAccepted) const
+  {
+    return this->unexpected.size() == 1 && this->unexpected[0].kind == aKind &&
+           this->unexpected[0].accepted == aAccepted;
+  }
 
   std::shared_ptr<CollectedResponse> Call(
     const Tcp::endpoint& aPeer,
@@ -158,6 +184,7 @@
     options.timeout = aTimeout;
     options.stallTimeout = aStallTimeout;
     options.correlationField = "X-Id";
+    options.mayRepeatResponses = true;
     auto collected = std::make_shared<CollectedResponse>();
     UpstreamCall::Start(
       this->pool, aPeer, std::move(aRequest), options, collected);
@@ -205,6 +232,7 @@
       CHECK(first->response->body() == "one");
       REQUIRE(second->response);
       CHECK(second->response->body() == "two");
+      CHECK(fixture.HasReported(UnexpectedData::Kind::AfterResponse, false));
     }
   }
   GIVEN("a response to an earlier request before the expected one")
@@ -216,6 +244,7 @@
     {
       REQUIRE(call->response);
       CHECK(call->response->body() == "one");
+      CHECK(fixture.HasReported(UnexpectedData::Kind::OtherId, false));
     }
   }
   GIVEN("a response that ends early")
@@ -391,6 +420,176 @@
 
 // Guards against reading what a peer in trouble sends for as long as it sends
 // it.
+// Guards against callers that got the answer to another request, since its
+// server had sent that one twice, without the id the second time.
+SCENARIO("A response without an id is not taken for that of another request",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  const std::string kWithoutId =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain";
+
+  GIVEN("one that arrives with the next request of its connection")
+  {
+    ScriptedPeer peer(
+      fixture.context,
+      { ResponseText("1", "one"), kWithoutId + ResponseText("2", "two") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    auto second = fixture.Call(peer.Address(), "2");
+    THEN("it is skipped")
+    {
+      REQUIRE(second->response);
+      CHECK(second->response->body() == "two");
+      CHECK(peer.connections == 1);
+      CHECK(fixture.HasReported(UnexpectedData::Kind::NoId, false));
+    }
+  }
+  GIVEN("one that arrives while its connection is idle")
+  {
+    ScriptedPeer peer(fixture.context,
+                      { ResponseText("1", "one"), ResponseText("2", "two") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    peer.SendToLastClient(kWithoutId);
+    auto second = fixture.Call(peer.Address(), "2");
+    THEN("the connection is not used again")
+    {
+      REQUIRE(second->response);
+      CHECK(second->response->body() == "two");
+      CHECK(peer.connections == 2);
+      CHECK(fixture.HasReported(UnexpectedData::Kind::WhileIdle, false));
+    }
+  }
+  GIVEN("one after the response to another request, on a new connection")
+  {
+    ScriptedPeer peer(
+      fixture.context,
+      { ResponseText("0", "zero") + kWithoutId + ResponseText("1", "one") });
+    auto call = fixture.Call(peer.Address(), "1");
+    THEN("it is skipped")
+    {
+      REQUIRE(call->response);
+      CHECK(call->response->body() == "one");
+    }
+  }
+  GIVEN("one in chunks, before a short response")
+  {
+    ScriptedPeer peer(fixture.context,
+                      { ResponseText("1", "one"),
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "5\r\nagain\r\n0\r\n\r\n" +
+                          ResponseText("2", "two") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    auto second = fixture.Call(peer.Address(), "2");
+    THEN("it is skipped")
+    {
+      REQUIRE(second->response);
+      CHECK(second->response->body() == "two");
+    }
+  }
+  GIVEN("one without a length, which ends with the connection")
+  {
+    ScriptedPeer peer(
+      fixture.context,
+      { ResponseText("1", "one"), "HTTP/1.1 200 OK\r\n\r\nagain" });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    peer.closeAfterResponse = true;
+    auto second = fixture.Call(peer.Address(), "2");
+    THEN("the outcome of the request is unknown")
+    {
+      REQUIRE(second->failure);
+      CHECK(second->failure->stage == CallStage::Sent);
+    }
+  }
+  GIVEN("a server that never sends ids")
+  {
+    ScriptedPeer peer(fixture.context, { kWithoutId, kWithoutId });
+    auto first = fixture.Call(peer.Address(), "1");
+    auto second = fixture.Call(peer.Address(), "2");
+    THEN("each response arrives on a connection of its own")
+    {
+      REQUIRE(first->response);
+      REQUIRE(second->response);
+      CHECK(peer.connections == 2);
+    }
+  }
+}
+
+// Guards against callers that were told that their request had not run: a
+// second copy of the refusal of one attempt was taken for the answer to the
+// next one, which ran.
+SCENARIO("A request that is sent again does not get the response to an earlier "
+         "attempt",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  const std::string kRefusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\n"
+                               "Content-Length: 0\r\n\r\n";
+
+  GIVEN("a refusal that arrives once more with the next attempt")
+  {
+    ScriptedPeer peer(fixture.context,
+                      { kRefusal, kRefusal + ResponseText("1", "one") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    auto second = fixture.Call(peer.Address(), "1");
+    THEN("the next attempt is not sent over the same connection")
+    {
+      CHECK(peer.connections == 2);
+    }
+  }
+  GIVEN("other requests between the attempts")
+  {
+    ScriptedPeer peer(fixture.context,
+                      { kRefusal,
+                        ResponseText("2", "two"),
+                        kRefusal + ResponseText("1", "one"),
+                        ResponseText("3", "three") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    REQUIRE(fixture.Call(peer.Address(), "2")->response);
+    CHECK(peer.connections == 1);
+    fixture.Call(peer.Address(), "1");
+    THEN("it is not either, and the connection serves other requests")
+    {
+      CHECK(peer.connections == 2);
+      auto third = fixture.Call(peer.Address(), "3");
+      REQUIRE(third->response);
+      CHECK(third->response->body() == "three");
+    }
+  }
+}
+
+// Guards against a response to an earlier HEAD request, whose end is unknown
+// when another request waits.
+SCENARIO("A connection to a peer that may repeat responses is not used again "
+         "after a HEAD request",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  const std::string kHead =
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\n";
+  auto request = RequestOf("1");
+  request.method(http::verb::head);
+
+  GIVEN("a response that is repeated with the next request")
+  {
+    ScriptedPeer peer(fixture.context, { kHead, ResponseText("2", "two") });
+    REQUIRE(fixture.Call(peer.Address(), request)->response);
+    auto second = fixture.Call(peer.Address(), "2");
+    REQUIRE(second->response);
+    CHECK(second->response->body() == "two");
+    CHECK(peer.connections == 2);
+  }
+  GIVEN("a response to another request before the expected one")
+  {
+    ScriptedPeer peer(fixture.context, { ResponseText("0", "zero") + kHead });
+    auto call = fixture.Call(peer.Address(), request);
+    THEN("the call fails, since its end is unknown")
+    {
+      REQUIRE(call->failure);
+      CHECK(call->failure->stage == CallStage::Sent);
+    }
+  }
+}
+
 // Guards against a process that ends: memory for the length that a response
 // states was allocated, although no body follows.
 SCENARIO("The stated length of a response without a body has no effect",
@@ -419,6 +618,37 @@
   }
 }
 
+// Guards against a response whose head is broken off and that looks complete.
+SCENARIO("A response that ends inside its head is not a response",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  const std::string kWhole = ResponseText("1", "one");
+  auto end = kWhole.find("\r\n\r\n") + 4;
+
+  for (bool reused : { false, true }) {
+    GIVEN(std::string(reused ? "a used connection" : "a new connection"))
+    {
+      for (size_t size = 1; size < end; ++size) {
+        std::vector<std::string> responses{ kWhole.substr(0, size) };
+        if (reused) {
+          responses.insert(responses.begin(), ResponseText("0", "zero"));
+        }
+        ScriptedPeer peer(fixture.context, responses);
+        if (reused) {
+          REQUIRE(fixture.Call(peer.Address(), "0")->response);
+        }
+        peer.closeAfterResponse = true;
+        auto call = fixture.Call(peer.Address(), "1");
+        CHECK_FALSE(call->response);
+        REQUIRE(call->failure);
+        CHECK(call->failure->stage == CallStage::Sent);
+        fixture.pool.CloseIdle(peer.Address());
+      }
+    }
+  }
+}
+
 SCENARIO("A call ends although its peer sends without end", "[http][endless]")
 {
   Fixture fixture;
