Do not report a request as not run after a part of it was sent

If the connection to a backend server failed while a long body was written, the request counted as not sent, and its caller was told 503, although the server may begin before it has read the body. For backend servers this holds only if not a byte went out; other daemons read a request whole before they pass it on.

Found by reading for the incident on mixed answers. Test: testhttp "A request of which a part was sent may have been processed".

--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -73,6 +73,7 @@
   options.timeout = timeLeft + kResponseMargin;
   options.correlationField = headers::kRequestId;
   options.mayRepeatResponses = true;
+  options.mayProcessPart = true;
   this->call = UpstreamCall::Start(this->executor.pool,
                                    this->executor.server,
                                    std::move(forwarded),
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -29,7 +29,7 @@
 /** How far a call got that failed before its response was complete. */
 enum class CallStage
 {
-  NotSent,        ///< The peer did not get the whole request.
+  NotSent,        ///< The peer did not get enough to process the request.
   Sent,           ///< The peer may have processed the request.
   ResponseStarted ///< The headers of the response arrived, its end did not.
 };
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -186,7 +186,7 @@
   http::async_write(
     this->connection->socket,
     this->request,
-    [self = this->shared_from_this()](error_code aError, size_t) {
+    [self = this->shared_from_this()](error_code aError, size_t aSize) {
       if (self->ended) {
         return;
       }
@@ -194,8 +194,8 @@
         // If the peer responds before it has read a long body and then resets
         // the connection, the error is ignored and the response is read.
         if (self->stage == CallStage::Sent) {
-          // The peer did not get the whole request, so it cannot run it.
-          self->stage = CallStage::NotSent;
+          bool mayBeProcessed = self->options.mayProcessPart && aSize > 0;
+          self->stage = mayBeProcessed ? CallStage::Sent : CallStage::NotSent;
           self->Fail("send request", aError);
         }
         return;
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -31,6 +31,9 @@
    * the first one on a new connection, and a request is not sent over a
    * connection that has carried one with the same value of the field. */
   bool mayRepeatResponses = false;
+  /** Whether the peer may begin to process a request before it has all of it.
+   */
+  bool mayProcessPart = false;
 };
 
 /**
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -185,6 +185,7 @@
     options.stallTimeout = aStallTimeout;
     options.correlationField = "X-Id";
     options.mayRepeatResponses = true;
+    options.mayProcessPart = true;
     auto collected = std::make_shared<CollectedResponse>();
     UpstreamCall::Start(
       this->pool, aPeer, std::move(aRequest), options, collected);
@@ -590,6 +591,23 @@
   }
 }
 
+// Guards against callers that were told that their request had not run: its
+// server had begun to process it before it had read the whole body.
+SCENARIO("A request of which a part was sent may have been processed",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  ScriptedPeer peer(fixture.context, { "" });
+  peer.closeAfterResponse = true;
+  auto request = RequestOf("1");
+  request.method(http::verb::post);
+  request.body() = std::string(32 * 1024 * 1024, 'x');
+  request.prepare_payload();
+  auto call = fixture.Call(peer.Address(), request);
+  REQUIRE(call->failure);
+  CHECK(call->failure->stage == CallStage::Sent);
+}
+
 // Guards against a process that ends: memory for the length that a response
 // states was allocated, although no body follows.
 SCENARIO("The stated length of a response without a body has no effect",
