Frame responses as the method and version of their requests require

What callers saw: after a HEAD request that the daemon itself answered (no route, refused, failed), the next response on the connection began with the text of the first one's body; the same for 204 and 304, and between daemons. An HTTP/1.0 client got chunks as the body of a response without a length.

Cause: PendingResponse left out the length of such a response but not the body, and chose chunks without looking at the client's version.

Now a response to HEAD, 204 or 304 has no body. Towards HTTP/1.0 a body of unknown length ends with the connection, which is reset if the response breaks off, so that it does not look complete.

Tests: testhttp "A server responds to each request on its connection" (HEAD requests, a status that allows no body, HTTP/1.0).

--- a/src/http/pendingresponse.cpp
+++ b/src/http/pendingresponse.cpp
@@ -2,6 +2,18 @@
 
 namespace fescuetiller {
 
+namespace {
+
+/** Whether responses with a status never have a body. */
+bool
+HasNoBody(http::status aStatus)
+{
+  return aStatus == http::status::no_content ||
+         aStatus == http::status::not_modified;
+}
+
+} // namespace
+
 void
 PendingResponse::SetWhole(HttpResponse aResponse)
 {
@@ -16,7 +28,7 @@
   this->streamed->version(11);
   if (aHeaders.contentLength) {
     this->streamed->content_length(*aHeaders.contentLength);
-  } else {
+  } else if (!this->mustNotChunk) {
     this->streamed->chunked(true);
   }
 }
@@ -61,6 +73,13 @@
   return this->ended ? Step::End : Step::Wait;
 }
 
+bool
+PendingResponse::EndsWithConnection() const
+{
+  return this->streamed != nullptr && !this->streamed->chunked() &&
+         !this->streamed->has_content_length();
+}
+
 size_t
 PendingResponse::HeldBytes() const
 {
@@ -73,9 +92,10 @@
   if (this->whole) {
     this->whole->version(11);
     this->whole->keep_alive(aKeepAlive);
-    bool bodyless = this->headRequest || this->whole->result_int() == 204 ||
-                    this->whole->result_int() == 304;
-    if (!bodyless) {
+    if (this->headRequest || HasNoBody(this->whole->result())) {
+      // A stated length is that of the body that GET would return.
+      this->whole->body().clear();
+    } else {
       this->whole->content_length(this->whole->body().size());
     }
   } else if (this->streamed != nullptr && this->serializer == nullptr) {
--- a/src/http/pendingresponse.h
+++ b/src/http/pendingresponse.h
@@ -33,6 +33,8 @@
 
   std::weak_ptr<Exchange> exchange; ///< Expires if nobody responds any more.
   bool headRequest = false;         ///< The request's method is HEAD.
+  /** The client does not know chunked bodies (HTTP/1.0). */
+  bool mustNotChunk = false;
   size_t waitedBytes = 0; ///< Size when it began to wait; 0 if it did not.
 
   void SetWhole(HttpResponse aResponse);
@@ -43,6 +45,9 @@
   void Abort();
 
   Step NextStep() const;
+  /** Whether the body ends where the connection does, since neither a length
+   * nor chunks tell. */
+  bool EndsWithConnection() const;
   /** Bytes of the body that the response holds now. */
   size_t HeldBytes() const;
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -11,6 +11,8 @@
 
 using boost::system::error_code;
 
+/** HTTP/1.1, as Beast encodes versions. */
+constexpr unsigned kHttp11 = 11;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
@@ -236,6 +238,15 @@
   return this->state == State::Dismissed;
 }
 
+/** Whether closing the connection resets it, so that the client does not take
+ * the end of the connection for the end of a response. */
+void
+ServerSession::SetResetOnClose(bool aReset)
+{
+  error_code ignored; // A lost connection has been reset already.
+  this->socket.set_option(asio::socket_base::linger(aReset, 0), ignored);
+}
+
 /** Closes the connection after the last response. If the client sends requests
  * before it has responses, the connection stays open until the client closes it
  * or the linger time has passed. */
@@ -406,9 +417,10 @@
   const auto& request = this->parser->get();
   // The client waits for an interim response before it sends the body, and
   // that response belongs to the oldest request.
-  this->concurrent = request[http::field::expect].empty() &&
-                     this->mayRunConcurrently &&
-                     this->mayRunConcurrently(request);
+  // HTTP/1.0 has no requests before the response to the first one.
+  this->concurrent =
+    request.version() >= kHttp11 && request[http::field::expect].empty() &&
+    this->mayRunConcurrently && this->mayRunConcurrently(request);
   if (!this->pipeline.MayPassOn(this->concurrent)) {
     this->input = Input::Held;
     this->WaitForData();
@@ -521,6 +533,7 @@
   this->parser.reset();
   auto pending = std::make_shared<PendingResponse>();
   pending->headRequest = request.method() == http::verb::head;
+  pending->mustNotChunk = request.version() < kHttp11;
   this->responses.push_back(pending);
   this->pipeline.OnPassedOn(this->concurrent);
   if (!request.keep_alive()) {
@@ -594,7 +607,10 @@
     this->Close();
     return;
   }
-  if (this->limits.closeAfterResponse) {
+  if (pending.EndsWithConnection()) {
+    this->SetResetOnClose(true);
+  }
+  if (this->limits.closeAfterResponse || pending.EndsWithConnection()) {
     this->pipeline.StopReading();
   }
   pending.SetKeepAlive(!this->pipeline.ClosesAfterNextResponse());
@@ -632,7 +648,11 @@
 void
 ServerSession::FinishResponse()
 {
-  this->pipeline.OnResponseWritten(this->responses.front()->waitedBytes);
+  const auto& written = *this->responses.front();
+  this->pipeline.OnResponseWritten(written.waitedBytes);
+  if (written.EndsWithConnection()) {
+    this->SetResetOnClose(false);
+  }
   this->responses.pop_front();
   if (this->input != Input::Part) {
     this->since = BootClock::now();
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -157,6 +157,7 @@
   void OnWritten(PendingResponse::Step aStep,
                  const boost::system::error_code& aError);
   void FinishResponse();
+  void SetResetOnClose(bool aReset);
   void CloseAfterResponse();
   void DiscardData();
   void NotifyDisconnect(const PendingResponse& aPending);
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -806,6 +806,67 @@
       CHECK(fixture.received.find("\r\n0\r\n") == std::string::npos);
     }
   }
+  GIVEN("HEAD requests")
+  {
+    // Guards against a body behind the response to HEAD, which the client took
+    // for the beginning of the next response.
+    const std::string kHead = "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    fixture.Send(kHead);
+    REQUIRE(fixture.exchanges.size() == 1);
+    fixture.exchanges[0]->Respond(TextResponse(404, "no-route\n"));
+    fixture.Run();
+    fixture.Send(kHead);
+    REQUIRE(fixture.exchanges.size() == 2);
+    auto response = TextResponse(200, "");
+    response.content_length(1000);
+    fixture.exchanges[1]->Respond(response);
+    CHECK(fixture.Run());
+    THEN("the responses have no body, and keep the length that they state")
+    {
+      CHECK(fixture.received.find("no-route") == std::string::npos);
+      auto second = fixture.received.find("HTTP/1.1 200");
+      REQUIRE(second != std::string::npos);
+      CHECK(fixture.received.substr(second - 4, 4) == "\r\n\r\n");
+      CHECK(fixture.received.find("Content-Length: 1000", second) !=
+            std::string::npos);
+    }
+  }
+  GIVEN("responses with a status that allows no body")
+  {
+    for (unsigned status : { 204, 304 }) {
+      fixture.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+      fixture.exchanges.back()->Respond(TextResponse(status, "text"));
+      CHECK(fixture.Run());
+    }
+    CHECK(fixture.received.find("text\r") == std::string::npos);
+    CHECK(fixture.received.find("text") == fixture.received.find("text/plain"));
+    CHECK(fixture.received.substr(fixture.received.size() - 4) == "\r\n\r\n");
+  }
+  GIVEN("an HTTP/1.0 client and a response without a length")
+  {
+    // Guards against chunks, which such a client takes for the body.
+    fixture.Send("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+    REQUIRE(fixture.exchanges.size() == 1);
+    fixture.exchanges[0]->StartResponse({});
+    fixture.exchanges[0]->WriteChunk(asio::buffer("hello", 5), [] {});
+    fixture.Run();
+    THEN("the body ends with the connection")
+    {
+      fixture.exchanges[0]->EndResponse();
+      CHECK_FALSE(fixture.Run());
+      CHECK(fixture.received.substr(fixture.received.size() - 9) ==
+            "\r\n\r\nhello");
+    }
+    THEN("a response that is broken off resets the connection")
+    {
+      fixture.exchanges[0]->Abort();
+      fixture.context.run_for(milliseconds(30));
+      char byte = 0;
+      boost::system::error_code error;
+      fixture.client.read_some(asio::buffer(&byte, 1), error);
+      CHECK(error == asio::error::connection_reset);
+    }
+  }
   GIVEN("bytes that are not a request")
   {
     fixture.Send("garbled\r\n\r\n");
