Check the right to send a request when its bytes leave

Cause: the end of the drain time and of the keys' grant was checked when a request was given a slot. The call was then posted, and could first open a connection (up to 400 ms); nothing was checked when the bytes left. X-Timeout-Ms was set before the connection, too, so a server could be told up to 400 ms more than was left.

Now: CallOptions::beforeSend is called when the connection is open, immediately before the request is written. A daemon checks the server, the deadline, the drain time, the key's owner and its grant there, with the same function as before the slot, and sets the time that is left. A request that may no longer be sent is answered as refused with the reason, and with the new owner if it is known, so its caller goes there.

--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -70,7 +70,7 @@
   uint32_t slots = 0;           ///< Requests that the server runs concurrently.
   bool available = false;       ///< Whether the server is known and not lost.
   bool draining = false;        ///< Whether the server announced its shutdown.
-  Time sendUntil = Time::max(); ///< No requests are sent to it afterwards.
+  Time sendUntil = Time::max(); ///< It must get no requests afterwards.
   /** Time from an announced shutdown until no more requests are sent. */
   Duration drainTime = std::chrono::seconds(2);
   Time nextHeartbeat; ///< When the next grants are expected.
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -60,18 +60,19 @@
   this->executor.slotUsage.OnStarted(aNow);
   this->server = this->executor.serving.server;
   this->executor.runningIds.insert(this->requestId);
-  auto timeLeft = this->deadline - aNow;
   auto forwarded = std::move(this->request); // Sent only once.
   RemoveHopByHopFields(forwarded);
   forwarded.erase(kDispatchField);
   forwarded.erase(kServerNoticeField);
-  forwarded.set(headers::kTimeLeft, std::to_string(ToMilliseconds(timeLeft)));
   forwarded.set(headers::kTargetServer, this->server.id);
   forwarded.keep_alive(true);
   CallOptions options;
   options.connectTimeout = kConnectTimeout;
-  options.timeout = timeLeft + kResponseMargin;
+  options.timeout = this->deadline - aNow + kResponseMargin;
   options.correlationField = headers::kRequestId;
+  options.beforeSend = [this](HttpRequest& aRequest) {
+    return this->PrepareToSend(aRequest);
+  };
   this->call = UpstreamCall::Start(this->executor.pool,
                                    this->executor.server,
                                    std::move(forwarded),
@@ -79,6 +80,22 @@
                                    this->shared_from_this());
 }
 
+bool
+Execution::PrepareToSend(HttpRequest& aRequest)
+{
+  auto now = BootClock::now();
+  if (this->server != this->executor.serving.server) {
+    this->withdrawnReason = "server-down";
+  } else if (this->deadline <= now) {
+    this->withdrawnReason = "expired";
+  } else {
+    this->withdrawnReason = this->executor.ReasonNotToSend(now, this->key);
+  }
+  aRequest.set(headers::kTimeLeft,
+               std::to_string(ToMilliseconds(this->deadline - now)));
+  return this->withdrawnReason.empty();
+}
+
 SlotUse
 Execution::UseByResponse(unsigned aStatus) const
 {
@@ -249,6 +266,10 @@
 void
 Execution::OnFailure(const CallFailure& aFailure)
 {
+  if (aFailure.withdrawn) {
+    this->Refuse(this->withdrawnReason, kServerRefusalRetryAfter);
+    return;
+  }
   if (aFailure.connectionRefused && this->executor.onServerConnectionRefused) {
     this->executor.onServerConnectionRefused();
   }
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -54,6 +54,9 @@
    * service time of the class.
    * @return The receiver, which gets nothing further from this execution. */
   std::shared_ptr<ResponseReceiver> Finish(SlotUse aUse);
+  /** Checks, immediately before the request is sent to the server, that it
+   * still may be, and sets the time that is left. */
+  bool PrepareToSend(HttpRequest& aRequest);
   /** Use of the slot by a response of the server that ends now. */
   SlotUse UseByResponse(unsigned aStatus) const;
   /** Responds that the backend server refused the request, could not be reached
@@ -73,8 +76,9 @@
   std::shared_ptr<ResponseReceiver> receiver;
   std::shared_ptr<UpstreamCall> call;
   Time startedAt;
-  ServerIncarnation server; ///< Server that the request was sent to.
-  unsigned status = 0;      ///< Of a response whose body follows in chunks.
+  ServerIncarnation server;    ///< Server that the request was sent to.
+  std::string withdrawnReason; ///< Why it was not sent; empty if it was.
+  unsigned status = 0;         ///< Of a response whose body follows in chunks.
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -85,8 +85,7 @@
 Executor::UpdateSlotCapacity()
 {
   auto now = BootClock::now();
-  bool mayRun =
-    this->serving.available && now + kSendMargin <= this->SendUntil();
+  bool mayRun = this->serving.available && now <= this->SendUntil();
   const auto& ranges = this->serving.ranges;
   bool hasKeys =
     !this->serving.ownsKeys ||
@@ -104,6 +103,12 @@
 
 Time
 Executor::SendUntil() const
+{
+  return this->DrainEnd() - kSendMargin;
+}
+
+Time
+Executor::DrainEnd() const
 {
   return this->leavingSince
            ? std::min(this->serving.sendUntil,
@@ -272,8 +277,7 @@
     }
   }
   for (const auto& execution : moved) {
-    execution->Refuse(this->FindNewOwner(*execution->key).empty() ? "not-owner"
-                                                                  : "moved",
+    execution->Refuse(this->ReasonNotServed(*execution->key),
                       kDefaultRetryAfter);
   }
 }
@@ -301,23 +305,37 @@
   return "";
 }
 
+std::string
+Executor::ReasonNotServed(Key aKey) const
+{
+  return this->FindNewOwner(aKey).empty() ? "not-owner" : "moved";
+}
+
 bool
 Executor::CanStart(uint64_t aId) const
 {
   auto found = this->executions.find(aId);
-  if (found == this->executions.end()) {
-    return false;
+  return found != this->executions.end() &&
+         this->ReasonNotToSend(BootClock::now(), found->second->key).empty();
+}
+
+std::string
+Executor::ReasonNotToSend(Time aNow, const std::optional<Key>& aKey) const
+{
+  if (!this->serving.available) {
+    return "server-down";
   }
-  auto now = BootClock::now();
-  if (!this->serving.available || now + kSendMargin > this->SendUntil()) {
-    return false;
+  if (aNow > this->SendUntil()) {
+    return "draining";
   }
-  const auto& key = found->second->key;
-  if (!key) {
-    return true;
+  if (!aKey) {
+    return "";
+  }
+  const auto* range = this->FindServedRange(*aKey);
+  if (range == nullptr) {
+    return this->ReasonNotServed(*aKey);
   }
-  const auto* range = this->FindServedRange(*key);
-  return range != nullptr && now + kSendMargin < range->grantedUntil;
+  return aNow + kSendMargin < range->grantedUntil ? "" : "no-grant";
 }
 
 std::string
@@ -333,7 +351,7 @@
   if (this->serving.server.id.empty() || !this->serving.available) {
     return "server-down";
   }
-  if (aNow + kSendMargin > this->SendUntil()) {
+  if (aNow > this->SendUntil()) {
     return "draining";
   }
   aSlot.notBefore = aNow;
@@ -352,7 +370,7 @@
   }
   const auto* range = this->FindServedRange(key);
   if (range == nullptr) {
-    return this->FindNewOwner(key).empty() ? "not-owner" : "moved";
+    return this->ReasonNotServed(key);
   }
   if (range->grantedUntil <= aNow + kSendMargin) {
     if (this->serving.leaseUntil < this->serving.nextHeartbeat + kSendMargin ||
@@ -476,8 +494,7 @@
     }
     auto now = BootClock::now();
     auto refused = this->queue.Expire(now);
-    bool stopped =
-      !this->serving.available || now + kSendMargin > this->SendUntil();
+    bool stopped = !this->serving.available || now > this->SendUntil();
     if (stopped) {
       auto waiting = this->queue.RefuseAll(
         now, this->serving.available ? "draining" : "server-down");
@@ -545,7 +562,7 @@
   notice.server = this->serving.server;
   notice.requestLimit = this->queue.Limit().PerSecond();
   if (this->IsServerLeaving()) {
-    auto since = this->SendUntil() - this->serving.drainTime;
+    auto since = this->DrainEnd() - this->serving.drainTime;
     notice.leavingFor = std::max(BootClock::now() - since, Duration(0));
   }
   if (notice.requestLimit || notice.leavingFor) {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -104,10 +104,19 @@
                              SlotRequest& aSlot,
                              std::optional<Key>& aKey);
   bool CanStart(uint64_t aId) const;
+  /** Why a request must not be sent to the server now; empty if it may be.
+   * Checked before the request gets a slot, and again when it is written: it
+   * may have waited for the processor or a connection in between.
+   * @param aKey Key of the request, if it has one. */
+  std::string ReasonNotToSend(Time aNow, const std::optional<Key>& aKey) const;
+  /** Why a request for a key that is not served here is refused. */
+  std::string ReasonNotServed(Key aKey) const;
   /** Whether the server announced its shutdown. */
   bool IsServerLeaving() const;
   /** Until when requests are sent to the server. */
   Time SendUntil() const;
+  /** When the server's drain time is over, after which it must get none. */
+  Time DrainEnd() const;
   /** Passes on to the slot usage how many slots requests can make use of. */
   void UpdateSlotCapacity();
   const ServedRange* FindServedRange(Key aKey) const;
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -43,6 +43,7 @@
   CallStage stage = CallStage::NotSent;
   bool connectionRefused = false; ///< No process listens on the peer's address.
   bool timedOut = false;          ///< The connection did not fail by itself.
+  bool withdrawn = false; ///< CallOptions::beforeSend did not let it be sent.
   Error error;
 };
 
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -163,6 +163,12 @@
     this->Fail("send request", asio::error::timed_out);
     return;
   }
+  if (this->options.beforeSend && !this->options.beforeSend(this->request)) {
+    this->withdrawn = true;
+    this->Fail(
+      "send request", error_code(), "the request may no longer be sent");
+    return;
+  }
   this->ArmTimer(left, "wait for answer");
   this->WriteRequest();
 }
@@ -410,6 +416,7 @@
   failure.stage = this->stage;
   failure.connectionRefused = aError == asio::error::connection_refused;
   failure.timedOut = aError == asio::error::timed_out;
+  failure.withdrawn = this->withdrawn;
   failure.error = { this->stage == CallStage::NotSent ? ErrorCode::Unavailable
                                                       : ErrorCode::Unknown,
                     aOperation,
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -26,6 +27,10 @@
    * response with another value belongs to another request and is skipped.
    * Empty to accept every response. */
   std::string correlationField;
+  /** Called when the connection is open, immediately before the request is
+   * written, which may be long after the start of the call. May still change
+   * the headers. If it returns false, the request is not sent. */
+  std::function<bool(HttpRequest&)> beforeSend;
 };
 
 /**
@@ -89,6 +94,7 @@
   Time startedAt;
   CallStage stage = CallStage::NotSent;
   bool requestWritten = false;
+  bool withdrawn = false; ///< The request may no longer be sent.
   bool skipping = false;  ///< The response belongs to another request.
   bool streaming = false; ///< The response is passed on in chunks.
   bool ended = false;
