End the requests to a leaving server a stall of the processor earlier

Cause: the margin before the end of a drain was 30 ms. A process whose share of the processor is used up gets none for the rest of a tenth of a second, and that may be between the last check and the system call, where nothing can be checked any more.

Now the margin before the end of a drain is 130 ms: such a stall, and what it was. The margin before the end of a grant stays: a server refuses a request for a key that it does not hold, while one that arrives after the drain time is run.

Seen failing before, on the commit before this one: testdaemon [draining], "a drain time that ends before a stalled processor would go on".

--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -21,10 +21,16 @@
 /** Half-life of the recorded work of a key, so that a few seconds of traffic
  * decide a move. */
 constexpr Duration kKeyHalfLife = milliseconds(1000);
-/** No request is sent within this time before a grant expires or a drain ends:
- * it covers the transmission to the server and the start of the request there.
- */
+/** No request is sent within this time before a grant expires: it covers the
+ * transmission to the server and the start of the request there. */
 constexpr Duration kSendMargin = milliseconds(30);
+/** Longest time for which a process gets no processor once its share is used
+ * up: a period of the scheduler. */
+constexpr Duration kMaxStall = milliseconds(100);
+/** The same before a drain ends. A server refuses a request for a key whose
+ * grant has expired, but not one that arrives after its drain time, so a stall
+ * after the last check is covered as well. */
+constexpr Duration kDrainMargin = kSendMargin + kMaxStall;
 /** Requests stop waiting for the grant of a heartbeat that is later than this.
  */
 constexpr Duration kMaxHeartbeatDelay = milliseconds(300);
@@ -104,7 +110,7 @@
 Time
 Executor::SendUntil() const
 {
-  return this->DrainEnd() - kSendMargin;
+  return this->DrainEnd() - kDrainMargin;
 }
 
 Time
--- a/tests/daemon/drainingtest.cpp
+++ b/tests/daemon/drainingtest.cpp
@@ -157,6 +157,14 @@
     CHECK(fixture.received.empty());
     CHECK(ExecutorFixture::RefusalOf(*recorder) == "draining");
   }
+  GIVEN("a drain time that ends before a stalled processor would go on")
+  {
+    fixture.LeaveAfter(milliseconds(100));
+    auto recorder = fixture.Start();
+    fixture.RunUntilAnswered(*recorder);
+    CHECK(fixture.received.empty());
+    CHECK(ExecutorFixture::RefusalOf(*recorder) == "draining");
+  }
   GIVEN("a drain time that goes on")
   {
     fixture.LeaveAfter(seconds(10));
