Keep a server's announced shutdown in force while the store returns

A server that announced its shutdown in the two seconds after a return of the store was acknowledged, but requests were served as before until the members had joined again: up to 2 s of its drain time, which is 2 s by default, and longer if the store returned twice.

Cause: no state at all is passed to the traffic thread meanwhile, so that keys stay with their servers. Now the announced shutdown alone is passed on, for the same incarnation; the keys and their grants stay as they were.

Seen failing before: testdaemon "A server that announces its shutdown while the store returns gets no requests after its drain time". The fixture of a daemon's control plane moves to a header of its own, with what is served added to it:

configurationtest.cpp Daemon, ConfigurationText -> controldaemon.h ControlDaemon, ConfigurationText

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -119,6 +119,17 @@
   return tie(aLeft) == tie(aRight);
 }
 
+ServingState
+WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer)
+{
+  if (aState.server == aNewer.server) {
+    aState.draining = aNewer.draining;
+    aState.sendUntil = aNewer.sendUntil;
+    aState.drainTime = aNewer.drainTime;
+  }
+  return aState;
+}
+
 OwnershipAgent::OwnershipAgent(AgentIdentity aIdentity,
                                AgentSettings aSettings,
                                IdFunction aNewId,
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -82,6 +82,11 @@
   friend bool operator==(const ServingState& aLeft, const ServingState& aRight);
 };
 
+/** Returns a state with the shutdown that its server has announced since.
+ * @param aNewer A newer state. */
+ServingState
+WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer);
+
 /**
  * Makes all decisions of a daemon about membership and key ownership: joining,
  * monitoring other members, keeping the own lease, granting keys to the backend
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -287,10 +287,15 @@
 void
 ControlNode::Publish()
 {
-  if (this->agent.IsReturning(BootClock::now())) {
-    return; // Requests are routed and served as before.
+  auto now = BootClock::now();
+  auto serving = this->agent.ServingStateAt(now);
+  if (this->agent.IsReturning(now)) {
+    // Requests are routed and served as before, but a server that has announced
+    // its shutdown gets none after its drain time.
+    this->PublishServing(
+      WithAnnouncedShutdown(this->publishedServing, serving));
+    return;
   }
-  auto serving = this->agent.ServingStateAt(BootClock::now());
   const auto& view = this->agent.View();
   if (view.ChangeCount() != this->publishedChanges ||
       serving.member != this->publishedSelf) {
@@ -298,9 +303,15 @@
     this->publishedSelf = serving.member;
     this->onView(std::make_shared<ClusterView>(view), serving.member);
   }
-  if (!(serving == this->publishedServing)) {
-    this->publishedServing = serving;
-    this->onServing(serving);
+  this->PublishServing(serving);
+}
+
+void
+ControlNode::PublishServing(const ServingState& aServing)
+{
+  if (!(aServing == this->publishedServing)) {
+    this->publishedServing = aServing;
+    this->onServing(aServing);
   }
 }
 
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -97,6 +97,8 @@
   void SendPeerMessage(const std::string& aAddress, PeerMessage aMessage);
   std::vector<std::string> Services() const;
   void Publish();
+  /** Passes on how requests are served, if that has changed. */
+  void PublishServing(const ServingState& aServing);
   void WriteEvents();
 
   asio::io_context& context;
--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -1,9 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <nlohmann/json.hpp>
-
-#include "fescuetillerd/controlnode.h"
-#include "standins/reservedports.h"
+#include "daemon/controldaemon.h"
 #include "standins/slowlink.h"
 #include "standins/storestandin.h"
 
@@ -11,120 +8,9 @@
 
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** Control plane of one daemon, with the heartbeats of its backend server. */
-struct Daemon
-{
-  Daemon(asio::io_context& aContext,
-         EventLog& aLog,
-         const std::string& aName,
-         const Tcp::endpoint& aStore)
-    : name(aName)
-    , ports(aContext)
-    , pool(aContext)
-    , timer(aContext)
-  {
-    NodeSettings settings;
-    settings.name = aName;
-    settings.ip = "127.0.0.1";
-    settings.zone = aName;
-    settings.service = "agenda";
-    settings.server = "127.0.0.1:" + std::to_string(aName == "near" ? 1 : 2);
-    settings.peerAddress = settings.server;
-    settings.serverCallAddress = ToString(this->ports.Reserve());
-    settings.readinessAddress = ToString(this->ports.Reserve());
-    settings.firstPort = this->ports.Reserve().port();
-    settings.storeAddress = ToString(aStore);
-    settings.heartbeat = milliseconds(300);
-    this->serverCallAddress = *ParseEndpoint(settings.serverCallAddress);
-    this->server = settings.server;
-    this->node =
-      std::make_unique<ControlNode>(aContext, settings, aLog, this->counters);
-    this->node->onConfiguration = [this](auto aConfiguration) {
-      this->version = aConfiguration->version;
-      this->routes = aConfiguration->routes.size();
-    };
-    this->node->onView = [this](auto aView, auto aSelf) {
-      this->members = aView->AllMembers().size();
-      this->isMember = !aSelf.empty();
-    };
-    this->node->onServing = [](const auto&) {};
-    REQUIRE(this->node->Listen());
-    this->SendHeartbeat();
-  }
-
-  void SendHeartbeat()
-  {
-    json body = { { "service", "agenda" },
-                  { "address", this->server },
-                  { "zone", this->name },
-                  { "version", "v1" },
-                  { "slots", 4 },
-                  { "state", "ready" },
-                  { "seq", ++this->sequence },
-                  { "cold", "0ms" },
-                  { "holds", json::array() },
-                  { "freed", json::array() } };
-    HttpRequest request(
-      http::verb::post, "/v1/instances/i-" + this->name + "/heartbeat", 11);
-    request.body() = body.dump();
-    request.prepare_payload();
-    Fetch(this->pool,
-          this->serverCallAddress,
-          std::move(request),
-          CallOptions(),
-          [](const Result<HttpResponse>&) {});
-    this->timer.expires_after(milliseconds(300));
-    this->timer.async_wait([this](boost::system::error_code aError) {
-      if (!aError) {
-        this->SendHeartbeat();
-      }
-    });
-  }
-
-  std::string name;
-  std::string server;
-  Tcp::endpoint serverCallAddress;
-  ReservedPorts ports;
-  Counters counters;
-  ConnectionPool pool;
-  asio::steady_timer timer;
-  uint64_t sequence = 0;
-  std::unique_ptr<ControlNode> node;
-  uint64_t version = 0; ///< Configuration in force.
-  size_t routes = 0;
-  size_t members = 0; ///< Members that the daemon knows.
-  bool isMember = false;
-};
-
-std::string
-ConfigurationText(uint64_t aVersion, size_t aRoutes)
-{
-  json routes = json::object();
-  for (size_t number = 0; number < aRoutes; ++number) {
-    auto name = ToHex(number * 0x9E3779B97F4A7C15U);
-    routes["r-" + name] = { { "host", "a.example" },
-                            { "prefix", "/" + name + "/" },
-                            { "kind", "safe" },
-                            { "timeout", "2000ms" },
-                            { "target-latency", "600ms" },
-                            { "priority", 1 },
-                            { "service", "agenda" },
-                            { "attempts", 2 } };
-  }
-  json text = { { "version", "r" + std::to_string(aVersion) },
-                { "routes", routes },
-                { "services",
-                  { { "agenda",
-                      { { "health-check", "/health" },
-                        { "max-connections", 100 },
-                        { "sharded", true } } } } } };
-  return text.dump();
-}
-
 /** Time after the end of a disturbance in which the configuration must be the
  * newest one again. */
 constexpr Duration kMaxOutdatedTime = seconds(3);
@@ -136,8 +22,8 @@
   EventLog log{ "test", { 0, 0, 0 } };
   StoreStandIn store{ context };
   std::unique_ptr<SlowLink> link;
-  std::unique_ptr<Daemon> near;
-  std::unique_ptr<Daemon> far;
+  std::unique_ptr<ControlDaemon> near;
+  std::unique_ptr<ControlDaemon> far;
 
   SlowLinkFixture()
   {
@@ -149,13 +35,13 @@
 
   void StartNear()
   {
-    this->near = std::make_unique<Daemon>(
+    this->near = std::make_unique<ControlDaemon>(
       this->context, this->log, "near", Loopback(this->store.Port()));
   }
 
   void StartFar()
   {
-    this->far = std::make_unique<Daemon>(
+    this->far = std::make_unique<ControlDaemon>(
       this->context, this->log, "far", this->link->Address());
   }
 
--- /dev/null
+++ b/tests/daemon/leavingtest.cpp
@@ -0,0 +1,82 @@
+#include <catch2/catch.hpp>
+
+#include "daemon/controldaemon.h"
+#include "standins/storestandin.h"
+
+using namespace fescuetiller; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Time from a heartbeat until requests are served by what it says. */
+constexpr Duration kMaxDelay = milliseconds(500);
+
+/** A daemon that is a member, and a store that can come back from a copy. */
+struct LeavingFixture
+{
+  asio::io_context context{ 1 };
+  EventLog log{ "test", { 0, 0, 0 } };
+  StoreStandIn store{ context };
+  std::unique_ptr<ControlDaemon> daemon;
+
+  LeavingFixture()
+  {
+    REQUIRE(this->store.Listen(0));
+    this->store.SetConfiguration(ConfigurationText(1, 1));
+    this->daemon = std::make_unique<ControlDaemon>(
+      this->context, this->log, "near", Loopback(this->store.Port()));
+    REQUIRE(this->RunUntil(
+      [this] {
+        const auto& serving = this->daemon->serving;
+        return this->daemon->isMember && !serving.ranges.empty() &&
+               serving.ranges[0].grantedUntil > BootClock::now();
+      },
+      seconds(15)));
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition, Duration aTimeout)
+  {
+    auto end = BootClock::now() + aTimeout;
+    while (!aCondition() && BootClock::now() < end) {
+      this->context.run_for(milliseconds(5));
+    }
+    return aCondition();
+  }
+};
+
+} // namespace
+
+// Guards against a daemon that acknowledged the announcement and sent its
+// server requests as before, while the members joined again in a returned
+// store.
+SCENARIO("A server that announces its shutdown while the store returns gets no "
+         "requests after its drain time",
+         "[leaving][storereturn]")
+{
+  LeavingFixture fixture;
+  auto& daemon = *fixture.daemon;
+  fixture.store.Copy();
+  fixture.store.Restore();
+  auto era = [&] {
+    return daemon.counters.FormatText().find("store-returned");
+  };
+  REQUIRE(
+    fixture.RunUntil([&] { return era() != std::string::npos; }, seconds(15)));
+  fixture.store.SetFault("silent"); // It cannot join again.
+  auto before = daemon.serving;
+  REQUIRE_FALSE(before.draining);
+
+  daemon.isDraining = true;
+  daemon.SendHeartbeat();
+  auto announcedAt = BootClock::now();
+  CHECK(fixture.RunUntil([&] { return daemon.serving.draining; }, kMaxDelay));
+  CHECK(daemon.serving.sendUntil <=
+        announcedAt + kMaxDelay + daemon.serving.drainTime);
+  THEN("its keys are served as before until then")
+  {
+    CHECK(daemon.serving.ranges == before.ranges);
+    CHECK(daemon.serving.available);
+  }
+}
