--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -70,7 +70,7 @@
   uint32_t slots = 0;           ///< Requests that the server runs concurrently.
   bool available = false;       ///< Whether the server is known and not lost.
   bool draining = false;        ///< Whether the server announced its shutdown.
-  Time sendUntil = Time::max(); ///< No requests are sent to it afterwards.
+  Time sendUntil = Time::max(); ///< It must get no requests afterwards.
   /** Time from an announced shutdown until no more requests are sent. */
   Duration drainTime = std::chrono::seconds(2);
   Time nextHeartbeat; ///< When the next grants are expected.
@@ -82,6 +82,11 @@
   friend bool operator==(const ServingState& aLeft, const ServingState& aRight);
 };
 
+/** Returns a state with the shutdown that its server has announced since.
+ * @param aNewer A newer state. */
+ServingState
+WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer);
+
 /**
  * Makes all decisions of a daemon about membership and key ownership: joining,
  * monitoring other members, keeping the own lease, granting keys to the backend
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -21,10 +21,16 @@
 /** Half-life of the recorded work of a key, so that a few seconds of traffic
  * decide a move. */
 constexpr Duration kKeyHalfLife = milliseconds(1000);
-/** No request is sent within this time before a grant expires or a drain ends:
- * it covers the transmission to the server and the start of the request there.
- */
+/** No request is sent within this time before a grant expires: it covers the
+ * transmission to the server and the start of the request there. */
 constexpr Duration kSendMargin = milliseconds(30);
+/** Longest time for which a process gets no processor once its share is used
+ * up: a period of the scheduler. */
+constexpr Duration kMaxStall = milliseconds(100);
+/** The same before a drain ends. A server refuses a request for a key whose
+ * grant has expired, but not one that arrives after its drain time, so a stall
+ * after the last check is covered as well. */
+constexpr Duration kDrainMargin = kSendMargin + kMaxStall;
 /** Requests stop waiting for the grant of a heartbeat that is later than this.
  */
 constexpr Duration kMaxHeartbeatDelay = milliseconds(300);
@@ -90,8 +96,7 @@
 Executor::UpdateSlotCapacity()
 {
   auto now = BootClock::now();
-  bool mayRun =
-    this->serving.available && now + kSendMargin <= this->SendUntil();
+  bool mayRun = this->serving.available && now <= this->SendUntil();
   const auto& ranges = this->serving.ranges;
   bool hasKeys =
     !this->serving.ownsKeys ||
@@ -109,6 +114,12 @@
 
 Time
 Executor::SendUntil() const
+{
+  return this->DrainEnd() - kDrainMargin;
+}
+
+Time
+Executor::DrainEnd() const
 {
   return this->leavingSince
            ? std::min(this->serving.sendUntil,
@@ -277,8 +288,7 @@
     }
   }
   for (const auto& execution : moved) {
-    execution->Refuse(this->FindNewOwner(*execution->key).empty() ? "not-owner"
-                                                                  : "moved",
+    execution->Refuse(this->ReasonNotServed(*execution->key),
                       kDefaultRetryAfter);
   }
 }
@@ -306,23 +316,37 @@
   return "";
 }
 
+std::string
+Executor::ReasonNotServed(Key aKey) const
+{
+  return this->FindNewOwner(aKey).empty() ? "not-owner" : "moved";
+}
+
 bool
 Executor::CanStart(uint64_t aId) const
 {
   auto found = this->executions.find(aId);
-  if (found == this->executions.end()) {
-    return false;
+  return found != this->executions.end() &&
+         this->ReasonNotToSend(BootClock::now(), found->second->key).empty();
+}
+
+std::string
+Executor::ReasonNotToSend(Time aNow, const std::optional<Key>& aKey) const
+{
+  if (!this->serving.available) {
+    return "server-down";
   }
-  auto now = BootClock::now();
-  if (!this->serving.available || now + kSendMargin > this->SendUntil()) {
-    return false;
+  if (aNow > this->SendUntil()) {
+    return "draining";
   }
-  const auto& key = found->second->key;
-  if (!key) {
-    return true;
+  if (!aKey) {
+    return "";
+  }
+  const auto* range = this->FindServedRange(*aKey);
+  if (range == nullptr) {
+    return this->ReasonNotServed(*aKey);
   }
-  const auto* range = this->FindServedRange(*key);
-  return range != nullptr && now + kSendMargin < range->grantedUntil;
+  return aNow + kSendMargin < range->grantedUntil ? "" : "no-grant";
 }
 
 std::string
@@ -338,7 +362,7 @@
   if (this->serving.server.id.empty() || !this->serving.available) {
     return "server-down";
   }
-  if (aNow + kSendMargin > this->SendUntil()) {
+  if (aNow > this->SendUntil()) {
     return "draining";
   }
   aSlot.notBefore = aNow;
@@ -357,7 +381,7 @@
   }
   const auto* range = this->FindServedRange(key);
   if (range == nullptr) {
-    return this->FindNewOwner(key).empty() ? "not-owner" : "moved";
+    return this->ReasonNotServed(key);
   }
   if (range->grantedUntil <= aNow + kSendMargin) {
     if (this->serving.leaseUntil < this->serving.nextHeartbeat + kSendMargin ||
@@ -481,8 +505,7 @@
     }
     auto now = BootClock::now();
     auto refused = this->queue.Expire(now);
-    bool stopped =
-      !this->serving.available || now + kSendMargin > this->SendUntil();
+    bool stopped = !this->serving.available || now > this->SendUntil();
     if (stopped) {
       auto waiting = this->queue.RefuseAll(
         now, this->serving.available ? "draining" : "server-down");
@@ -550,7 +573,7 @@
   notice.server = this->serving.server;
   notice.requestLimit = this->queue.Limit().PerSecond();
   if (this->IsServerLeaving()) {
-    auto since = this->SendUntil() - this->serving.drainTime;
+    auto since = this->DrainEnd() - this->serving.drainTime;
     notice.leavingFor = std::max(BootClock::now() - since, Duration(0));
   }
   if (notice.requestLimit || notice.leavingFor) {
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -34,6 +35,10 @@
   /** Whether the peer may begin to process a request before it has all of it.
    */
   bool mayProcessPart = false;
+  /** Called when the connection is open, immediately before the request is
+   * written, which may be long after the start of the call. May still change
+   * the headers. If it returns false, the request is not sent. */
+  std::function<bool(HttpRequest&)> beforeSend;
 };
 
 /**
@@ -107,6 +112,7 @@
   Time startedAt;
   CallStage stage = CallStage::NotSent;
   bool requestWritten = false;
+  bool withdrawn = false; ///< The request may no longer be sent.
   size_t skippedBytes = 0; ///< Of the bodies of responses to other requests.
   bool streaming = false;  ///< The response is passed on in chunks.
   bool ended = false;
