Do not blame a daemon for a response that its server breaks off

Callers were refused (503, owner-unreachable) for up to 1.6 s at a time though the owner of their keys was alive: one response in eight that a server broke off made daemons treat each other, and a daemon treat itself, as unreachable. An idempotent request whose response broke off before the client had a byte of it was not sent again, or its connection was closed.

Cause: Execution::OnFailure passed a response that broke off on as a failure also if nothing of it had been passed on. PacedResponse then closed the connection of the asking daemon, which saw a connection that ends without a report and booked it to the daemon (IngressRequest::OnFailure, PeerTable::OnFailure); so did the ingress with its own executor. And a response counted as started once its headers were known, although they are written with the first chunk.

- The daemon beside the server responds with 502 and a report (failed, answer-broken-off) as long as nothing is passed on, and keeps the connection (ExecutionReceiver::HasPassedOn).
Headers wait for the first chunk, in PacedResponse for the link too, in IngressRequest for the client.
- The ingress sends such a request again if it is idempotent, within the route's attempts and the retry budget, as after each other unknown outcome.
- In the middle of a response the daemon can only close the connection.
The asking daemon blames it for a refused connection and for its own word that it stops.
A connection that fails in another way counts only if no response had begun, and if no report has arrived since the request was sent (PeerTable::OnUnanswered).

Why that holds: a process that has ended refuses the next connection at once. A lost machine brings no further reports, so connections that fail in time (250 ms) and data that is not acknowledged (1 s) count. A single connection that falls silent or is reset does not, while others bring reports. A frozen daemon is not detected in this way, as before: its requests end at their own time limits. Telling a close from a reset was ruled out (a killed process leaves either), and so was a trailer (responses of known length have none).

The new case of uplinktest uses a function that did not exist before.

--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -53,6 +53,9 @@
 /** Reason of a report whose sender stops and accepts no more requests. */
 constexpr const char* kStoppingReason = "stopping";
 
+/** Reason of a report of a request whose response the server broke off. */
+constexpr const char* kBrokenOffReason = "answer-broken-off";
+
 /** Reason of a report of a request that must not run, since servers ended under
  * it. */
 constexpr const char* kBlockedReason = "blocked";
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -25,7 +25,7 @@
                      uint64_t aId,
                      HttpRequest aRequest,
                      const Dispatch& aDispatch,
-                     std::shared_ptr<ResponseReceiver> aReceiver)
+                     std::shared_ptr<ExecutionReceiver> aReceiver)
   : requestId(aRequest[headers::kRequestId])
   , fingerprint(
       FingerprintOf(aRequest, std::string(aRequest[headers::kCallerService])))
@@ -91,7 +91,7 @@
   return inTime ? SlotUse::InTime : SlotUse::Late;
 }
 
-std::shared_ptr<ResponseReceiver>
+std::shared_ptr<ExecutionReceiver>
 Execution::Finish(SlotUse aUse)
 {
   auto responseReceiver = std::move(this->receiver);
@@ -148,7 +148,6 @@
 Execution::RespondWithFailure(const std::string& aReason,
                               ExecutionOutcome aOutcome)
 {
-  this->LogOutcome(ToString(aOutcome), aReason);
   auto self = this->shared_from_this();
   auto retryAfter = aReason == "server-unreachable"
                       ? kServerUnreachableRetryAfter
@@ -205,8 +204,9 @@
   bool notRun =
     status == 421 || aResponse.find(headers::kNotExecuted) != aResponse.end();
   if (notRun) {
-    this->RespondWithFailure("server-refused-" + std::to_string(status),
-                             ExecutionOutcome::Refused);
+    auto reason = "server-refused-" + std::to_string(status);
+    this->LogOutcome("refused", reason);
+    this->RespondWithFailure(reason, ExecutionOutcome::Refused);
     return;
   }
   this->executor.OnAnswered(
@@ -257,18 +257,23 @@
   }
   switch (aFailure.stage) {
     case CallStage::NotSent:
+      this->LogOutcome("refused", "server-unreachable");
       this->RespondWithFailure("server-unreachable", ExecutionOutcome::Refused);
       break;
     case CallStage::Sent:
+      this->LogOutcome("failed", "answer-lost");
       this->RespondWithFailure("answer-lost", ExecutionOutcome::Failed);
       break;
-    case CallStage::ResponseStarted: {
+    case CallStage::ResponseStarted:
       this->LogOutcome("failed",
                        "answer broke off: " + ToString(aFailure.error));
-      auto self = this->shared_from_this();
-      this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
+      if (this->receiver->HasPassedOn()) {
+        auto self = this->shared_from_this();
+        this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
+      } else {
+        this->RespondWithFailure(kBrokenOffReason, ExecutionOutcome::Failed);
+      }
       break;
-    }
   }
 }
 
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -20,7 +20,7 @@
             uint64_t aId,
             HttpRequest aRequest,
             const Dispatch& aDispatch,
-            std::shared_ptr<ResponseReceiver> aReceiver);
+            std::shared_ptr<ExecutionReceiver> aReceiver);
 
   void Cancel() override;
 
@@ -53,11 +53,11 @@
    * @param aUse What the time in the slot was good for. A success counts as a
    * service time of the class.
    * @return The receiver, which gets nothing further from this execution. */
-  std::shared_ptr<ResponseReceiver> Finish(SlotUse aUse);
+  std::shared_ptr<ExecutionReceiver> Finish(SlotUse aUse);
   /** Use of the slot by a response of the server that ends now. */
   SlotUse UseByResponse(unsigned aStatus) const;
-  /** Responds that the backend server refused the request, could not be reached
-   * or did not respond. */
+  /** Responds that the backend server refused the request, could not be
+   * reached, or did not respond completely. */
   void RespondWithFailure(const std::string& aReason,
                           ExecutionOutcome aOutcome);
   /** Passes what the server states about itself in the headers of a response to
@@ -70,7 +70,7 @@
   Executor& executor;
   uint64_t id;
   HttpRequest request;
-  std::shared_ptr<ResponseReceiver> receiver;
+  std::shared_ptr<ExecutionReceiver> receiver;
   std::shared_ptr<UpstreamCall> call;
   Time startedAt;
   ServerIncarnation server; ///< Server that the request was sent to.
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -367,7 +367,7 @@
 std::shared_ptr<Cancellable>
 Executor::Start(HttpRequest aRequest,
                 const Dispatch& aDispatch,
-                std::shared_ptr<ResponseReceiver> aReceiver,
+                std::shared_ptr<ExecutionReceiver> aReceiver,
                 const std::optional<LinkEstimate>& aLink)
 {
   auto now = BootClock::now();
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -9,6 +9,7 @@
 #include "cluster/cluster.h"
 #include "fescuetillerd/dispatch.h"
 #include "fescuetillerd/eventlog.h"
+#include "fescuetillerd/executionreceiver.h"
 #include "http/http.h"
 
 namespace fescuetiller {
@@ -66,7 +67,7 @@
   std::shared_ptr<Cancellable> Start(
     HttpRequest aRequest,
     const Dispatch& aDispatch,
-    std::shared_ptr<ResponseReceiver> aReceiver,
+    std::shared_ptr<ExecutionReceiver> aReceiver,
     const std::optional<LinkEstimate>& aLink = std::nullopt);
 
   /** Whether a request with this id holds a slot of the backend server. */
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -345,6 +345,7 @@
   }
   this->remoteCall.reset();
   this->localExecution.reset();
+  this->headers.reset();
 }
 
 std::optional<ExecutionReport>
@@ -411,7 +412,22 @@
   this->ExtractReport(aHeaders.message);
   RemoveHopByHopFields(aHeaders.message);
   this->AnnotateResponse(aHeaders.message, "answered");
-  this->exchange->StartResponse(std::move(aHeaders));
+  this->headers = std::move(aHeaders);
+}
+
+void
+IngressRequest::StartResponse()
+{
+  if (this->headers) {
+    this->exchange->StartResponse(std::move(*this->headers));
+    this->headers.reset();
+  }
+}
+
+bool
+IngressRequest::HasPassedOn() const
+{
+  return this->exchange->HasStartedResponse();
 }
 
 void
@@ -427,12 +443,14 @@
 IngressRequest::OnBodyChunk(asio::const_buffer aChunk,
                             std::function<void()> aNext)
 {
+  this->StartResponse();
   this->exchange->WriteChunk(aChunk, std::move(aNext));
 }
 
 void
 IngressRequest::OnBodyEnd()
 {
+  this->StartResponse();
   this->EndAttempt();
   this->ended = true;
   this->RecordOutcome("answered", "streamed");
@@ -443,8 +461,11 @@
 void
 IngressRequest::OnFailure(const CallFailure& aFailure)
 {
+  if (this->remoteCall != nullptr) {
+    this->RecordPeerFailure(aFailure);
+  }
   this->EndAttempt();
-  if (this->exchange->HasStartedResponse()) {
+  if (this->HasPassedOn()) {
     this->ended = true;
     this->ExpectRetry();
     this->RecordOutcome("failed",
@@ -452,15 +473,26 @@
     this->exchange->Abort();
     return;
   }
-  bool outOfTime = this->TimeLeft() < kMinTimeLeft;
-  if (!outOfTime) {
-    this->ingress.peers.OnFailure(BootClock::now(), this->currentMember);
-  }
   auto attempt = FailedAttempt::NotSent("peer-" + aFailure.error.operation);
   attempt.mayHaveRun = aFailure.stage != CallStage::NotSent;
   this->OnAttemptFailed(attempt);
 }
 
+void
+IngressRequest::RecordPeerFailure(const CallFailure& aFailure)
+{
+  if (aFailure.stage == CallStage::ResponseStarted) {
+    // The daemon was alive. If it has ended since, the next connection tells.
+    return;
+  }
+  auto now = BootClock::now();
+  if (aFailure.connectionRefused) {
+    this->ingress.peers.OnFailure(now, this->currentMember);
+  } else if (this->TimeLeft() >= kMinTimeLeft) {
+    this->ingress.peers.OnUnanswered(now, this->currentMember, this->sentAt);
+  }
+}
+
 void
 IngressRequest::OnAttemptFailed(const FailedAttempt& aAttempt)
 {
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -12,7 +12,7 @@
 /** One client's request: finds its route, sends it to a member, retries failed
  * attempts, and responds to the client. */
 class IngressRequest
-  : public ResponseReceiver
+  : public ExecutionReceiver
   , public std::enable_shared_from_this<IngressRequest>
 {
 public:
@@ -27,6 +27,7 @@
                    std::function<void()> aNext) override;
   void OnBodyEnd() override;
   void OnFailure(const CallFailure& aFailure) override;
+  bool HasPassedOn() const override;
 
 private:
   /** An attempt that brought no response of a backend server. */
@@ -70,6 +71,11 @@
   bool RetryWithinBudget(const FailedAttempt& aAttempt);
   void SendAfter(Duration aDelay);
   void EndAttempt();
+  /** Sends the headers of a response with the next part of its body or its end.
+   */
+  void StartResponse();
+  /** Records what the failure of a call says about the other daemon. */
+  void RecordPeerFailure(const CallFailure& aFailure);
   void OnClientDisconnected();
   /** Responds that the request was refused or that its outcome is unknown. */
   void GiveUp(const FailedAttempt& aAttempt);
@@ -103,6 +109,7 @@
   std::string currentMember;  ///< Member of the last attempt.
   std::string currentAddress; ///< Of that member, if it is another one.
   Time sentAt;                ///< Start of the last attempt.
+  std::optional<ResponseHeaders> headers; ///< Not sent to the client yet.
   std::set<std::string> triedMembers;
   std::shared_ptr<UpstreamCall> remoteCall;    ///< Attempt at another daemon.
   std::shared_ptr<Cancellable> localExecution; ///< Attempt at this daemon.
--- a/src/fescuetillerd/pacedresponse.cpp
+++ b/src/fescuetillerd/pacedresponse.cpp
@@ -23,6 +23,9 @@
 {
   RemoveHopByHopFields(aResponse);
   this->exchange->onClientDisconnect = nullptr;
+  if (this->headers) {
+    this->Cancel(); // This response takes the place of the one that began.
+  }
   this->uplink.load.OnSent(this->id, aResponse.body().size());
   constexpr unsigned kFirstRedirect = 300;
   this->uplink.load.OnEnded(this->id, aResponse.result_int() < kFirstRedirect);
@@ -34,7 +37,7 @@
 {
   RemoveHopByHopFields(aHeaders.message);
   this->uplink.load.OnStarted(this->id, aHeaders.contentLength);
-  this->exchange->StartResponse(std::move(aHeaders));
+  this->headers = std::move(aHeaders);
   this->uplink.OnStarted(this->shared_from_this());
 }
 
@@ -69,6 +72,12 @@
   this->exchange->Abort();
 }
 
+bool
+PacedResponse::HasPassedOn() const
+{
+  return this->exchange->HasStartedResponse();
+}
+
 void
 PacedResponse::Cancel()
 {
@@ -109,9 +118,19 @@
   return this->uplink.load.MaySendAtOnce(this->id, this->chunks.front().size());
 }
 
+void
+PacedResponse::StartResponse()
+{
+  if (this->headers) {
+    this->exchange->StartResponse(std::move(*this->headers));
+    this->headers.reset();
+  }
+}
+
 void
 PacedResponse::SendChunk()
 {
+  this->StartResponse();
   this->writing = true;
   this->exchange->WriteChunk(asio::buffer(this->chunks.front()),
                              [self = this->shared_from_this()] {
@@ -137,6 +156,7 @@
   this->over = true;
   this->uplink.load.OnEnded(this->id, true);
   this->exchange->onClientDisconnect = nullptr;
+  this->StartResponse();
   this->exchange->EndResponse();
 }
 
--- a/src/fescuetillerd/pacedresponse.h
+++ b/src/fescuetillerd/pacedresponse.h
@@ -3,8 +3,10 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "fescuetillerd/executionreceiver.h"
 #include "fescuetillerd/uplink.h"
 
 namespace fescuetiller {
@@ -13,11 +15,12 @@
  * Forwards the response of a call to the exchange with another daemon. A short
  * response is sent at once, also if the server does not state that it is short.
  * A long one is read from the server as fast as that sends it, which frees its
- * slot, and waits for its turn on the network link. If it ends prematurely, the
- * exchange's connection is closed.
+ * slot, and waits for its turn on the network link. If it ends prematurely,
+ * another response takes its place as long as nothing of it was sent; after
+ * that, the exchange's connection is closed.
  */
 class PacedResponse
-  : public ResponseReceiver
+  : public ExecutionReceiver
   , public std::enable_shared_from_this<PacedResponse>
 {
 public:
@@ -35,6 +38,7 @@
                    std::function<void()> aNext) override;
   void OnBodyEnd() override;
   void OnFailure(const CallFailure& aFailure) override;
+  bool HasPassedOn() const override;
 
 private:
   friend class Uplink;
@@ -46,6 +50,8 @@
   bool IsOver() const;
   /** Whether the next part of the body need not wait for the link. */
   bool MaySendAtOnce() const;
+  /** Sends the headers with the next part of the body or its end. */
+  void StartResponse();
   void SendChunk();
   void End();
 
@@ -54,6 +60,7 @@
   std::string requestId;
   uint64_t id;
   Time deadline; ///< When the other daemon stops waiting for it.
+  std::optional<ResponseHeaders> headers; ///< Not sent yet.
   std::deque<std::string> chunks; ///< Read from the server, not sent yet.
   std::function<void()> next;     ///< Requests the next chunk.
   bool writing = false;           ///< The first chunk is being written.
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -109,6 +109,14 @@
   peer.avoidUntil = aNow + kFirstPause * (1 << doublings);
 }
 
+void
+PeerTable::OnUnanswered(Time aNow, const std::string& aMember, Time aSentAt)
+{
+  if (this->peers[aMember].reportedAt <= aSentAt) {
+    this->OnFailure(aNow, aMember);
+  }
+}
+
 bool
 PeerTable::AllowRequest(Time aNow, const std::string& aMember)
 {
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -66,9 +66,17 @@
                           const std::string& aClass,
                           Duration aWaited);
 
-  /** Records that the peer was unreachable or broke off a response. */
+  /** Records that the peer certainly runs no requests: no process listens at
+   * its address, or it said that it stops. */
   void OnFailure(Time aNow, const std::string& aMember);
 
+  /** Records that the connection of a request failed before its response was
+   * complete. Counts as a failure of the peer unless it has reported since the
+   * request was sent: then it was alive, and its server broke off the response
+   * or the fault concerns a single connection. If the peer has ended since, the
+   * next connection tells. */
+  void OnUnanswered(Time aNow, const std::string& aMember, Time aSentAt);
+
   /** Whether a request may be sent to the peer. After a failure, requests are
    * rejected for a pause; then one request at a time is allowed as a probe
    * until the peer responds. The caller must send the request that is allowed.
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1,3 +1,6 @@
+#include <array>
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "fescuetillerd/requestfingerprint.h"
@@ -19,8 +22,24 @@
   Refuse,     ///< Responds 503 and that the request did not run.
   Disconnect, ///< Closes the connection after it has read the request.
   Hang,       ///< Never responds.
+  /** Breaks off a short response inside its body. */
+  BreakOffShort,
+  /** Breaks off a long response before its first chunk is complete. */
+  BreakOffLongEarly,
+  /** Breaks off a long response after several chunks. */
+  BreakOffLong,
+};
+
+/** Responses that break off before anything of them is passed on. */
+constexpr std::array<std::pair<ServerAction, const char*>, 2> kBrokenOffEarly{
+  { { ServerAction::BreakOffShort, "a short response" },
+    { ServerAction::BreakOffLongEarly, "a long response" } }
 };
 
+constexpr size_t kShortBytes = 100;
+/** Of a response that is passed on in chunks. */
+constexpr size_t kLongBytes = 200 * 1024;
+
 /** One daemon with a simulated backend server, all in one context. */
 struct RequestPathFixture
 {
@@ -45,7 +64,7 @@
                       this->Serve(std::move(aExchange));
                     } };
   std::unique_ptr<TrafficNode> node;
-  ConnectionPool pool{ context };
+  ConnectionPool pool{ context }; ///< Of the clients and the other daemon.
   ServingState serving;
   std::shared_ptr<Configuration> configuration =
     std::make_shared<Configuration>();
@@ -152,6 +171,14 @@
 
   /** Sends a request as the daemon of another member. */
   HttpResponse PostAsDaemon(const std::string& aNotice)
+  {
+    auto response = this->TryPostAsDaemon(aNotice);
+    REQUIRE(response);
+    return *response;
+  }
+
+  /** @return An error if the connection ends before the response does. */
+  Result<HttpResponse> TryPostAsDaemon(const std::string& aNotice = "")
   {
     Dispatch dispatch;
     dispatch.service = "agenda";
@@ -165,7 +192,7 @@
     if (!aNotice.empty()) {
       request.set(kServerNoticeField, aNotice);
     }
-    return this->Send(this->peerAddress, std::move(request));
+    return this->TrySend(this->peerAddress, std::move(request));
   }
 
   /** Sends a request to the router's own interface. */
@@ -176,8 +203,28 @@
     return this->Send(this->callerAddress, std::move(request));
   }
 
+  /** Sends a request as a client.
+   * @return An error if the connection ends before the response does. */
+  Result<HttpResponse> TryPost(const std::string& aPath)
+  {
+    HttpRequest request(http::verb::post, aPath, 11);
+    request.set(http::field::host, "a.example");
+    request.set(headers::kRequestId, "r1");
+    request.set(headers::kTimeLeft, "500");
+    request.set(headers::kKey, "7");
+    return this->TrySend(this->clientAddress, std::move(request));
+  }
+
 private:
   HttpResponse Send(const Tcp::endpoint& aAddress, HttpRequest aRequest)
+  {
+    auto response = this->TrySend(aAddress, std::move(aRequest));
+    REQUIRE(response);
+    return *response;
+  }
+
+  Result<HttpResponse> TrySend(const Tcp::endpoint& aAddress,
+                               HttpRequest aRequest)
   {
     aRequest.prepare_payload();
     std::optional<Result<HttpResponse>> response;
@@ -192,8 +239,7 @@
       this->context.run_for(milliseconds(2));
     }
     REQUIRE(response);
-    REQUIRE(*response);
-    return **response;
+    return *response;
   }
 
   void Serve(std::shared_ptr<Exchange> aExchange)
@@ -234,8 +280,37 @@
         aExchange->onClientDisconnect = [this] { this->requestAborted = true; };
         this->pendingExchanges.push_back(std::move(aExchange));
         break;
+      case ServerAction::BreakOffShort:
+        this->BreakOff(aExchange, kShortBytes, kShortBytes / 2);
+        break;
+      case ServerAction::BreakOffLongEarly:
+        this->BreakOff(aExchange, kLongBytes, kShortBytes);
+        break;
+      case ServerAction::BreakOffLong:
+        this->BreakOff(aExchange, kLongBytes, kLongBytes / 2);
+        break;
     }
   }
+
+  /** Sends the headers and a part of the body, then closes the connection.
+   * @param aLength Length of the body by the headers. */
+  void BreakOff(const std::shared_ptr<Exchange>& aExchange,
+                size_t aLength,
+                size_t aSentBytes)
+  {
+    ResponseHeaders headers;
+    headers.message.result(200);
+    headers.message.set(headers::kRequestId,
+                        aExchange->request[headers::kRequestId]);
+    for (const auto& [name, value] : this->daemonFields) {
+      headers.message.set(name, value);
+    }
+    headers.contentLength = aLength;
+    aExchange->StartResponse(std::move(headers));
+    auto part = std::make_shared<std::string>(aSentBytes, 'x');
+    aExchange->WriteChunk(asio::buffer(*part),
+                          [part, aExchange] { aExchange->Abort(); });
+  }
 };
 
 /** A client whose first attempt was refused by the daemon of another member,
@@ -456,6 +531,239 @@
   }
 }
 
+// Guards against daemons that treat each other as unreachable since the servers
+// beside them break off responses.
+SCENARIO("A daemon whose server breaks off a response says so while it can",
+         "[path][brokenoff]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+
+  for (const auto& [action, name] : kBrokenOffEarly) {
+    GIVEN(std::string("nothing is passed on yet of ") + name)
+    {
+      fixture.serverActions = { action };
+      auto response = fixture.TryPostAsDaemon();
+      THEN("the other daemon is told that the request may have run")
+      {
+        REQUIRE(response);
+        CHECK(response->result_int() == 502);
+        auto report = DecodeExecutionReport(
+          std::string((*response)[kExecutionReportField]));
+        REQUIRE(report);
+        CHECK(report->outcome == ExecutionOutcome::Failed);
+        CHECK(report->reason == "answer-broken-off");
+        CHECK(report->reachedServer);
+      }
+      THEN("the connection is kept")
+      {
+        CHECK(fixture.TryPostAsDaemon());
+        CHECK(fixture.pool.opened == 1);
+      }
+    }
+  }
+  GIVEN("a long response of which a part is passed on")
+  {
+    fixture.serverActions = { ServerAction::BreakOffLong };
+    THEN("the other daemon sees that it is incomplete")
+    {
+      CHECK_FALSE(fixture.TryPostAsDaemon());
+      CHECK(fixture.TryPostAsDaemon());
+      CHECK(fixture.pool.opened == 2);
+    }
+  }
+}
+
+SCENARIO(
+  "A response that the daemon's own server breaks off is requested again "
+  "if the request is idempotent",
+  "[path][brokenoff]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+
+  for (const auto& [action, name] : kBrokenOffEarly) {
+    GIVEN(std::string("the client has nothing yet of ") + name)
+    {
+      fixture.serverActions = { action };
+      THEN("an idempotent request is tried again")
+      {
+        auto response = fixture.TryPost("/look/1");
+        REQUIRE(response);
+        CHECK(response->result_int() == 200);
+        CHECK(fixture.serverRequests.size() == 2);
+      }
+      THEN("another one is not, and its client is told that it may have run")
+      {
+        auto response = fixture.TryPost("/book/1");
+        REQUIRE(response);
+        CHECK(response->result_int() == 502);
+        CHECK(fixture.serverRequests.size() == 1);
+      }
+      THEN("later requests are sent to the server")
+      {
+        static_cast<void>(fixture.TryPost("/book/1"));
+        CHECK(fixture.Post("/book/2").result_int() == 200);
+      }
+    }
+  }
+  GIVEN("each response breaks off")
+  {
+    fixture.serverActions.assign(9, ServerAction::BreakOffShort);
+    THEN("there are no more attempts than the route allows")
+    {
+      auto response = fixture.TryPost("/look/1");
+      REQUIRE(response);
+      CHECK(response->result_int() == 502);
+      CHECK(fixture.serverRequests.size() ==
+            fixture.configuration->routes["look"].attempts);
+    }
+  }
+  GIVEN("a response of which the client has a part")
+  {
+    fixture.serverActions = { ServerAction::BreakOffLong };
+    THEN("it is not tried again, and the client sees that it is incomplete")
+    {
+      CHECK_FALSE(fixture.TryPost("/look/1"));
+      CHECK(fixture.serverRequests.size() == 1);
+    }
+  }
+}
+
+SCENARIO("A daemon that breaks off a response is blamed only if it is gone",
+         "[path][brokenoff]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure("other");
+  auto report = Encode(ExecutionReport());
+  fixture.daemonFields = { { kExecutionReportField, report } };
+
+  GIVEN("a response that breaks off behind a report")
+  {
+    for (const auto& [action, name] : kBrokenOffEarly) {
+      WHEN(std::string("the client has nothing yet of ") + name)
+      {
+        fixture.serverActions = { action };
+        THEN("an idempotent request is sent to the same daemon again")
+        {
+          auto response = fixture.TryPost("/look/1");
+          REQUIRE(response);
+          CHECK(response->result_int() == 200);
+          CHECK(fixture.serverRequests.size() == 2);
+        }
+        THEN("later requests are sent to it")
+        {
+          auto response = fixture.TryPost("/book/1");
+          REQUIRE(response);
+          CHECK(response->result_int() == 502);
+          CHECK(fixture.Post("/book/2").result_int() == 200);
+        }
+      }
+    }
+    WHEN("the client has a part of it")
+    {
+      fixture.serverActions = { ServerAction::BreakOffLong };
+      CHECK_FALSE(fixture.TryPost("/look/1"));
+      THEN("later requests are sent to the daemon")
+      {
+        CHECK(fixture.Post("/book/2").result_int() == 200);
+      }
+    }
+  }
+  GIVEN("a connection that is closed without a report")
+  {
+    fixture.serverActions = { ServerAction::Disconnect };
+    CHECK(fixture.Post("/book/1").result_int() == 502);
+    THEN("no requests are sent to the daemon for a moment")
+    {
+      CHECK(fixture.Post("/book/2").result_int() == 503);
+      CHECK(fixture.serverRequests.size() == 1);
+    }
+  }
+}
+
+SCENARIO("A request without a key goes elsewhere if a server breaks off its "
+         "response",
+         "[path][brokenoff]")
+{
+  RequestPathFixture fixture;
+  fixture.configuration->services["agenda"].ownsKeys = false;
+  fixture.serving.ownsKeys = false;
+  fixture.daemonFields = { { kExecutionReportField,
+                             Encode(ExecutionReport()) } };
+  fixture.Configure();
+  fixture.serverActions = { ServerAction::BreakOffShort };
+
+  GIVEN("an idempotent request")
+  {
+    auto response = fixture.TryPost("/look/1");
+    THEN("another member gets it")
+    {
+      REQUIRE(response);
+      CHECK(response->result_int() == 200);
+      REQUIRE(fixture.serverRequests.size() == 2);
+      CHECK(fixture.serverRequests[0][kDispatchField].empty());
+      CHECK_FALSE(fixture.serverRequests[1][kDispatchField].empty());
+    }
+  }
+  GIVEN("another request")
+  {
+    auto response = fixture.TryPost("/book/1");
+    THEN("no other member gets it")
+    {
+      REQUIRE(response);
+      CHECK(response->result_int() == 502);
+      CHECK(fixture.serverRequests.size() == 1);
+    }
+  }
+}
+
+SCENARIO("Few requests are refused while servers break off a quarter of their "
+         "responses",
+         "[path][brokenoff]")
+{
+  RequestPathFixture fixture;
+  fixture.daemonFields = { { kExecutionReportField,
+                             Encode(ExecutionReport()) } };
+  constexpr int kRequests = 200; ///< Of each kind.
+  std::minstd_rand random(1);
+  for (int count = 0; count < 4 * kRequests; ++count) {
+    auto kind = random() % 8;
+    fixture.serverActions.push_back(kind == 0 ? ServerAction::BreakOffShort
+                                    : kind == 1
+                                      ? ServerAction::BreakOffLongEarly
+                                      : ServerAction::Respond);
+  }
+
+  for (const auto* owner : { "me", "other" }) {
+    GIVEN(std::string("the owner ") + owner)
+    {
+      fixture.Configure(owner);
+      std::map<std::string, std::map<unsigned, int>> statuses;
+      for (int count = 0; count < kRequests; ++count) {
+        for (const auto* path : { "/look/1", "/book/1" }) {
+          auto response = fixture.TryPost(path);
+          ++statuses[path][response ? response->result_int() : 0];
+        }
+      }
+      THEN("at most 2% are refused, and most lookups are answered")
+      {
+        CHECK(statuses["/look/1"][503] + statuses["/book/1"][503] <=
+              2 * kRequests / 50);
+        CHECK(statuses["/look/1"][200] >= kRequests * 9 / 10);
+        CHECK(statuses["/book/1"][200] >= kRequests * 6 / 10);
+      }
+      THEN("no connection breaks off, and retries stay within the budget")
+      {
+        CHECK(statuses["/look/1"][0] + statuses["/book/1"][0] == 0);
+        constexpr double kRetryRatio = 0.9;
+        CHECK(fixture.serverRequests.size() <=
+              static_cast<size_t>(2 * kRequests * (1 + kRetryRatio)));
+      }
+    }
+  }
+}
+
 // Guards against requests that wait for all those that their client sent before
 // over the same connection.
 SCENARIO("Lookups that a client sends before the first response run together",
--- a/tests/daemon/uplinktest.cpp
+++ b/tests/daemon/uplinktest.cpp
@@ -326,6 +326,32 @@
       CHECK_FALSE(UplinkFixture::HasDownload(*fixture.receivers.front()));
     }
   }
+  GIVEN("a download that breaks off while it waits for the link")
+  {
+    fixture.Download();
+    fixture.Download();
+    auto response = fixture.Begin();
+    fixture.SendChunk(*response, 'a');
+    REQUIRE_FALSE(response->HasPassedOn());
+    response->OnCompleteResponse(TextResponse(502, "in its place"));
+    fixture.context.restart();
+    fixture.context.poll();
+    auto receiver = std::move(fixture.receivers.back());
+    fixture.receivers.pop_back();
+    THEN("another response takes its place, and the connection is kept")
+    {
+      CHECK(receiver->Receives("in its place"));
+      CHECK(receiver->received.substr(0, 12) == "HTTP/1.1 502");
+      CHECK_FALSE(receiver->closed);
+    }
+    THEN("the downloads before it arrive whole")
+    {
+      fixture.ReadAll();
+      for (const auto& waiting : fixture.receivers) {
+        CHECK(UplinkFixture::HasDownload(*waiting));
+      }
+    }
+  }
   // Guards against a response that stays incomplete until its deadline: it
   // waited for memory, which other responses freed after its last part was
   // sent.
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -145,6 +145,101 @@
   }
 }
 
+// Guards against daemons that treat each other as unreachable since the servers
+// beside them break off responses.
+SCENARIO("A daemon is blamed for a request that got no response only if it has "
+         "not reported since",
+         "[peers]")
+{
+  PeerTable peers;
+  auto sentAt = kStart;
+  auto failedAt = kStart + milliseconds(100);
+  auto report = [&peers](Time aNow) {
+    peers.OnReport(aNow, "a", kClass, 0.5, milliseconds(50), {});
+  };
+  auto isBlamed = [&](Time aNow) { return !peers.AllowRequest(aNow, "a"); };
+  report(kStart - milliseconds(1));
+
+  GIVEN("a response that breaks off behind the daemon's report")
+  {
+    report(failedAt - milliseconds(1));
+    peers.OnUnanswered(failedAt, "a", sentAt);
+    THEN("requests are sent to the daemon as before, and not one at a time")
+    {
+      CHECK_FALSE(isBlamed(failedAt));
+      CHECK_FALSE(isBlamed(failedAt));
+    }
+  }
+  GIVEN("a connection that falls silent while others get responses")
+  {
+    report(sentAt + milliseconds(1));
+    peers.OnUnanswered(sentAt + seconds(1), "a", sentAt);
+    THEN("the daemon is not blamed")
+    {
+      CHECK_FALSE(isBlamed(sentAt + seconds(1)));
+    }
+  }
+  GIVEN("a machine that is lost with many requests on their way")
+  {
+    for (int count = 0; count < 5; ++count) {
+      peers.OnUnanswered(
+        failedAt + milliseconds(count), "a", sentAt + milliseconds(10 * count));
+    }
+    THEN("the daemon is blamed")
+    {
+      CHECK(isBlamed(failedAt + milliseconds(5)));
+    }
+  }
+  GIVEN("a daemon that ends after its last report")
+  {
+    report(failedAt - milliseconds(1));
+    peers.OnUnanswered(failedAt, "a", sentAt);
+    WHEN("the next connection to it is refused")
+    {
+      peers.OnFailure(failedAt + milliseconds(1), "a");
+      THEN("it is blamed")
+      {
+        CHECK(isBlamed(failedAt + milliseconds(2)));
+      }
+    }
+  }
+  GIVEN("a daemon that was blamed, and whose server breaks off the response to "
+        "the probe")
+  {
+    peers.OnUnanswered(failedAt, "a", sentAt);
+    auto probedAt = failedAt + milliseconds(250);
+    REQUIRE_FALSE(isBlamed(probedAt));
+    report(probedAt + milliseconds(1));
+    peers.OnUnanswered(probedAt + milliseconds(2), "a", probedAt);
+    THEN("requests are sent to it without a limit again")
+    {
+      CHECK_FALSE(isBlamed(probedAt + milliseconds(3)));
+      CHECK_FALSE(isBlamed(probedAt + milliseconds(3)));
+    }
+  }
+  GIVEN("a server that breaks off a quarter of its responses")
+  {
+    constexpr int kRequests = 1000;
+    constexpr int kBrokenOffEach = 4;
+    int refused = 0;
+    for (int count = 0; count < kRequests; ++count) {
+      auto now = kStart + milliseconds(10 * count);
+      if (isBlamed(now)) {
+        ++refused;
+        continue;
+      }
+      report(now + milliseconds(4));
+      if (count % kBrokenOffEach == 0) {
+        peers.OnUnanswered(now + milliseconds(5), "a", now);
+      }
+    }
+    THEN("no request is refused")
+    {
+      CHECK(refused == 0);
+    }
+  }
+}
+
 SCENARIO("The daemon with the shortest expected time is picked", "[peers]")
 {
   PeerTable peers;
