Do not pass on a long response that is not a daemon's

A client could get a long response of whatever listens at the address of a member, with a success status, as if a backend server had made it. Found by reading: OnHeaders did not check that the response had an execution report, as OnCompleteResponse does.

Now the call is cancelled and the outcome is unknown (reason no-note), as for short responses. Nobody is blamed: the daemon of that member said nothing.

Seen failing before: requestpathtest.cpp "A response without a report is not passed on", a long response: REQUIRE( response ) with expansion: {?}

--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -348,6 +348,18 @@
   this->headers.reset();
 }
 
+void
+IngressRequest::CancelAttempt()
+{
+  if (this->remoteCall != nullptr) {
+    this->remoteCall->Cancel();
+  }
+  if (this->localExecution != nullptr) {
+    this->localExecution->Cancel();
+  }
+  this->EndAttempt();
+}
+
 std::optional<ExecutionReport>
 IngressRequest::ExtractReport(http::fields& aFields)
 {
@@ -409,7 +421,13 @@
 void
 IngressRequest::OnHeaders(ResponseHeaders aHeaders)
 {
-  this->ExtractReport(aHeaders.message);
+  if (!this->ExtractReport(aHeaders.message)) {
+    // Not from a daemon's request path, so the outcome is unknown.
+    auto self = this->shared_from_this(); // The call keeps it until its end.
+    this->CancelAttempt();
+    this->OnAttemptFailed(FailedAttempt::OutcomeUnknown("no-note"));
+    return;
+  }
   RemoveHopByHopFields(aHeaders.message);
   this->AnnotateResponse(aHeaders.message, "answered");
   this->headers = std::move(aHeaders);
@@ -582,12 +600,8 @@
                                            this->currentMember,
                                            this->dispatch.requestClass,
                                            now - this->sentAt);
-    this->remoteCall->Cancel();
   }
-  if (this->localExecution != nullptr) {
-    this->localExecution->Cancel();
-  }
-  this->EndAttempt();
+  this->CancelAttempt();
   this->ExpectRetry();
   this->RecordOutcome("cancelled", "client left");
 }
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -71,6 +71,8 @@
   bool RetryWithinBudget(const FailedAttempt& aAttempt);
   void SendAfter(Duration aDelay);
   void EndAttempt();
+  /** Ends the attempt and closes its connection. */
+  void CancelAttempt();
   /** Sends the headers of a response with the next part of its body or its end.
    */
   void StartResponse();
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -764,6 +764,28 @@
   }
 }
 
+// Whatever listens at the address of a member may be no daemon.
+SCENARIO("A response without a report is not passed on", "[path][brokenoff]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure("other");
+
+  for (const auto& [action, name] :
+       { std::pair(ServerAction::Respond, "a short response"),
+         std::pair(ServerAction::BreakOffLong, "a long response") }) {
+    GIVEN(name)
+    {
+      fixture.serverActions = { action };
+      THEN("the client is told that the request may have run")
+      {
+        auto response = fixture.TryPost("/book/1");
+        REQUIRE(response);
+        CHECK(response->result_int() == 502);
+      }
+    }
+  }
+}
+
 // Guards against requests that wait for all those that their client sent before
 // over the same connection.
 SCENARIO("Lookups that a client sends before the first response run together",
