Take every response of a server as a sign that it lives

A request under which a server closed its connection is suspected to be fatal until the server responds to one that was sent later. Only complete responses to requests that it ran counted. A server that refused them, or broke its responses off, was not taken to live; when it ended for another reason within 30 s, the request was booked as having ended it, and after two servers it was refused for up to an hour.

Cause: Executor::OnAnswered was the only place that cleared suspicions. Now the head of any response does (OnSignOfLife), except with status 421, which another server at the same address sends. A response that breaks off clears only what was sent before its request, so the request under which the server does end stays suspected.

Seen failing before: requestpathtest.cpp, "servers that only closed the connections, and then refuse requests": CHECK( fixture.told.empty() ) with expansion: false, and CHECK( fixture.Reaches("/book/1") ) with expansion: false; the latter also for servers that then break off responses.

--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -203,6 +203,7 @@
   auto status = aResponse.result_int();
   // Another server at the same address responds with status 421.
   if (status != 421) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
     this->ReadServerState(aResponse);
   }
   bool notRun =
@@ -213,8 +214,7 @@
     this->RespondWithFailure(reason, ExecutionOutcome::Refused);
     return;
   }
-  this->executor.OnAnswered(
-    this->fingerprint, this->server, this->startedAt, status);
+  this->executor.OnAnswered(this->fingerprint, status);
   this->LogOutcome("answered", std::to_string(status));
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(this->UseByResponse(status));
@@ -226,6 +226,7 @@
 void
 Execution::OnHeaders(ResponseHeaders aHeaders)
 {
+  this->executor.OnSignOfLife(this->server, this->startedAt);
   this->ReadServerState(aHeaders.message);
   this->status = aHeaders.message.result_int();
   this->executor.SetReport(
@@ -243,8 +244,7 @@
 void
 Execution::OnBodyEnd()
 {
-  this->executor.OnAnswered(
-    this->fingerprint, this->server, this->startedAt, this->status);
+  this->executor.OnAnswered(this->fingerprint, this->status);
   this->LogOutcome("answered", "streamed");
   auto self = this->shared_from_this();
   this->Finish(this->UseByResponse(this->status))->OnBodyEnd();
@@ -256,6 +256,9 @@
   if (aFailure.connectionRefused && this->executor.onServerConnectionRefused) {
     this->executor.onServerConnectionRefused();
   }
+  if (aFailure.stage == CallStage::ResponseStarted) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
+  }
   if (aFailure.stage != CallStage::NotSent && !aFailure.timedOut) {
     this->executor.OnBrokenOff(this->fingerprint, this->server);
   }
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -172,10 +172,7 @@
 }
 
 void
-Executor::OnAnswered(RequestFingerprint aFingerprint,
-                     const ServerIncarnation& aServer,
-                     Time aSentAt,
-                     unsigned aStatus)
+Executor::OnSignOfLife(const ServerIncarnation& aServer, Time aSentAt)
 {
   auto isAlive = [&](const BrokenOff& aBroken) {
     return aBroken.server == aServer && aBroken.at < aSentAt;
@@ -183,6 +180,11 @@
   this->brokenOff.erase(
     std::remove_if(this->brokenOff.begin(), this->brokenOff.end(), isAlive),
     this->brokenOff.end());
+}
+
+void
+Executor::OnAnswered(RequestFingerprint aFingerprint, unsigned aStatus)
+{
   constexpr unsigned kFirstRedirect = 300;
   if (aStatus >= kFirstRedirect) {
     return;
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -127,11 +127,11 @@
 
   void OnBrokenOff(RequestFingerprint aFingerprint,
                    const ServerIncarnation& aServer);
-  /** Handles a response of the server to a request. */
-  void OnAnswered(RequestFingerprint aFingerprint,
-                  const ServerIncarnation& aServer,
-                  Time aSentAt,
-                  unsigned aStatus);
+  /** The server has sent the head of a response, also if it refuses the request
+   * or breaks the response off: it did not end before that request was sent. */
+  void OnSignOfLife(const ServerIncarnation& aServer, Time aSentAt);
+  /** Handles a complete response of the server to a request that it ran. */
+  void OnAnswered(RequestFingerprint aFingerprint, unsigned aStatus);
   /** Records the requests that were broken off by the end of their server. */
   void RecordCrashes();
   void LogBlocked(const CrashRecords::Records& aNews);
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1335,6 +1335,43 @@
       CHECK(fixture.Reaches("/book/1"));
     }
   }
+  GIVEN("servers that only closed the connections, and then refuse requests")
+  {
+    for (int number = 0; number < 3; ++number) {
+      fixture.PostFatal("/book/1");
+      fixture.serverActions.resize(fixture.serverRequests.size(),
+                                   ServerAction::Respond);
+      fixture.serverActions.insert(
+        fixture.serverActions.end(),
+        fixture.configuration->routes["book"].attempts,
+        ServerAction::Refuse);
+      CHECK(fixture.Post("/book/2").result_int() == 503);
+      fixture.RestartServer();
+    }
+    THEN("it reaches the server")
+    {
+      CHECK(fixture.told.empty());
+      CHECK(fixture.Reaches("/book/1"));
+    }
+  }
+  GIVEN(
+    "servers that only closed the connections, and then break off responses")
+  {
+    for (int number = 0; number < 3; ++number) {
+      fixture.PostFatal("/book/1");
+      fixture.serverActions.resize(fixture.serverRequests.size(),
+                                   ServerAction::Respond);
+      fixture.serverActions.push_back(ServerAction::BreakOffShort);
+      auto response = fixture.TryPost("/book/2-" + std::to_string(number));
+      REQUIRE(response);
+      CHECK(response->result_int() == 502);
+      fixture.RestartServer();
+    }
+    THEN("it reaches the server")
+    {
+      CHECK(fixture.Reaches("/book/1"));
+    }
+  }
   GIVEN("servers that had announced their shutdown before they ended")
   {
     for (int number = 0; number < 3; ++number) {
