Test at the request path that a request sent in part may have run

A server that resets the connection inside a long body: its client must not be told that the request has not run.

--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <random>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -74,13 +75,15 @@
   Tcp::endpoint callerAddress;
   Tcp::endpoint peerAddress;
 
-  RequestPathFixture()
+  /** @param aServer Address of another server in place of the simulated one. */
+  explicit RequestPathFixture(const std::string& aServer = "")
   {
     REQUIRE(this->server.Listen(Loopback(0)));
     NodeSettings settings;
     settings.service = "agenda";
     settings.zone = "a";
-    settings.server = ToString(this->server.Address());
+    settings.server =
+      aServer.empty() ? ToString(this->server.Address()) : aServer;
     settings.clientAddress = ToString(this->ports.Reserve());
     settings.peerAddress = ToString(this->ports.Reserve());
     this->peerAddress = *ParseEndpoint(settings.peerAddress);
@@ -205,13 +208,15 @@
 
   /** Sends a request as a client.
    * @return An error if the connection ends before the response does. */
-  Result<HttpResponse> TryPost(const std::string& aPath)
+  Result<HttpResponse> TryPost(const std::string& aPath,
+                               const std::string& aBody = "")
   {
     HttpRequest request(http::verb::post, aPath, 11);
     request.set(http::field::host, "a.example");
     request.set(headers::kRequestId, "r1");
-    request.set(headers::kTimeLeft, "500");
+    request.set(headers::kTimeLeft, aBody.empty() ? "500" : "4000");
     request.set(headers::kKey, "7");
+    request.body() = aBody;
     return this->TrySend(this->clientAddress, std::move(request));
   }
 
@@ -228,11 +233,13 @@
   {
     aRequest.prepare_payload();
     std::optional<Result<HttpResponse>> response;
+    CallOptions options;
+    options.timeout = seconds(5);
     Fetch(
       this->pool,
       aAddress,
       std::move(aRequest),
-      CallOptions(),
+      options,
       [&](Result<HttpResponse> aResponse) { response = std::move(aResponse); });
     auto end = std::chrono::steady_clock::now() + seconds(5);
     while (!response && std::chrono::steady_clock::now() < end) {
@@ -764,6 +771,65 @@
   }
 }
 
+namespace {
+
+/** A server that reads the headers of a request and resets the connection while
+ * the body is on its way. */
+class ResettingServer
+{
+public:
+  explicit ResettingServer(int aConnections)
+    : thread([this, aConnections] {
+      for (int count = 0; count < aConnections; ++count) {
+        this->Reset();
+      }
+    })
+  {
+  }
+
+  ~ResettingServer() { this->thread.join(); }
+
+  std::string Address() const
+  {
+    return ToString(this->acceptor.local_endpoint());
+  }
+
+private:
+  /** Resets one connection. */
+  void Reset()
+  {
+    auto connection = this->acceptor.accept();
+    std::string received;
+    asio::read_until(connection, asio::dynamic_buffer(received), "\r\n\r\n");
+    connection.set_option(asio::socket_base::linger(true, 0));
+    connection.close();
+  }
+
+  asio::io_context context;
+  Tcp::acceptor acceptor{ this->context, Loopback(0) };
+  std::thread thread;
+};
+
+} // namespace
+
+// A server may begin to run a request before it has read all of a long body.
+SCENARIO("A request of which a part reached the server may have run", "[path]")
+{
+  // The reset is seen while writing or while reading, whichever comes first.
+  constexpr int kRequests = 10;
+  ResettingServer server(kRequests);
+  RequestPathFixture fixture(server.Address());
+  constexpr size_t kBodyBytes = 16 * 1024 * 1024; ///< More than sockets take.
+  fixture.configuration->limits.maxBodyBytes = kBodyBytes;
+  fixture.configuration->routes["book"].timeout = seconds(4);
+  fixture.Configure();
+  for (int count = 0; count < kRequests; ++count) {
+    auto response = fixture.TryPost("/book/1", std::string(kBodyBytes, 'x'));
+    REQUIRE(response);
+    CHECK(response->result_int() == 502);
+  }
+}
+
 // Whatever listens at the address of a member may be no daemon.
 SCENARIO("A response without a report is not passed on", "[path][brokenoff]")
 {
