--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -25,7 +25,7 @@
                      uint64_t aId,
                      HttpRequest aRequest,
                      const Dispatch& aDispatch,
-                     std::shared_ptr<ResponseReceiver> aReceiver)
+                     std::shared_ptr<ExecutionReceiver> aReceiver)
   : requestId(aRequest[headers::kRequestId])
   , fingerprint(
       FingerprintOf(aRequest, std::string(aRequest[headers::kCallerService])))
@@ -110,7 +110,7 @@
   return inTime ? SlotUse::InTime : SlotUse::Late;
 }
 
-std::shared_ptr<ResponseReceiver>
+std::shared_ptr<ExecutionReceiver>
 Execution::Finish(SlotUse aUse)
 {
   auto responseReceiver = std::move(this->receiver);
@@ -167,7 +167,6 @@
 Execution::RespondWithFailure(const std::string& aReason,
                               ExecutionOutcome aOutcome)
 {
-  this->LogOutcome(ToString(aOutcome), aReason);
   auto self = this->shared_from_this();
   auto retryAfter = aReason == "server-unreachable"
                       ? kServerUnreachableRetryAfter
@@ -221,17 +220,18 @@
   auto status = aResponse.result_int();
   // Another server at the same address responds with status 421.
   if (status != 421) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
     this->ReadServerState(aResponse);
   }
   bool notRun =
     status == 421 || aResponse.find(headers::kNotExecuted) != aResponse.end();
   if (notRun) {
-    this->RespondWithFailure("server-refused-" + std::to_string(status),
-                             ExecutionOutcome::Refused);
+    auto reason = "server-refused-" + std::to_string(status);
+    this->LogOutcome("refused", reason);
+    this->RespondWithFailure(reason, ExecutionOutcome::Refused);
     return;
   }
-  this->executor.OnAnswered(
-    this->fingerprint, this->server, this->startedAt, status);
+  this->executor.OnAnswered(this->fingerprint, status);
   this->LogOutcome("answered", std::to_string(status));
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(this->UseByResponse(status));
@@ -243,6 +243,7 @@
 void
 Execution::OnHeaders(ResponseHeaders aHeaders)
 {
+  this->executor.OnSignOfLife(this->server, this->startedAt);
   this->ReadServerState(aHeaders.message);
   this->status = aHeaders.message.result_int();
   this->executor.SetReport(
@@ -260,8 +261,7 @@
 void
 Execution::OnBodyEnd()
 {
-  this->executor.OnAnswered(
-    this->fingerprint, this->server, this->startedAt, this->status);
+  this->executor.OnAnswered(this->fingerprint, this->status);
   this->LogOutcome("answered", "streamed");
   auto self = this->shared_from_this();
   this->Finish(this->UseByResponse(this->status))->OnBodyEnd();
@@ -277,23 +277,31 @@
   if (aFailure.connectionRefused && this->executor.onServerConnectionRefused) {
     this->executor.onServerConnectionRefused();
   }
+  if (aFailure.stage == CallStage::ResponseStarted) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
+  }
   if (aFailure.stage != CallStage::NotSent && !aFailure.timedOut) {
     this->executor.OnBrokenOff(this->fingerprint, this->server);
   }
   switch (aFailure.stage) {
     case CallStage::NotSent:
+      this->LogOutcome("refused", "server-unreachable");
       this->RespondWithFailure("server-unreachable", ExecutionOutcome::Refused);
       break;
     case CallStage::Sent:
+      this->LogOutcome("failed", "answer-lost");
       this->RespondWithFailure("answer-lost", ExecutionOutcome::Failed);
       break;
-    case CallStage::ResponseStarted: {
+    case CallStage::ResponseStarted:
       this->LogOutcome("failed",
                        "answer broke off: " + ToString(aFailure.error));
-      auto self = this->shared_from_this();
-      this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
+      if (this->receiver->HasPassedOn()) {
+        auto self = this->shared_from_this();
+        this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
+      } else {
+        this->RespondWithFailure(kBrokenOffReason, ExecutionOutcome::Failed);
+      }
       break;
-    }
   }
 }
 
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -183,10 +183,7 @@
 }
 
 void
-Executor::OnAnswered(RequestFingerprint aFingerprint,
-                     const ServerIncarnation& aServer,
-                     Time aSentAt,
-                     unsigned aStatus)
+Executor::OnSignOfLife(const ServerIncarnation& aServer, Time aSentAt)
 {
   auto isAlive = [&](const BrokenOff& aBroken) {
     return aBroken.server == aServer && aBroken.at < aSentAt;
@@ -194,6 +191,11 @@
   this->brokenOff.erase(
     std::remove_if(this->brokenOff.begin(), this->brokenOff.end(), isAlive),
     this->brokenOff.end());
+}
+
+void
+Executor::OnAnswered(RequestFingerprint aFingerprint, unsigned aStatus)
+{
   constexpr unsigned kFirstRedirect = 300;
   if (aStatus >= kFirstRedirect) {
     return;
@@ -396,7 +398,7 @@
 std::shared_ptr<Cancellable>
 Executor::Start(HttpRequest aRequest,
                 const Dispatch& aDispatch,
-                std::shared_ptr<ResponseReceiver> aReceiver,
+                std::shared_ptr<ExecutionReceiver> aReceiver,
                 const std::optional<LinkEstimate>& aLink)
 {
   auto now = BootClock::now();
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -9,6 +9,7 @@
 #include "cluster/cluster.h"
 #include "fescuetillerd/dispatch.h"
 #include "fescuetillerd/eventlog.h"
+#include "fescuetillerd/executionreceiver.h"
 #include "http/http.h"
 
 namespace fescuetiller {
@@ -68,7 +69,7 @@
   std::shared_ptr<Cancellable> Start(
     HttpRequest aRequest,
     const Dispatch& aDispatch,
-    std::shared_ptr<ResponseReceiver> aReceiver,
+    std::shared_ptr<ExecutionReceiver> aReceiver,
     const std::optional<LinkEstimate>& aLink = std::nullopt);
 
   /** Whether a request with this id holds a slot of the backend server. */
@@ -135,11 +136,11 @@
 
   void OnBrokenOff(RequestFingerprint aFingerprint,
                    const ServerIncarnation& aServer);
-  /** Handles a response of the server to a request. */
-  void OnAnswered(RequestFingerprint aFingerprint,
-                  const ServerIncarnation& aServer,
-                  Time aSentAt,
-                  unsigned aStatus);
+  /** The server has sent the head of a response, also if it refuses the request
+   * or breaks the response off: it did not end before that request was sent. */
+  void OnSignOfLife(const ServerIncarnation& aServer, Time aSentAt);
+  /** Handles a complete response of the server to a request that it ran. */
+  void OnAnswered(RequestFingerprint aFingerprint, unsigned aStatus);
   /** Records the requests that were broken off by the end of their server. */
   void RecordCrashes();
   void LogBlocked(const CrashRecords::Records& aNews);
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -345,6 +345,19 @@
   }
   this->remoteCall.reset();
   this->localExecution.reset();
+  this->headers.reset();
+}
+
+void
+IngressRequest::CancelAttempt()
+{
+  if (this->remoteCall != nullptr) {
+    this->remoteCall->Cancel();
+  }
+  if (this->localExecution != nullptr) {
+    this->localExecution->Cancel();
+  }
+  this->EndAttempt();
 }
 
 std::optional<ExecutionReport>
@@ -408,10 +421,31 @@
 void
 IngressRequest::OnHeaders(ResponseHeaders aHeaders)
 {
-  this->ExtractReport(aHeaders.message);
+  if (!this->ExtractReport(aHeaders.message)) {
+    // Not from a daemon's request path, so the outcome is unknown.
+    auto self = this->shared_from_this(); // The call keeps it until its end.
+    this->CancelAttempt();
+    this->OnAttemptFailed(FailedAttempt::OutcomeUnknown("no-note"));
+    return;
+  }
   RemoveHopByHopFields(aHeaders.message);
   this->AnnotateResponse(aHeaders.message, "answered");
-  this->exchange->StartResponse(std::move(aHeaders));
+  this->headers = std::move(aHeaders);
+}
+
+void
+IngressRequest::StartResponse()
+{
+  if (this->headers) {
+    this->exchange->StartResponse(std::move(*this->headers));
+    this->headers.reset();
+  }
+}
+
+bool
+IngressRequest::HasPassedOn() const
+{
+  return this->exchange->HasStartedResponse();
 }
 
 void
@@ -427,12 +461,14 @@
 IngressRequest::OnBodyChunk(asio::const_buffer aChunk,
                             std::function<void()> aNext)
 {
+  this->StartResponse();
   this->exchange->WriteChunk(aChunk, std::move(aNext));
 }
 
 void
 IngressRequest::OnBodyEnd()
 {
+  this->StartResponse();
   this->EndAttempt();
   this->ended = true;
   this->RecordOutcome("answered", "streamed");
@@ -443,8 +479,11 @@
 void
 IngressRequest::OnFailure(const CallFailure& aFailure)
 {
+  if (this->remoteCall != nullptr) {
+    this->RecordPeerFailure(aFailure);
+  }
   this->EndAttempt();
-  if (this->exchange->HasStartedResponse()) {
+  if (this->HasPassedOn()) {
     this->ended = true;
     this->ExpectRetry();
     this->RecordOutcome("failed",
@@ -452,15 +491,26 @@
     this->exchange->Abort();
     return;
   }
-  bool outOfTime = this->TimeLeft() < kMinTimeLeft;
-  if (!outOfTime) {
-    this->ingress.peers.OnFailure(BootClock::now(), this->currentMember);
-  }
   auto attempt = FailedAttempt::NotSent("peer-" + aFailure.error.operation);
   attempt.mayHaveRun = aFailure.stage != CallStage::NotSent;
   this->OnAttemptFailed(attempt);
 }
 
+void
+IngressRequest::RecordPeerFailure(const CallFailure& aFailure)
+{
+  if (aFailure.stage == CallStage::ResponseStarted) {
+    // The daemon was alive. If it has ended since, the next connection tells.
+    return;
+  }
+  auto now = BootClock::now();
+  if (aFailure.connectionRefused) {
+    this->ingress.peers.OnFailure(now, this->currentMember);
+  } else if (this->TimeLeft() >= kMinTimeLeft) {
+    this->ingress.peers.OnUnanswered(now, this->currentMember, this->sentAt);
+  }
+}
+
 void
 IngressRequest::OnAttemptFailed(const FailedAttempt& aAttempt)
 {
@@ -550,12 +600,8 @@
                                            this->currentMember,
                                            this->dispatch.requestClass,
                                            now - this->sentAt);
-    this->remoteCall->Cancel();
   }
-  if (this->localExecution != nullptr) {
-    this->localExecution->Cancel();
-  }
-  this->EndAttempt();
+  this->CancelAttempt();
   this->ExpectRetry();
   this->RecordOutcome("cancelled", "client left");
 }
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -112,7 +112,7 @@
   Time startedAt;
   CallStage stage = CallStage::NotSent;
   bool requestWritten = false;
-  bool withdrawn = false; ///< The request may no longer be sent.
+  bool withdrawn = false;  ///< The request may no longer be sent.
   size_t skippedBytes = 0; ///< Of the bodies of responses to other requests.
   bool streaming = false;  ///< The response is passed on in chunks.
   bool ended = false;
