Let the store refuse the join in the test of a shutdown while the store returns

The test failed in the first whole run of testdaemon beside other work: "its keys are served as before until then". In 12 of 60 runs, six at a time; in those the metrics show a second join: the daemon had joined again before the test silenced the store, so its keys were in the cluster's new state, as they should be. The store now refuses changes from before its return on (new fault "read-only" of the stand-in), which leaves no such moment. The checks are the same; the time allowed for the announcement is 1 s, half of the time that it took without the fix. 36 of 36 runs pass, six at a time, and the test fails as before without the fix.

--- a/tests/daemon/leavingtest.cpp
+++ b/tests/daemon/leavingtest.cpp
@@ -10,8 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** Time from a heartbeat until requests are served by what it says. */
-constexpr Duration kMaxDelay = milliseconds(500);
+/** Time from a heartbeat until requests are served by what it says. Half of the
+ * time for which they are served as before after a return of the store. */
+constexpr Duration kMaxDelay = milliseconds(1000);
 
 /** A daemon that is a member, and a store that can come back from a copy. */
 struct LeavingFixture
@@ -58,13 +59,13 @@
   LeavingFixture fixture;
   auto& daemon = *fixture.daemon;
   fixture.store.Copy();
+  fixture.store.SetFault("read-only"); // The daemon cannot join again.
   fixture.store.Restore();
   auto era = [&] {
     return daemon.counters.FormatText().find("store-returned");
   };
   REQUIRE(
     fixture.RunUntil([&] { return era() != std::string::npos; }, seconds(15)));
-  fixture.store.SetFault("silent"); // It cannot join again.
   auto before = daemon.serving;
   REQUIRE_FALSE(before.draining);
 
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -134,7 +134,8 @@
       this->Respond(aExchange, 200, json::object());
     } else if (this->fault == "silent") {
       this->unanswered.push_back(aExchange);
-    } else if (this->fault == "down") {
+    } else if (this->fault == "down" ||
+               (this->fault == "read-only" && path == "/v1/rows-tx")) {
       this->Respond(aExchange, 503, json::object());
     } else if (path == "/v1/rows-tx") {
       this->ApplyTransaction(aExchange);
--- a/tests/standins/storestandin.h
+++ b/tests/standins/storestandin.h
@@ -19,10 +19,11 @@
  *
  * POST /standin/config writes the operator's configuration. POST
  * /standin/faults sets the fault of all calls after it: "down" responds with
- * 503, "silent" never responds, "lose" commits transactions but closes the
- * connection without a response, "none" is normal operation. POST
- * /standin/copy keeps a copy of the rows, and POST /standin/restore comes back
- * from it in the next era; what operators wrote since is written again.
+ * 503, "read-only" does so to transactions, "silent" never responds, "lose"
+ * commits transactions but closes the connection without a response, "none" is
+ * normal operation. POST /standin/copy keeps a copy of the rows, and POST
+ * /standin/restore comes back from it in the next era; what operators wrote
+ * since is written again.
  */
 class StoreStandIn
 {
