--- a/tests/daemon/drainingtest.cpp
+++ b/tests/daemon/drainingtest.cpp
@@ -13,7 +13,7 @@
 using std::chrono::seconds;
 
 /** Records the response to a request. */
-class ResponseRecorder : public ResponseReceiver
+class ResponseRecorder : public ExecutionReceiver
 {
 public:
   void OnCompleteResponse(HttpResponse aResponse) override
@@ -24,6 +24,7 @@
   void OnBodyChunk(asio::const_buffer, std::function<void()>) override {}
   void OnBodyEnd() override {}
   void OnFailure(const CallFailure&) override {}
+  bool HasPassedOn() const override { return false; }
 
   std::optional<HttpResponse> response;
 };
