Recognize a repeated response that was broken off inside its head

Cause: a copy that ends inside a line of its head takes in the status line of the next response: its reason or the value of a field reads "someHTTP/1.1 200 OK", and the id behind it is that of the request that waits. The head then counts as one response. Now a head on a used connection whose reason or fields contain a status line, or that has two ids, fails the call; the outcome is unknown.

Tests: testhttp [mixed] and "A server responds to each request on its connection".

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -39,6 +39,8 @@
       return "other-id";
     case UnexpectedData::Kind::NoId:
       return "no-id";
+    case UnexpectedData::Kind::TwoHeads:
+      return "two-heads";
     case UnexpectedData::Kind::AfterResponse:
       return "after-response";
     case UnexpectedData::Kind::WhileIdle:
@@ -111,6 +113,9 @@
       return connection;
     }
   }
+  if (!connections.empty()) {
+    connections.erase(connections.begin());
+  }
   return nullptr;
 }
 
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -38,6 +38,7 @@
   {
     OtherId,       ///< A response with the id of another request.
     NoId,          ///< A response without an id.
+    TwoHeads,      ///< The heads of two responses, the first one cut off.
     AfterResponse, ///< Followed a complete response.
     WhileIdle,     ///< Arrived when no request waited.
   };
@@ -65,7 +66,8 @@
   /** Takes an idle connection to the peer out of the pool; nullptr if there is
    * none.
    * @param aRequestId If not empty, a connection over which no request with
-   * this id was sent. */
+   * this id was sent. If there are only others, one of them is closed, so that
+   * the number of connections does not grow. */
   std::unique_ptr<Connection> Take(const Tcp::endpoint& aPeer,
                                    Time aNow,
                                    std::string_view aRequestId = {});
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -447,7 +447,9 @@
 {
   this->input = Input::Part;
   this->since = BootClock::now();
-  if (this->parser->get()[http::field::expect] == "100-continue") {
+  const auto& request = this->parser->get();
+  if (request.version() >= kHttp11 &&
+      request[http::field::expect] == "100-continue") {
     this->SendContinue();
   }
   if (this->state != State::Open) {
@@ -509,6 +511,7 @@
   }
   this->input = Input::Nothing;
   auto pending = std::make_shared<PendingResponse>();
+  pending->headRequest = this->parser->get().method() == http::verb::head;
   this->responses.push_back(pending);
   this->pipeline.OnPassedOn(false);
   this->pipeline.StopReading();
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -1,6 +1,8 @@
 #include "http/upstreamcall.h"
 
+#include <algorithm>
 #include <limits>
+#include <regex>
 
 #include <netinet/tcp.h>
 
@@ -54,6 +56,15 @@
   return std::chrono::seconds(seconds);
 }
 
+/** Whether a text contains the beginning of a status line, "HTTP/1.1 200". */
+bool
+ContainsStatusLine(boost::string_view aText)
+{
+  static const std::regex kStatusLine("HTTP/1\\.[0-9] [0-9]{3}");
+  return aText.find("HTTP/1.") != boost::string_view::npos &&
+         std::regex_search(aText.begin(), aText.end(), kStatusLine);
+}
+
 void
 SetOptions(Tcp::socket& aSocket, Duration aAckTimeout)
 {
@@ -81,10 +92,12 @@
                                                       std::move(aRequest),
                                                       std::move(aOptions),
                                                       std::move(aReceiver)));
-  call->connection = aPool.Take(
-    aPeer,
-    call->startedAt,
-    call->options.mayRepeatResponses ? call->RequestId() : std::string_view());
+  if (!call->options.mayRepeatResponses) {
+    call->connection = aPool.Take(aPeer, call->startedAt);
+  } else if (call->request.method() != http::verb::head) {
+    // The end of a repeated response would be unknown to a HEAD request.
+    call->connection = aPool.Take(aPeer, call->startedAt, call->RequestId());
+  }
   // Posted, so that the receiver is not called before Start has returned.
   asio::post(aPool.Context(), [call] {
     if (call->ended) {
@@ -262,7 +275,7 @@
     return true;
   }
   auto echoed = this->parser->get()[field];
-  if (echoed == this->request[field]) {
+  if (!echoed.empty() && echoed == this->request[field]) {
     return true;
   }
   if (!echoed.empty()) {
@@ -275,6 +288,22 @@
   return accepted;
 }
 
+bool
+UpstreamCall::MayBeTwoResponses() const
+{
+  if (!this->options.mayRepeatResponses || this->connection->responses == 0) {
+    return false;
+  }
+  // The last value of the first response has taken in the status line of the
+  // second one.
+  const auto& response = this->parser->get();
+  return ContainsStatusLine(response.reason()) ||
+         response.count(this->options.correlationField) > 1 ||
+         std::any_of(response.begin(), response.end(), [](const auto& aField) {
+           return ContainsStatusLine(aField.value());
+         });
+}
+
 void
 UpstreamCall::ReportUnexpected(UnexpectedData::Kind aKind, bool aAccepted) const
 {
@@ -300,6 +329,11 @@
     this->ReadHeaders();
     return;
   }
+  if (this->MayBeTwoResponses()) {
+    this->ReportUnexpected(UnexpectedData::Kind::TwoHeads, false);
+    this->Fail("read head of answer", error_code(), "parts of two answers");
+    return;
+  }
   bool expected = this->IsResponseToRequest();
   ++this->connection->responses;
   if (!expected) {
@@ -337,8 +371,8 @@
 UpstreamCall::SkipResponse()
 {
   // A response to HEAD has no body, so it is unknown where one to another
-  // request ends, and the other way round.
-  if (this->request.method() == http::verb::head ||
+  // request ends. One without a length takes in what follows.
+  if (this->request.method() == http::verb::head || this->parser->need_eof() ||
       this->skippedBytes > kMaxSkippedBytes) {
     this->Fail("match answer", error_code(), "an answer to another request");
     return;
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -92,6 +92,9 @@
   /** Whether the headers that were read are those of the response to the
    * request. */
   bool IsResponseToRequest() const;
+  /** Whether the headers may consist of those of two responses, the first of
+   * which was broken off. */
+  bool MayBeTwoResponses() const;
   /** Whether the connection may carry further requests. */
   bool IsReusable() const;
   /** Reports data that may not belong to the request. */
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -501,6 +501,33 @@
       CHECK(second->failure->stage == CallStage::Sent);
     }
   }
+  GIVEN("one without a length, on a connection that stays open")
+  {
+    ScriptedPeer peer(
+      fixture.context,
+      { ResponseText("1", "one"),
+        "HTTP/1.1 200 OK\r\n\r\nagain" + ResponseText("2", "two") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    auto second = fixture.Call(peer.Address(), "2");
+    THEN("the call fails at once, since its end is unknown")
+    {
+      REQUIRE(second->failure);
+      CHECK(second->failure->stage == CallStage::Sent);
+      CHECK_FALSE(second->failure->timedOut);
+    }
+  }
+  GIVEN("a request without an id")
+  {
+    ScriptedPeer peer(
+      fixture.context,
+      { ResponseText("1", "one"), kWithoutId + ResponseText("", "two") });
+    REQUIRE(fixture.Call(peer.Address(), "1")->response);
+    auto second = fixture.Call(peer.Address(), "", milliseconds(100));
+    THEN("no response on a used connection counts")
+    {
+      CHECK_FALSE(second->response);
+    }
+  }
   GIVEN("a server that never sends ids")
   {
     ScriptedPeer peer(fixture.context, { kWithoutId, kWithoutId });
@@ -551,6 +578,9 @@
     THEN("it is not either, and the connection serves other requests")
     {
       CHECK(peer.connections == 2);
+      // The first connection was closed, so that their number does not grow.
+      CHECK(fixture.pool.Take(peer.Address(), BootClock::now(), "1") ==
+            nullptr);
       auto third = fixture.Call(peer.Address(), "3");
       REQUIRE(third->response);
       CHECK(third->response->body() == "three");
@@ -579,6 +609,16 @@
     CHECK(second->response->body() == "two");
     CHECK(peer.connections == 2);
   }
+  GIVEN("a connection that has carried another request")
+  {
+    ScriptedPeer peer(fixture.context, { ResponseText("0", "zero"), kHead });
+    REQUIRE(fixture.Call(peer.Address(), "0")->response);
+    REQUIRE(fixture.Call(peer.Address(), request)->response);
+    THEN("it is not used for a HEAD request either")
+    {
+      CHECK(peer.connections == 2);
+    }
+  }
   GIVEN("a response to another request before the expected one")
   {
     ScriptedPeer peer(fixture.context, { ResponseText("0", "zero") + kHead });
@@ -636,6 +676,41 @@
   }
 }
 
+// Guards against a response whose head consists of those of two: a repeated
+// response was broken off inside its head, and the rest of the line took in the
+// status line of the next one.
+SCENARIO("A repeated response that ends inside its head does not join the next "
+         "one",
+         "[http][mixed]")
+{
+  Fixture fixture;
+  const std::string kHead = "HTTP/1.1 503 Service Unavailable\r\n"
+                            "X-Not-Executed: 1\r\nServer: some\r\n";
+  for (const auto& repeated :
+       { kHead + "Content-Length: 0\r\n\r\n",
+         kHead + "X-Id: 1\r\nContent-Length: 0\r\n\r\n" }) {
+    for (size_t size = 1; size <= repeated.size(); ++size) {
+      ScriptedPeer peer(
+        fixture.context,
+        { ResponseText("1", "one"),
+          repeated.substr(0, size) + ResponseText("2", "two") });
+      REQUIRE(fixture.Call(peer.Address(), "1")->response);
+      auto second = fixture.Call(peer.Address(), "2");
+      INFO("broken off after " << size << " bytes");
+      if (second->response) {
+        CHECK(second->response->result_int() == 200);
+        CHECK(second->response->body() == "two");
+        CHECK(second->response->count("X-Not-Executed") == 0);
+      } else {
+        REQUIRE(second->failure);
+        CHECK(second->failure->stage == CallStage::Sent);
+        CHECK_FALSE(second->failure->timedOut);
+      }
+      fixture.pool.CloseIdle(peer.Address());
+    }
+  }
+}
+
 // Guards against a response whose head is broken off and that looks complete.
 SCENARIO("A response that ends inside its head is not a response",
          "[http][mixed]")
@@ -876,6 +951,13 @@
       CHECK(fixture.exchanges.empty());
     }
   }
+  GIVEN("a HEAD request with headers above the size limit")
+  {
+    fixture.Send("HEAD /a HTTP/1.1\r\nHost: " + std::string(20000, 'h') +
+                 "\r\n\r\n");
+    fixture.Run();
+    CHECK(fixture.received.substr(fixture.received.size() - 4) == "\r\n\r\n");
+  }
   GIVEN("headers above the size limit")
   {
     fixture.Send("GET /1 HTTP/1.1\r\nHost: a\r\nX: " + std::string(20000, 'x') +
