Forward any method with a body; take refusals of unknown length for refusals

- A TRACE request with a body ended the daemon: Beast throws an exception if it is to prepare the body of such a request.
The length is set directly now.
- A server's refusal in chunks or without a length was passed on as an answer, without a retry, and logged as one; the caller's interface said that the work was done.
Its head decides now, as for short ones, and status 421 says nothing about the server.
- A client that lists X-Request-Id in its Connection header removed the id from its request.
It is set again.

Tests, failed before: testdaemon "A request with any method and a body is forwarded" (invalid request body), "A request that a server refused is retried" (503 == 200).

--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -18,6 +18,16 @@
 constexpr Duration kServerRefusalRetryAfter = milliseconds(100);
 /** Time before a retry if the backend server could not be reached. */
 constexpr Duration kServerUnreachableRetryAfter = milliseconds(400);
+/** Status of a server at the same address that is not the one asked for. */
+constexpr unsigned kMisdirected = 421;
+
+/** Whether a server states that it has not run the request. */
+bool
+IsRefusal(const http::response_header<>& aResponse)
+{
+  return aResponse.result_int() == kMisdirected ||
+         aResponse.find(headers::kNotExecuted) != aResponse.end();
+}
 
 } // namespace
 
@@ -218,17 +228,13 @@
 Execution::OnCompleteResponse(HttpResponse aResponse)
 {
   auto status = aResponse.result_int();
-  // Another server at the same address responds with status 421.
-  if (status != 421) {
+  if (status != kMisdirected) {
     this->executor.OnSignOfLife(this->server, this->startedAt);
     this->ReadServerState(aResponse);
   }
-  bool notRun =
-    status == 421 || aResponse.find(headers::kNotExecuted) != aResponse.end();
+  bool notRun = IsRefusal(aResponse.base());
   if (notRun) {
-    auto reason = "server-refused-" + std::to_string(status);
-    this->LogOutcome("refused", reason);
-    this->RespondWithFailure(reason, ExecutionOutcome::Refused);
+    this->OnRefused(status);
     return;
   }
   this->executor.OnAnswered(this->fingerprint, status);
@@ -240,12 +246,28 @@
   responseReceiver->OnCompleteResponse(std::move(aResponse));
 }
 
+void
+Execution::OnRefused(unsigned aStatus)
+{
+  auto reason = "server-refused-" + std::to_string(aStatus);
+  this->LogOutcome("refused", reason);
+  this->RespondWithFailure(reason, ExecutionOutcome::Refused);
+}
+
 void
 Execution::OnHeaders(ResponseHeaders aHeaders)
 {
-  this->executor.OnSignOfLife(this->server, this->startedAt);
-  this->ReadServerState(aHeaders.message);
   this->status = aHeaders.message.result_int();
+  if (this->status != kMisdirected) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
+    this->ReadServerState(aHeaders.message);
+  }
+  if (IsRefusal(aHeaders.message.base())) {
+    auto self = this->shared_from_this(); // The call keeps it until its end.
+    this->call->Cancel();
+    this->OnRefused(this->status);
+    return;
+  }
   this->executor.SetReport(
     aHeaders.message,
     this->executor.MakeReport(ExecutionOutcome::Answered, *this));
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -59,6 +59,8 @@
   bool PrepareToSend(HttpRequest& aRequest);
   /** Use of the slot by a response of the server that ends now. */
   SlotUse UseByResponse(unsigned aStatus) const;
+  /** Handles that the server stated that it has not run the request. */
+  void OnRefused(unsigned aStatus);
   /** Responds that the backend server refused the request, could not be
    * reached, or did not respond completely. */
   void RespondWithFailure(const std::string& aReason,
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -305,7 +305,14 @@
   forwarded.set(kDispatchField, Encode(this->dispatch));
   forwarded.set(headers::kCallerService, this->ingress.settings.service);
   forwarded.erase(headers::kTargetServer);
-  forwarded.prepare_payload();
+  // The client may have listed it among the headers of its connection.
+  forwarded.set(headers::kRequestId, this->requestId);
+  if (forwarded.body().empty()) {
+    forwarded.prepare_payload();
+  } else {
+    // Beast throws an exception for TRACE if it is to prepare a body.
+    forwarded.content_length(forwarded.body().size());
+  }
   forwarded.erase(kServerNoticeField);
   this->ingress.peers.OnRequestSent(aMember);
   if (aMember == this->ingress.self) {
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -20,9 +20,10 @@
 enum class ServerAction
 {
   Respond,
-  Refuse,     ///< Responds 503 and that the request did not run.
-  Disconnect, ///< Closes the connection after it has read the request.
-  Hang,       ///< Never responds.
+  Refuse,         ///< Responds 503 and that the request did not run.
+  RefuseInChunks, ///< The same with a body of unknown length.
+  Disconnect,     ///< Closes the connection after it has read the request.
+  Hang,           ///< Never responds.
   /** Breaks off a short response inside its body. */
   BreakOffShort,
   /** Breaks off a long response before its first chunk is complete. */
@@ -209,9 +210,10 @@
   /** Sends a request as a client.
    * @return An error if the connection ends before the response does. */
   Result<HttpResponse> TryPost(const std::string& aPath,
-                               const std::string& aBody = "")
+                               const std::string& aBody = "",
+                               http::verb aMethod = http::verb::post)
   {
-    HttpRequest request(http::verb::post, aPath, 11);
+    HttpRequest request(aMethod, aPath, 11);
     request.set(http::field::host, "a.example");
     request.set(headers::kRequestId, "r1");
     request.set(headers::kTimeLeft, aBody.empty() ? "500" : "4000");
@@ -231,7 +233,7 @@
   Result<HttpResponse> TrySend(const Tcp::endpoint& aAddress,
                                HttpRequest aRequest)
   {
-    aRequest.prepare_payload();
+    aRequest.content_length(aRequest.body().size());
     std::optional<Result<HttpResponse>> response;
     CallOptions options;
     options.timeout = seconds(5);
@@ -280,6 +282,15 @@
         aExchange->Respond(response);
         break;
       }
+      case ServerAction::RefuseInChunks: {
+        ResponseHeaders response;
+        response.message.result(503);
+        response.message.set(headers::kRequestId, id);
+        response.message.set(headers::kNotExecuted, "1");
+        aExchange->StartResponse(std::move(response));
+        aExchange->EndResponse();
+        break;
+      }
       case ServerAction::Disconnect:
         aExchange->Abort();
         break;
@@ -372,11 +383,41 @@
   CHECK(request.find(kDispatchField) == request.end());
 }
 
+// Guards against a process that ends: Beast throws an exception for such a
+// request if it is to prepare its body.
+SCENARIO("A request with any method and a body is forwarded", "[path]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  for (auto method : { http::verb::trace,
+                       http::verb::get,
+                       http::verb::delete_,
+                       http::verb::options }) {
+    auto response = fixture.TryPost("/look/1", "body", method);
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    REQUIRE_FALSE(fixture.serverRequests.empty());
+    CHECK(fixture.serverRequests.back().method() == method);
+    CHECK(fixture.serverRequests.back().body() == "body");
+  }
+}
+
 SCENARIO("A request that a server refused is retried", "[path]")
 {
   RequestPathFixture fixture;
   fixture.Configure();
 
+  GIVEN("a server that does not state how long its refusal is")
+  {
+    fixture.serverActions = { ServerAction::RefuseInChunks,
+                              ServerAction::Respond };
+    THEN("the client gets the response, also if the request is not idempotent")
+    {
+      CHECK(fixture.Post("/book/1").result_int() == 200);
+      CHECK(fixture.serverRequests.size() == 2);
+    }
+  }
+
   GIVEN("a server that accepts the second attempt")
   {
     fixture.serverActions = { ServerAction::Refuse, ServerAction::Respond };
