Name a response that breaks off between daemons as such

Seen failing before: requestpathtest.cpp:666: CHECK( response->body() == "answer-broken-off\n" ) with expansion: "peer-read answer\n"

--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -491,7 +491,9 @@
     this->exchange->Abort();
     return;
   }
-  auto attempt = FailedAttempt::NotSent("peer-" + aFailure.error.operation);
+  bool brokenOff = aFailure.stage == CallStage::ResponseStarted;
+  auto attempt = FailedAttempt::NotSent(
+    brokenOff ? kBrokenOffReason : "peer-" + aFailure.error.operation);
   attempt.mayHaveRun = aFailure.stage != CallStage::NotSent;
   this->OnAttemptFailed(attempt);
 }
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -663,6 +663,7 @@
           auto response = fixture.TryPost("/book/1");
           REQUIRE(response);
           CHECK(response->result_int() == 502);
+          CHECK(response->body() == "answer-broken-off\n");
           CHECK(fixture.Post("/book/2").result_int() == 200);
         }
       }
