--- a/src/cluster/changes.cpp
+++ b/src/cluster/changes.cpp
@@ -25,18 +25,20 @@
   aChange.removes.push_back(LeaseKey(aService, aId));
 }
 
-/** Adds the parts of a range to a change. Only the first part replaces an
- * existing row. */
+/** Adds the parts of a range to a change. The first part replaces the row of
+ * the range; others may replace a row that was refused. */
 void
 AddParts(StoreTransaction& aChange,
          const Versioned<RangeRecord>& aWhole,
-         const std::vector<RangeRecord>& aParts)
+         const std::vector<RangeRecord>& aParts,
+         const ClusterView& aView)
 {
   for (const auto& part : aParts) {
     bool first = part.range.first == aWhole.record.range.first;
     AddCondition(aChange,
                  RangeKey(part.service, part.range.first),
-                 first ? aWhole.version : 0);
+                 first ? aWhole.version
+                       : aView.RefusedVersion(part.service, part.range.first));
     aChange.sets.push_back(ToRow(part));
   }
 }
@@ -66,7 +68,9 @@
   changed.owner = aOwner;
   changed.epoch += 1;
   changed.handover.clear();
-  AddParts(aChange, aRange, { changed });
+  AddCondition(
+    aChange, RangeKey(changed.service, changed.range.first), aRange.version);
+  aChange.sets.push_back(ToRow(changed));
 }
 
 StoreTransaction
@@ -176,7 +180,7 @@
       parts.push_back(
         { aService, range, aOwner, record.epoch, record.handover });
     }
-    AddParts(change, *owned, parts);
+    AddParts(change, *owned, parts, aView);
   }
   for (const auto& [id, version] : targets) {
     AddCondition(change, MemberKey(aService, id), version);
@@ -211,7 +215,7 @@
     merged.epoch = std::max(left.record.epoch, right.record.epoch) + 1;
     merged.handover.clear();
     auto rightKey = RangeKey(aService, right.record.range.first);
-    AddParts(change, left, { merged });
+    AddParts(change, left, { merged }, aView);
     AddCondition(change, rightKey, right.version);
     change.removes.push_back(rightKey);
     break;
@@ -251,7 +255,7 @@
           { service, plan.range, plan.target, range->record.epoch + 1, "" });
       }
     }
-    AddParts(change, *range, parts);
+    AddParts(change, *range, parts, aView);
   }
   return change;
 }
--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -30,24 +30,64 @@
     this->claimsClosedAt[aRow.key.part] = aRow.removed ? 0 : aRow.version;
     return true;
   }
-  if (auto member = ParseMember(aRow)) {
+  return aRow.removed ? this->Remove(aRow.key) : this->ApplyRecord(aRow);
+}
+
+bool
+ClusterView::ApplyRecord(const StoreRow& aRow)
+{
+  const auto& key = aRow.key;
+  if (IsMemberKey(key)) {
+    auto member = ReadMember(aRow);
+    if (!member) {
+      return this->Refuse(aRow, member.error());
+    }
     this->members[member->id] = { *member, aRow.version };
-    return true;
+  } else if (IsRangeKey(key)) {
+    auto range = ReadRange(aRow);
+    if (!range) {
+      return this->Refuse(aRow, range.error());
+    }
+    this->ranges[key.part][range->range.first] = { *range, aRow.version };
+  } else if (IsDrainKey(key)) {
+    auto drain = ReadDrain(aRow);
+    if (!drain) {
+      return this->Refuse(aRow, drain.error());
+    }
+    this->drains[{ key.part, drain->address }] = { *drain, aRow.version };
+  } else {
+    return false; // Of a later release.
   }
-  if (auto range = ParseRange(aRow)) {
-    this->ranges[range->service][range->range.first] = { *range, aRow.version };
-    return true;
+  this->refused.erase(key);
+  return true;
+}
+
+bool
+ClusterView::Refuse(const StoreRow& aRow, const Error& aError)
+{
+  this->refused[aRow.key] = { aRow.version, aError };
+  for (auto& [id, member] : this->members) {
+    if (MemberKey(member.record.service, id) == aRow.key) {
+      member.version = aRow.version;
+    }
   }
-  if (auto drain = ParseDrain(aRow)) {
-    this->drains[{ drain->service, drain->address }] = { *drain, aRow.version };
-    return true;
+  for (auto& [id, drain] : this->drains) {
+    if (DrainKey(id.first, id.second) == aRow.key) {
+      drain.version = aRow.version;
+    }
   }
-  return this->Remove(aRow.key);
+  for (auto& [first, range] : this->ranges[aRow.key.part]) {
+    if (RangeKey(aRow.key.part, first) == aRow.key) {
+      range.version = aRow.version;
+    }
+  }
+  return true;
 }
 
 bool
 ClusterView::Remove(const StoreKey& aKey)
 {
+  this->refused.erase(aKey);
   for (auto entry = this->members.begin(); entry != this->members.end();
        ++entry) {
     if (MemberKey(entry->second.record.service, entry->first) == aKey) {
@@ -148,6 +188,14 @@
   return found == this->ranges.end() ? kNone : found->second;
 }
 
+RowVersion
+ClusterView::RefusedVersion(const std::string& aService, Key aFirst) const
+{
+  auto found = this->refused.find(RangeKey(aService, aFirst));
+  bool isKnown = this->RangesOf(aService).count(aFirst) > 0;
+  return found == this->refused.end() || isKnown ? 0 : found->second.version;
+}
+
 const RangeRecord*
 ClusterView::FindRange(const std::string& aService, Key aKey) const
 {
@@ -174,6 +222,12 @@
   return this->drains;
 }
 
+const ClusterView::Refused&
+ClusterView::RefusedRows() const
+{
+  return this->refused;
+}
+
 RowVersion
 ClusterView::ClaimsClosedAt(const std::string& aService) const
 {
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -16,10 +16,18 @@
   RowVersion version = 0;
 };
 
+/** A row whose value or key is invalid, and why. */
+struct RefusedRow
+{
+  RowVersion version = 0;
+  Error error;
+};
+
 /**
  * Members, key ranges and drain requests as known to this daemon. A row never
  * replaces a newer version, so rows may arrive late, repeatedly and in any
- * order.
+ * order. An invalid row is refused: what its key named before stays known, with
+ * the version of the invalid row, which the next change must replace.
  */
 class ClusterView
 {
@@ -29,6 +37,7 @@
   /** By service and address. */
   using Drains =
     std::map<std::pair<std::string, std::string>, Versioned<DrainRecord>>;
+  using Refused = std::map<StoreKey, RefusedRow>;
 
   /** Applies one row. @return Whether anything changed. */
   bool Apply(const StoreRow& aRow);
@@ -53,6 +62,10 @@
   /** Ranges of a service by their first key. */
   const Ranges& RangesOf(const std::string& aService) const;
 
+  /** Version of a refused row with the key of a range that is not known
+   * otherwise; 0 if there is none. */
+  RowVersion RefusedVersion(const std::string& aService, Key aFirst) const;
+
   /** @return nullptr if no range contains the key. */
   const RangeRecord* FindRange(const std::string& aService, Key aKey) const;
 
@@ -62,6 +75,9 @@
 
   const Drains& AllDrains() const;
 
+  /** Invalid rows that are in the store, by key. */
+  const Refused& RefusedRows() const;
+
   /** Version of the row with ClaimsClosedKey; 0 if there is none. */
   RowVersion ClaimsClosedAt(const std::string& aService) const;
 
@@ -77,11 +93,15 @@
 
 private:
   bool ApplyNewer(const StoreRow& aRow);
+  bool ApplyRecord(const StoreRow& aRow);
+  /** Refuses a row. What its key named before stays known. */
+  bool Refuse(const StoreRow& aRow, const Error& aError);
   bool Remove(const StoreKey& aKey);
 
   Members members;
   std::map<std::string, Ranges> ranges;
   Drains drains;
+  Refused refused;
   std::map<std::string, RowVersion> claimsClosedAt; ///< By service.
   std::map<StoreKey, RowVersion> versions;          ///< Also of removed rows.
   RowVersion newest = 0;
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -37,6 +37,13 @@
 /** Time after which ranges whose owner is no member are taken over, in addition
  * to the time that grants of the owner may last: its record may arrive late. */
 constexpr Duration kUnownedRangeMargin = milliseconds(850);
+/** Time for which ranges overlap before an owner whose server holds none of the
+ * contested keys gives them up: longer than any row is late. If no server holds
+ * them, the owner of the newer range is the first one. */
+constexpr Duration kOverlapTime = std::chrono::seconds(5);
+/** Time after which a refused member row is removed if it has no lease. The
+ * process that it may belong to has written it again by then. */
+constexpr Duration kRefusedMemberTime = std::chrono::seconds(30);
 /** Number of ranges from which a member merges adjacent ones. */
 constexpr size_t kMergeThreshold = 16;
 /** Number of grants in a response to a heartbeat up to which ranges are divided
@@ -467,8 +474,10 @@
       }
       break;
     case Kind::Acknowledge:
-      this->lease.OnAcknowledgement(aMessage.from,
-                                    FromBootNanoseconds(aMessage.sentAt));
+      if (FromBootNanoseconds(aMessage.sentAt) <= aNow) {
+        this->lease.OnAcknowledgement(aMessage.from,
+                                      FromBootNanoseconds(aMessage.sentAt));
+      }
       break;
     case Kind::RequestConsent:
       if (this->monitor.OnConsentRequest(
@@ -529,6 +538,7 @@
   if (aNow > this->eraSeenAt + kReturnTime) {
     this->earlierMembers.clear();
   }
+  this->LogRefusedRows();
   if (this->phase == Phase::NotMember) {
     this->Join(aNow);
   }
@@ -538,6 +548,7 @@
     this->SendProbes(aNow, output);
     this->RenewLongLease(aNow);
     if (this->ownsKeys) {
+      this->RestoreOwnRows(aNow);
       this->CreateRanges(aNow);
       this->FillGaps(aNow);
       this->DropStaleMoves(aNow);
@@ -546,6 +557,7 @@
       this->MergeRanges(aNow);
       this->TakeUnownedRanges(aNow);
     }
+    this->RemoveRefusedMembers(aNow);
   }
   auto findings = this->monitor.Tick(
     aNow, this->view, this->self, this->probe.SilentMembers(aNow));
@@ -763,8 +775,14 @@
     return;
   }
   auto record = own->record;
+  record.zone = this->identity.zone;
+  record.address = this->identity.address;
+  record.udpAddress = this->identity.udpAddress;
   record.state = this->DesiredState(aNow);
-  bool urgent = record.state != own->record.state;
+  // Another writer may have changed or spoilt the row.
+  bool urgent = record != own->record ||
+                this->view.RefusedRows().count(
+                  MemberKey(this->identity.service, this->self)) > 0;
   if (aNow >= this->nextMemberChangeAt) {
     bool outdated =
       own->record.guardians.size() < this->settings.times.guardianCount;
@@ -1057,6 +1075,79 @@
   this->SubmitChange(aNow, change);
 }
 
+/** Logs each refused row once for each reason. */
+void
+OwnershipAgent::LogRefusedRows()
+{
+  const auto& refused = this->view.RefusedRows();
+  for (auto logged = this->loggedRefusals.begin();
+       logged != this->loggedRefusals.end();) {
+    logged = refused.count(logged->first) == 0
+               ? this->loggedRefusals.erase(logged)
+               : std::next(logged);
+  }
+  for (const auto& [key, row] : refused) {
+    auto& reason = this->loggedRefusals[key];
+    if (reason != row.error.message) {
+      reason = row.error.message;
+      this->LogEvent("row-refused",
+                     { { "table", key.table },
+                       { "part", key.part },
+                       { "key", key.key },
+                       { "reason", reason } });
+    }
+  }
+}
+
+void
+OwnershipAgent::RestoreOwnRows(Time aNow)
+{
+  const auto& refused = this->view.RefusedRows();
+  if (refused.empty() || !this->queue.IsEmpty()) {
+    return;
+  }
+  StoreTransaction change;
+  for (const auto* range : this->OwnedRanges()) {
+    auto key = RangeKey(this->identity.service, range->record.range.first);
+    if (refused.count(key) > 0 && change.sets.size() < kMaxTakenRanges) {
+      AddCondition(change, key, range->version);
+      change.sets.push_back(ToRow(range->record));
+    }
+  }
+  if (!change.sets.empty()) {
+    this->SubmitChange(aNow, change);
+  }
+}
+
+/** Removes refused member rows without a lease. Each process that joins writes
+ * its lease with its row, so no process stands behind these. */
+void
+OwnershipAgent::RemoveRefusedMembers(Time aNow)
+{
+  std::map<StoreKey, Time> since;
+  for (const auto& [key, row] : this->view.RefusedRows()) {
+    if (!IsMemberKey(key) || key.part != this->identity.service) {
+      continue;
+    }
+    auto known = this->refusedSince.find(key);
+    since[key] = known == this->refusedSince.end() ? aNow : known->second;
+    auto rank = static_cast<int>(StableHash(this->self) % kRanks);
+    auto wait = kRefusedMemberTime + kGapFillSpread / kRanks * rank;
+    if (aNow - since[key] < wait || !this->queue.IsEmpty()) {
+      continue;
+    }
+    since[key] = aNow; // A row with a lease is tried again after the wait.
+    StoreTransaction change;
+    auto id = key.key.substr(MemberKey("", "").key.size());
+    AddCondition(change, key, row.version);
+    AddCondition(change, LeaseKey(key.part, id), 0);
+    change.removes.push_back(key);
+    this->SubmitChange(aNow, change);
+    this->LogEvent("refused-member-removed", { { "id", id } });
+  }
+  this->refusedSince = std::move(since);
+}
+
 /** Writes drain requests again that the copy of the store lacks. */
 void
 OwnershipAgent::RestoreDrains(Time aNow)
@@ -1314,13 +1405,16 @@
 void
 OwnershipAgent::TakeUnownedRanges(Time aNow)
 {
+  const auto& refused = this->view.RefusedRows();
   std::map<Key, Time> unowned;
   std::set<MemberId> absent;
   StoreTransaction change;
   for (const auto& [first, range] :
        this->view.RangesOf(this->identity.service)) {
-    if (this->view.FindMember(range.record.owner) != nullptr) {
-      continue;
+    const auto& owner = range.record.owner;
+    if (this->view.FindMember(owner) != nullptr ||
+        refused.count(MemberKey(range.record.service, owner)) > 0) {
+      continue; // A refused row may be that of a process that runs.
     }
     auto known = this->unownedSince.find(first);
     unowned[first] = known == this->unownedSince.end() ? aNow : known->second;
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -206,6 +207,10 @@
   std::vector<KeyRange> UnownedKeys() const;
   void FillGaps(Time aNow);
   void RestoreDrains(Time aNow);
+  void LogRefusedRows();
+  /** Writes the own rows again that another writer has spoilt. */
+  void RestoreOwnRows(Time aNow);
+  void RemoveRefusedMembers(Time aNow);
   void Join(Time aNow);
   void OnJoinFinished(Time aNow,
                       const TransactionResult& aResult,
@@ -295,6 +300,11 @@
   uint64_t closeCount = 0; ///< Changes of the row with ClaimsClosedKey.
   std::map<MemberId, Time> guardianSince; ///< When each got its first renewal.
   std::map<Key, Time> unownedSince;       ///< By first key of unowned ranges.
+  std::map<Key, Time> overlapsSince;      ///< By first key of own ranges.
+  /** Refused rows that were logged, and the reasons. */
+  std::map<StoreKey, std::string> loggedRefusals;
+  std::map<StoreKey, Time> refusedSince; ///< By key of refused member rows.
+  std::set<MemberId> loggedUnheard;
   RowVersion longLeaseVersion = 0;
   uint64_t longLeaseCount = 0;
   Time joinedAt;
--- a/src/cluster/peermessage.cpp
+++ b/src/cluster/peermessage.cpp
@@ -1,11 +1,15 @@
 #include "cluster/peermessage.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
 #include <nlohmann/json.hpp>
 
+#include "model/jsonobject.h"
+#include "model/nesting.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -19,6 +23,50 @@
 /** Largest number of crash records that a message may hold. */
 constexpr size_t kMaxCrashes = 64;
 
+/** Depth of the arrays of a message: the message, its lists, their entries and
+ * lists in these. */
+constexpr size_t kMaxDepth = 4;
+/** Largest time that a message may state, either way. */
+constexpr int64_t kMaxMilliseconds = 1000000000000;
+
+/** Returns a row version whose era is possible. */
+RowVersion
+ReadVersion(const json& aValue)
+{
+  constexpr RowVersion kMax = MakeRowVersion(kMaxStoreEra + 1, 0) - 1;
+  return ToUnsigned(aValue, "version", kMax);
+}
+
+uint32_t
+ReadSmallNumber(const json& aValue, const char* aName)
+{
+  return static_cast<uint32_t>(
+    ToUnsigned(aValue, aName, std::numeric_limits<uint32_t>::max()));
+}
+
+int64_t
+ReadInteger(const json& aValue, int64_t aLeast, int64_t aMost)
+{
+  bool isSmall = aValue.is_number_integer() &&
+                 (!aValue.is_number_unsigned() ||
+                  aValue.get<uint64_t>() <= static_cast<uint64_t>(aMost));
+  if (!isSmall || aValue.get<int64_t>() < aLeast ||
+      aValue.get<int64_t>() > aMost) {
+    throw JsonMismatch{ "an integer is out of range" };
+  }
+  return aValue.get<int64_t>();
+}
+
+double
+ReadLoad(const json& aValue)
+{
+  if (!aValue.is_number() || !std::isfinite(aValue.get<double>()) ||
+      aValue.get<double>() < 0) {
+    throw JsonMismatch{ "a load is not a non-negative number" };
+  }
+  return aValue.get<double>();
+}
+
 /** Parses an age in milliseconds; nothing if it is no valid one. */
 std::optional<Duration>
 ParseAge(const json& aValue)
@@ -32,6 +80,22 @@
   return std::chrono::milliseconds(aValue.get<int64_t>());
 }
 
+/** Throws if they are malformed. */
+std::vector<StoreRow>
+ReadRows(const json& aValue)
+{
+  std::vector<StoreRow> rows;
+  for (const auto& row : aValue) {
+    rows.push_back({ { row.at(0).get<std::string>(),
+                       row.at(1).get<std::string>(),
+                       row.at(2).get<std::string>() },
+                     row.at(3).get<std::string>(),
+                     ReadVersion(row.at(4)),
+                     row.at(5).get<bool>() });
+  }
+  return rows;
+}
+
 /** Parses crash records. Throws if they are malformed. */
 std::vector<CrashRecord>
 ParseCrashes(const json& aValue)
@@ -42,11 +106,15 @@
       break;
     }
     constexpr uint32_t kMaxAge = std::numeric_limits<uint32_t>::max();
-    auto age = std::min<uint64_t>(entry.at(2).get<uint64_t>(), kMaxAge);
-    crashes.push_back({ entry.at(0).get<RequestFingerprint>(),
-                        entry.at(1).get<uint32_t>(),
-                        entry.at(3).get<std::vector<uint64_t>>(),
-                        entry.at(4).get<uint32_t>(),
+    auto age = std::min<uint64_t>(ToUnsigned(entry.at(2), "age"), kMaxAge);
+    std::vector<uint64_t> servers;
+    for (const auto& server : entry.at(3)) {
+      servers.push_back(ToUnsigned(server, "server"));
+    }
+    crashes.push_back({ ToUnsigned(entry.at(0), "fingerprint"),
+                        ReadSmallNumber(entry.at(1), "generation"),
+                        std::move(servers),
+                        ReadSmallNumber(entry.at(4), "trials"),
                         std::chrono::milliseconds(age) });
   }
   return crashes;
@@ -118,40 +186,38 @@
 std::optional<PeerMessage>
 DecodePeerMessage(const std::string& aBytes)
 {
+  if (!IsMessagePack(aBytes, kMaxDepth)) {
+    return std::nullopt;
+  }
   auto value = json::from_msgpack(aBytes, true, false);
   try {
     value.dump(); // Throws if a text is not UTF-8, which JSON cannot hold.
-    auto kind = value.at(0).get<int>();
-    if (!value.is_array() || kind < 0 || kind > kLastKind) {
+    if (!value.is_array()) {
       return std::nullopt;
     }
-    std::vector<StoreRow> rows;
-    for (const auto& row : value.at(6)) {
-      rows.push_back({ { row.at(0).get<std::string>(),
-                         row.at(1).get<std::string>(),
-                         row.at(2).get<std::string>() },
-                       row.at(3).get<std::string>(),
-                       row.at(4).get<RowVersion>(),
-                       row.at(5).get<bool>() });
-    }
-    return PeerMessage{ static_cast<PeerMessage::Kind>(kind),
-                        value.at(1).get<std::string>(),
-                        value.at(2).get<std::string>(),
-                        value.at(3).get<std::string>(),
-                        value.at(4).get<RowVersion>(),
-                        value.at(5).get<int64_t>(),
-                        std::move(rows),
-                        value.at(7).get<double>(),
-                        std::chrono::milliseconds(value.at(8).get<int64_t>()),
-                        // Earlier releases do not send the last four.
-                        value.size() > 9 ? value.at(9).get<RowVersion>() : 0,
-                        value.size() > 11 ? ParseAge(value.at(11))
-                                          : std::nullopt,
-                        value.size() > 12 ? ParseCrashes(value.at(12))
-                                          : std::vector<CrashRecord>(),
-                        value.size() > 10 ? value.at(10).get<StoreEra>() : 0 };
+    constexpr int64_t kAnyTime = std::numeric_limits<int64_t>::max();
+    return PeerMessage{
+      static_cast<PeerMessage::Kind>(ReadInteger(value.at(0), 0, kLastKind)),
+      value.at(1).get<std::string>(),
+      value.at(2).get<std::string>(),
+      value.at(3).get<std::string>(),
+      ReadVersion(value.at(4)),
+      ReadInteger(value.at(5), -kAnyTime, kAnyTime),
+      ReadRows(value.at(6)),
+      ReadLoad(value.at(7)),
+      std::chrono::milliseconds(
+        ReadInteger(value.at(8), -kMaxMilliseconds, kMaxMilliseconds)),
+      // Earlier releases do not send the last four.
+      value.size() > 9 ? ReadVersion(value.at(9)) : 0,
+      value.size() > 11 ? ParseAge(value.at(11)) : std::nullopt,
+      value.size() > 12 ? ParseCrashes(value.at(12))
+                        : std::vector<CrashRecord>(),
+      value.size() > 10 ? ToUnsigned(value.at(10), "era", kMaxStoreEra) : 0
+    };
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const JsonMismatch&) {
+    return std::nullopt;
   }
 }
 
--- a/src/cluster/records.cpp
+++ b/src/cluster/records.cpp
@@ -1,10 +1,14 @@
 #include "cluster/records.h"
 
 #include <cstdio>
+#include <limits>
 #include <tuple>
 
+#include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <nlohmann/json.hpp>
 
+#include "cluster/storeera.h"
+#include "model/address.h"
 #include "model/rowvalue.h"
 
 namespace fescuetiller {
@@ -23,8 +27,8 @@
   return aText.compare(0, aPrefix.size(), aPrefix) == 0;
 }
 
-std::optional<MemberState>
-ParseState(const std::string& aText)
+MemberState
+ReadState(const std::string& aText)
 {
   for (auto state :
        { MemberState::Ready, MemberState::Draining, MemberState::Down }) {
@@ -32,7 +36,46 @@
       return state;
     }
   }
-  return std::nullopt;
+  throw JsonMismatch{ "field 'state' is not ready, draining or down" };
+}
+
+std::string
+ReadAddress(const JsonObject& aObject, const char* aName)
+{
+  auto address = aObject.Text(aName);
+  if (!IsAddress(address)) {
+    throw JsonMismatch{ std::string("field '") + aName +
+                        "' is not an IP address and port" };
+  }
+  return address;
+}
+
+/** Returns the first key of a range; its digits are as RangeKey writes them. */
+Key
+ReadFirstKey(const StoreKey& aKey)
+{
+  auto digits = aKey.key.substr(std::string(kRangePrefix).size());
+  Key first = 0;
+  if (digits.find_first_not_of("0123456789") != std::string::npos ||
+      !boost::conversion::try_lexical_convert(digits, first) ||
+      first > kLastKey || !(RangeKey(aKey.part, first) == aKey)) {
+    throw JsonMismatch{ "its key is not that of a range" };
+  }
+  return first;
+}
+
+/** Parses a row of one kind. */
+template<typename Record>
+std::optional<Record>
+ParseRow(const StoreRow& aRow,
+         bool aIsKind,
+         Result<Record> (*aRead)(const StoreRow&))
+{
+  if (!aIsKind || aRow.removed) {
+    return std::nullopt;
+  }
+  auto record = aRead(aRow);
+  return record ? std::optional<Record>(std::move(*record)) : std::nullopt;
 }
 
 } // namespace
@@ -148,79 +191,96 @@
   return { DrainKey(aRecord.service, aRecord.address), value.dump(), 0, false };
 }
 
+bool
+IsMemberKey(const StoreKey& aKey)
+{
+  return aKey.table == kClusterTable && HasPrefix(aKey.key, kMemberPrefix);
+}
+
+bool
+IsRangeKey(const StoreKey& aKey)
+{
+  return aKey.table == kClusterTable && HasPrefix(aKey.key, kRangePrefix);
+}
+
+bool
+IsDrainKey(const StoreKey& aKey)
+{
+  return aKey.table == kClusterTable && HasPrefix(aKey.key, kDrainPrefix);
+}
+
+Result<MemberRecord>
+ReadMember(const StoreRow& aRow)
+{
+  return ReadRowValue<MemberRecord>(aRow, [&](const JsonObject& aValue) {
+    MemberRecord record;
+    record.id = aRow.key.key.substr(std::string(kMemberPrefix).size());
+    if (record.id.empty()) {
+      throw JsonMismatch{ "its key has no id" };
+    }
+    record.service = aRow.key.part;
+    record.zone = aValue.Text("zone");
+    record.address = ReadAddress(aValue, "address");
+    record.udpAddress = ReadAddress(aValue, "beacon");
+    record.guardians = aValue.Texts("guardians");
+    record.state = ReadState(aValue.Text("state"));
+    return record;
+  });
+}
+
+Result<RangeRecord>
+ReadRange(const StoreRow& aRow)
+{
+  return ReadRowValue<RangeRecord>(aRow, [&](const JsonObject& aValue) {
+    RangeRecord record;
+    record.service = aRow.key.part;
+    record.range.first = ReadFirstKey(aRow.key);
+    record.range.last = static_cast<Key>(aValue.Number("last", kLastKey));
+    if (record.range.first > record.range.last) {
+      throw JsonMismatch{ "the range ends before it starts" };
+    }
+    record.owner = aValue.Text("owner");
+    record.epoch = aValue.Number("epoch", kMaxEpoch - 1);
+    if (record.epoch < FirstEpoch(EraOf(aRow.version))) {
+      throw JsonMismatch{ "field 'epoch' is lower than any of this era" };
+    }
+    record.handover = aValue.Text("handover");
+    return record;
+  });
+}
+
+Result<DrainRecord>
+ReadDrain(const StoreRow& aRow)
+{
+  return ReadRowValue<DrainRecord>(aRow, [&](const JsonObject& aValue) {
+    // The next revision must fit into the type.
+    constexpr uint64_t kMaxRevision = std::numeric_limits<uint64_t>::max() - 1;
+    DrainRecord record;
+    record.service = aRow.key.part;
+    record.address = aRow.key.key.substr(std::string(kDrainPrefix).size());
+    record.drain = aValue.Flag("drain");
+    record.revision = aValue.Number("revision", kMaxRevision);
+    record.changedBy = aValue.Text("changed-by");
+    return record;
+  });
+}
+
 std::optional<MemberRecord>
 ParseMember(const StoreRow& aRow)
 {
-  if (aRow.key.table != kClusterTable ||
-      !HasPrefix(aRow.key.key, kMemberPrefix)) {
-    return std::nullopt;
-  }
-  return ParseRowValue<MemberRecord>(
-    aRow, [&](const json& aValue) -> std::optional<MemberRecord> {
-      MemberRecord record;
-      record.id = aRow.key.key.substr(std::string(kMemberPrefix).size());
-      record.service = aRow.key.part;
-      record.zone = aValue.at("zone").get<std::string>();
-      record.address = aValue.at("address").get<std::string>();
-      record.udpAddress = aValue.at("beacon").get<std::string>();
-      record.guardians = aValue.at("guardians").get<std::vector<std::string>>();
-      auto state = ParseState(aValue.at("state").get<std::string>());
-      if (!state) {
-        return std::nullopt;
-      }
-      record.state = *state;
-      return record;
-    });
+  return ParseRow(aRow, IsMemberKey(aRow.key), ReadMember);
 }
 
 std::optional<RangeRecord>
 ParseRange(const StoreRow& aRow)
 {
-  if (aRow.key.table != kClusterTable ||
-      !HasPrefix(aRow.key.key, kRangePrefix)) {
-    return std::nullopt;
-  }
-  return ParseRowValue<RangeRecord>(
-    aRow, [&](const json& aValue) -> std::optional<RangeRecord> {
-      RangeRecord record;
-      record.service = aRow.key.part;
-      std::string digits =
-        aRow.key.key.substr(std::string(kRangePrefix).size());
-      if (digits.empty() ||
-          digits.find_first_not_of("0123456789") != std::string::npos ||
-          digits.size() > 5) {
-        return std::nullopt;
-      }
-      record.range.first = static_cast<Key>(std::stoul(digits));
-      record.range.last = aValue.at("last").get<Key>();
-      record.owner = aValue.at("owner").get<std::string>();
-      record.epoch = aValue.at("epoch").get<uint64_t>();
-      record.handover = aValue.at("handover").get<std::string>();
-      if (record.range.first > record.range.last ||
-          record.range.last > kLastKey) {
-        return std::nullopt;
-      }
-      return record;
-    });
+  return ParseRow(aRow, IsRangeKey(aRow.key), ReadRange);
 }
 
 std::optional<DrainRecord>
 ParseDrain(const StoreRow& aRow)
 {
-  if (aRow.key.table != kClusterTable ||
-      !HasPrefix(aRow.key.key, kDrainPrefix)) {
-    return std::nullopt;
-  }
-  return ParseRowValue<DrainRecord>(
-    aRow, [&](const json& aValue) -> std::optional<DrainRecord> {
-      DrainRecord record;
-      record.service = aRow.key.part;
-      record.address = aRow.key.key.substr(std::string(kDrainPrefix).size());
-      record.drain = aValue.at("drain").get<bool>();
-      record.revision = aValue.at("revision").get<uint64_t>();
-      record.changedBy = aValue.at("changed-by").get<std::string>();
-      return record;
-    });
+  return ParseRow(aRow, IsDrainKey(aRow.key), ReadDrain);
 }
 
 const char*
--- a/src/cluster/records.h
+++ b/src/cluster/records.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "base/base.h"
 #include "model/model.h"
 
 namespace fescuetiller {
@@ -40,6 +41,10 @@
   friend bool operator!=(const MemberRecord& aLeft, const MemberRecord& aRight);
 };
 
+/** Epochs are below this bound, which rows of daemons do not reach. So each has
+ * a next one, and fences stay below 2^53, exact in every reader of JSON. */
+constexpr uint64_t kMaxEpoch = uint64_t(1) << 40;
+
 /** Ownership of a range of a service's keys. */
 struct RangeRecord
 {
@@ -91,7 +96,26 @@
 StoreRow
 ToRow(const DrainRecord& aRecord);
 
-/** Returns nothing for a row of another kind or an invalid row. */
+bool
+IsMemberKey(const StoreKey& aKey);
+
+bool
+IsRangeKey(const StoreKey& aKey);
+
+bool
+IsDrainKey(const StoreKey& aKey);
+
+/** Reads a row whose key is of that kind. */
+Result<MemberRecord>
+ReadMember(const StoreRow& aRow);
+
+Result<RangeRecord>
+ReadRange(const StoreRow& aRow);
+
+Result<DrainRecord>
+ReadDrain(const StoreRow& aRow);
+
+/** Returns nothing for a row of another kind, a removed or an invalid row. */
 std::optional<MemberRecord>
 ParseMember(const StoreRow& aRow);
 
--- a/src/fescuetillerd/configurationsharing.cpp
+++ b/src/fescuetillerd/configurationsharing.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "model/nesting.h"
 #include "platform/platform.h"
 
 namespace fescuetiller {
@@ -106,9 +107,11 @@
   if (!bytes) {
     return tl::unexpected(bytes.error());
   }
-  auto value = json::from_msgpack(*bytes, true, false);
+  bool isFlat = IsMessagePack(*bytes, 1);
+  auto value = isFlat ? json::from_msgpack(*bytes, true, false) : json();
   if (!value.is_array() || value.size() != 2 ||
-      !value[0].is_number_unsigned() || !value[1].is_string()) {
+      !value[0].is_number_unsigned() || !value[1].is_string() ||
+      EraOf(value[0].get<RowVersion>()) > kMaxStoreEra) {
     return tl::unexpected(Error{ ErrorCode::Invalid,
                                  "read configuration",
                                  "peer",
--- a/src/model/storerow.cpp
+++ b/src/model/storerow.cpp
@@ -27,6 +27,12 @@
   return Tie(aLeft) < Tie(aRight);
 }
 
+std::string
+ToString(const StoreKey& aKey)
+{
+  return aKey.table + " " + aKey.part + " " + aKey.key;
+}
+
 bool
 operator==(const StoreRow& aLeft, const StoreRow& aRight)
 {
--- a/src/model/storerow.h
+++ b/src/model/storerow.h
@@ -18,6 +18,10 @@
   friend bool operator<(const StoreKey& aLeft, const StoreKey& aRight);
 };
 
+/** "table partition key", for errors and log lines. */
+std::string
+ToString(const StoreKey& aKey);
+
 /** Row of the store, or the notification that it was removed. */
 struct StoreRow
 {
--- a/src/platform/base64.cpp
+++ b/src/platform/base64.cpp
@@ -30,11 +30,19 @@
     iterators::binary_from_base64<std::string::const_iterator>,
     8,
     6>;
-  auto padding = std::count(aText.begin(), aText.end(), '=');
+  constexpr size_t kGroup = 4;
+  constexpr size_t kMaxPadding = 2;
+  // The decoder reads beyond the end of an incomplete group.
+  size_t used = aText.find_last_not_of('=') + 1;
+  size_t padding = aText.size() - used;
+  if (aText.size() % kGroup != 0 || padding > kMaxPadding ||
+      aText.find('=') < used) {
+    return std::nullopt;
+  }
   std::replace(aText.begin(), aText.end(), '=', 'A');
   try {
     std::string bytes(Decoder(aText.cbegin()), Decoder(aText.cend()));
-    bytes.resize(bytes.size() - std::min<size_t>(padding, bytes.size()));
+    bytes.resize(bytes.size() - padding);
     return bytes;
   } catch (const iterators::dataflow_exception&) {
     return std::nullopt;
--- a/src/platform/configurationcodec.cpp
+++ b/src/platform/configurationcodec.cpp
@@ -16,10 +16,11 @@
 ParseVersion(const std::string& aText)
 {
   uint64_t version = 0;
+  // The conversion alone would accept a sign.
   if (aText.size() < 2 || aText[0] != 'r' ||
+      aText.find_first_not_of("0123456789", 1) != std::string::npos ||
       !boost::conversion::try_lexical_convert(aText.substr(1), version)) {
-    throw JsonMismatch{ "'" + aText +
-                        "' is not a version; expected r and a number" };
+    throw JsonMismatch{ "field 'version' is not r and a number" };
   }
   return version;
 }
@@ -36,7 +37,7 @@
   if (aText == "download") {
     return RequestKind::Download;
   }
-  throw JsonMismatch{ "unknown request kind '" + aText + "'" };
+  throw JsonMismatch{ "field 'kind' is not safe, unsafe or download" };
 }
 
 std::vector<Destination>
@@ -52,8 +53,8 @@
   }
   for (const auto& entry : entries) {
     JsonObject object(entry);
-    destinations.push_back({ object.Text("service"),
-                             static_cast<uint32_t>(object.Number("weight")) });
+    destinations.push_back(
+      { object.Text("service"), object.SmallNumber("weight") });
   }
   return destinations;
 }
@@ -67,16 +68,12 @@
   route.host = object.Text("host");
   route.prefix = object.Text("prefix");
   route.kind = ParseKind(object.Text("kind"));
-  route.timeout = object.Time("timeout");
+  route.timeout = ReadTime(object, "timeout");
   route.targetLatency = object.Has("target-latency")
-                          ? object.Time("target-latency")
+                          ? ReadTime(object, "target-latency")
                           : route.timeout;
-  route.priority = object.Has("priority")
-                     ? static_cast<uint32_t>(object.Number("priority"))
-                     : 0;
-  route.attempts = object.Has("attempts")
-                     ? static_cast<uint32_t>(object.Number("attempts"))
-                     : 1;
+  route.priority = object.Has("priority") ? object.SmallNumber("priority") : 0;
+  route.attempts = object.Has("attempts") ? object.SmallNumber("attempts") : 1;
   route.destinations = ParseDestinations(object);
   return route;
 }
@@ -89,8 +86,7 @@
   service.name = aName;
   service.healthPath =
     object.Has("health-check") ? object.Text("health-check") : "";
-  service.maxConnections =
-    static_cast<uint32_t>(object.Number("max-connections"));
+  service.maxConnections = object.SmallNumber("max-connections");
   service.ownsKeys = object.Has("sharded") && object.Flag("sharded");
   if (object.Has("protocol") && object.Text("protocol") != "h1") {
     throw JsonMismatch{ "service '" + aName +
@@ -107,11 +103,10 @@
 ParseLimits(const JsonObject& aLimits)
 {
   ClientLimits limits;
-  limits.maxHeaderBytes =
-    static_cast<uint32_t>(aLimits.Number("max-header-bytes"));
+  limits.maxHeaderBytes = aLimits.SmallNumber("max-header-bytes");
   limits.maxBodyBytes = aLimits.Number("max-body-bytes");
-  limits.headerTimeout = aLimits.Time("header-timeout");
-  limits.idleTimeout = aLimits.Time("idle-timeout");
+  limits.headerTimeout = ReadTime(aLimits, "header-timeout");
+  limits.idleTimeout = ReadTime(aLimits, "idle-timeout");
   return limits;
 }
 
--- a/src/platform/heartbeatcodec.cpp
+++ b/src/platform/heartbeatcodec.cpp
@@ -1,5 +1,7 @@
 #include "platform/heartbeatcodec.h"
 
+#include <limits>
+
 #include "platform/jsonvalue.h"
 
 namespace fescuetiller {
@@ -18,12 +20,10 @@
   if (!aRow.is_array() || aRow.size() != aColumns) {
     throw JsonMismatch{ "a range is not a list of three values" };
   }
-  auto first = ToUnsigned(aRow[0], "from");
-  auto last = ToUnsigned(aRow[1], "to");
-  if (first > last || last > kLastKey) {
-    throw JsonMismatch{
-      "a range ends before it starts or beyond the last key"
-    };
+  auto first = ToUnsigned(aRow[0], "from", kLastKey);
+  auto last = ToUnsigned(aRow[1], "to", kLastKey);
+  if (first > last) {
+    throw JsonMismatch{ "a range ends before it starts" };
   }
   return { static_cast<Key>(first), static_cast<Key>(last) };
 }
@@ -43,7 +43,7 @@
 ParseDraining(const std::string& aState)
 {
   if (aState != "ready" && aState != "draining") {
-    throw JsonMismatch{ "unknown state '" + aState + "'" };
+    throw JsonMismatch{ "field 'state' is neither ready nor draining" };
   }
   return aState == "draining";
 }
@@ -90,18 +90,20 @@
     ServerReport report;
     report.incarnation.id = aServerId;
     // Deployments that never reuse an id omit the start time.
+    constexpr uint64_t kMaxTime = std::numeric_limits<int64_t>::max();
     report.incarnation.startedAt =
-      body.Has("born") ? static_cast<int64_t>(body.Number("born")) : 0;
+      body.Has("born") ? static_cast<int64_t>(body.Number("born", kMaxTime))
+                       : 0;
     report.service = body.Text("service");
     report.address = body.Text("address");
     report.zone = body.Text("zone");
-    auto slots = body.Number("slots");
-    if (slots == 0 || slots > kMaxSlots) {
-      throw JsonMismatch{ "field 'slots' is out of range" };
+    report.slots = static_cast<uint32_t>(body.Number("slots", kMaxSlots));
+    if (report.slots == 0) {
+      throw JsonMismatch{ "field 'slots' is 0" };
     }
-    report.slots = static_cast<uint32_t>(slots);
     report.draining = ParseDraining(body.Text("state"));
-    report.remainingWarmUp = body.Has("cold") ? body.Time("cold") : Duration(0);
+    report.remainingWarmUp =
+      body.Has("cold") ? ReadTime(body, "cold") : Duration(0);
     report.sequence = body.Number("seq");
     for (const auto& row : GetList(body, "holds")) {
       report.grantedRanges.push_back(
--- a/src/platform/jsonvalue.cpp
+++ b/src/platform/jsonvalue.cpp
@@ -19,60 +19,10 @@
   return parsed;
 }
 
-JsonObject::JsonObject(const nlohmann::json& aValue)
-  : value(aValue)
-{
-  if (!aValue.is_object()) {
-    throw JsonMismatch{ "not a JSON object" };
-  }
-}
-
-bool
-JsonObject::Has(const char* aName) const
-{
-  return this->value.contains(aName);
-}
-
-const nlohmann::json&
-JsonObject::Get(const char* aName) const
-{
-  auto found = this->value.find(aName);
-  if (found == this->value.end()) {
-    throw JsonMismatch{ std::string("field '") + aName + "' is missing" };
-  }
-  return *found;
-}
-
-std::string
-JsonObject::Text(const char* aName) const
-{
-  const auto& member = this->Get(aName);
-  if (!member.is_string()) {
-    throw JsonMismatch{ std::string("field '") + aName + "' is not a string" };
-  }
-  return member.get<std::string>();
-}
-
-uint64_t
-JsonObject::Number(const char* aName) const
-{
-  return ToUnsigned(this->Get(aName), aName);
-}
-
-bool
-JsonObject::Flag(const char* aName) const
-{
-  const auto& member = this->Get(aName);
-  if (!member.is_boolean()) {
-    throw JsonMismatch{ std::string("field '") + aName + "' is not a boolean" };
-  }
-  return member.get<bool>();
-}
-
 Duration
-JsonObject::Time(const char* aName) const
+ReadTime(const JsonObject& aObject, const char* aName)
 {
-  auto time = ParseDuration(this->Text(aName), aName);
+  auto time = ParseDuration(aObject.Text(aName), aName);
   if (!time) {
     throw JsonMismatch{ std::string("field '") + aName + "' " +
                         time.error().message };
@@ -80,16 +30,6 @@
   return *time;
 }
 
-uint64_t
-ToUnsigned(const nlohmann::json& aValue, const char* aName)
-{
-  if (!aValue.is_number_unsigned()) {
-    throw JsonMismatch{ std::string("field '") + aName +
-                        "' is not a non-negative integer" };
-  }
-  return aValue.get<uint64_t>();
-}
-
 Result<Duration>
 ParseDuration(const std::string& aText, const std::string& aOperation)
 {
--- a/src/platform/jsonvalue.h
+++ b/src/platform/jsonvalue.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/base.h"
+#include "model/jsonobject.h"
 
 namespace fescuetiller {
 
@@ -14,34 +15,10 @@
           const std::string& aOperation,
           const std::string& aPeer);
 
-/** Thrown and caught within a parse function, which adds operation and peer. */
-struct JsonMismatch
-{
-  std::string message;
-};
-
-/** Typed access to the members of a JSON object; throws JsonMismatch for a
- * member that is missing or has another type. */
-class JsonObject
-{
-public:
-  explicit JsonObject(const nlohmann::json& aValue);
-
-  bool Has(const char* aName) const;
-  const nlohmann::json& Get(const char* aName) const;
-  std::string Text(const char* aName) const;
-  uint64_t Number(const char* aName) const;
-  bool Flag(const char* aName) const;
-  /** Parses a string of a number and its unit: "1500ms" or "2.5s". */
-  Duration Time(const char* aName) const;
-
-private:
-  const nlohmann::json& value;
-};
-
-/** Converts a non-negative integer. @param aName Its field, for the error. */
-uint64_t
-ToUnsigned(const nlohmann::json& aValue, const char* aName);
+/** Reads a member that is a string of a number and its unit: "1500ms" or
+ * "2.5s". Throws JsonMismatch. */
+Duration
+ReadTime(const JsonObject& aObject, const char* aName);
 
 Result<Duration>
 ParseDuration(const std::string& aText, const std::string& aOperation);
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned kPreconditionFailed = 412;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
+constexpr uint64_t kMaxVersionNumber = (uint64_t(1) << kVersionNumberBits) - 1;
 
 json
 ToJson(const StoreKey& aKey)
@@ -30,6 +31,12 @@
            { "key", aKey.key } };
 }
 
+RowVersion
+ReadVersion(const JsonObject& aObject, StoreEra aEra)
+{
+  return MakeRowVersion(aEra, aObject.Number("ver", kMaxVersionNumber));
+}
+
 StoreRow
 ParseRow(const json& aValue, StoreEra aEra)
 {
@@ -40,14 +47,15 @@
               object.Text("key") };
   row.removed = object.Has("removed") && object.Get("removed") != json(false);
   if (object.Has("ver")) {
-    row.version = MakeRowVersion(aEra, object.Number("ver"));
+    row.version = ReadVersion(object, aEra);
   }
   if (!row.removed && object.Has("value")) {
-    auto value = DecodeBase64(object.Text("value"));
-    if (!value) {
-      throw JsonMismatch{ "a value is not base64" };
-    }
-    row.value = *value;
+    // A value that another writer spoilt is empty, so that its reader refuses
+    // this row alone.
+    const auto& value = object.Get("value");
+    row.value = value.is_string()
+                  ? DecodeBase64(value.get<std::string>()).value_or("")
+                  : "";
   }
   return row;
 }
@@ -172,8 +180,7 @@
     JsonObject body(*parsed);
     StoreOutcome outcome;
     outcome.committed = aStatus == kOk;
-    outcome.version =
-      body.Has("ver") ? MakeRowVersion(aEra, body.Number("ver")) : 0;
+    outcome.version = body.Has("ver") ? ReadVersion(body, aEra) : 0;
     outcome.current = ParseRowList(body, aEra);
     return outcome;
   } catch (const JsonMismatch& mismatch) {
@@ -198,7 +205,7 @@
     JsonObject body(*parsed);
     StoreRows rows;
     rows.rows = ParseRowList(body, aEra);
-    rows.version = MakeRowVersion(aEra, body.Number("ver"));
+    rows.version = ReadVersion(body, aEra);
     rows.hasMore = body.Has("has-more") && body.Flag("has-more");
     return rows;
   } catch (const JsonMismatch& mismatch) {
@@ -210,8 +217,10 @@
 ParseStoreEra(const std::string& aText)
 {
   StoreEra era = 0;
-  if (!aText.empty() && (!boost::conversion::try_lexical_convert(aText, era) ||
-                         aText.front() == '-' || era > kMaxStoreEra)) {
+  if (!aText.empty() &&
+      (aText.find_first_not_of("0123456789") != std::string::npos ||
+       !boost::conversion::try_lexical_convert(aText, era) ||
+       era > kMaxStoreEra)) {
     return tl::unexpected(MakeParseError("invalid era \"" + aText + "\""));
   }
   return era;
--- a/tests/cluster/clusterviewtest.cpp
+++ b/tests/cluster/clusterviewtest.cpp
@@ -108,6 +108,63 @@
   }
 }
 
+// Guards against keys that lose their owner since another writer has spoilt the
+// row of their range.
+SCENARIO("An invalid row leaves what its key named before", "[clusterview]")
+{
+  ClusterView view;
+  MemberRecord member{ "a", "agenda", "z", "10.0.0.1:2", "10.0.0.1:3", {}, {} };
+  auto row = ToRow(member);
+  row.version = 9;
+  view.Apply(row);
+  view.Apply(RangeRow(0, 99, "a", 10));
+
+  GIVEN("an invalid row of a range")
+  {
+    view.Apply({ RangeKey("agenda", 0), "[[[", 11, false });
+    THEN("the range is known with the version that a change must replace")
+    {
+      CHECK(view.FindRange("agenda", 5)->owner == "a");
+      CHECK(view.RangesOf("agenda").at(0).version == 11);
+      REQUIRE(view.RefusedRows().size() == 1);
+      CHECK(ToString(view.RefusedRows().begin()->second.error) ==
+            "read row (cluster agenda range/00000): not a JSON object");
+    }
+    THEN("a valid row ends the refusal")
+    {
+      view.Apply(RangeRow(0, 99, "b", 12));
+      CHECK(view.FindRange("agenda", 5)->owner == "b");
+      CHECK(view.RefusedRows().empty());
+    }
+    THEN("its removal does so, too")
+    {
+      view.Apply({ RangeKey("agenda", 0), "", 12, true });
+      CHECK(view.FindRange("agenda", 5) == nullptr);
+      CHECK(view.RefusedRows().empty());
+    }
+  }
+  GIVEN("an invalid row of a member")
+  {
+    for (const char* address : { "127.0.0.1:99999",
+                                 "127.0.0.1:0",
+                                 "127.0.0.1:-1",
+                                 "0.0.0.0:8146",
+                                 "224.0.0.1:8146",
+                                 "127.0.0.1",
+                                 "host:8146",
+                                 "" }) {
+      INFO(address);
+      member.address = address;
+      row = ToRow(member);
+      row.version = 20;
+      view.Apply(row);
+      CHECK(view.FindMember("a")->record.address == "10.0.0.1:2");
+      CHECK(view.FindMember("a")->version == 20);
+      CHECK(view.RefusedRows().size() == 1);
+    }
+  }
+}
+
 SCENARIO("Peer messages can be encoded and decoded", "[messages]")
 {
   PeerMessage message;
--- a/tests/cluster/membermonitortest.cpp
+++ b/tests/cluster/membermonitortest.cpp
@@ -24,8 +24,8 @@
     MemberRecord record{ aId,
                          "agenda",
                          "z",
-                         aId + ":2",
-                         aId + ":3",
+                         "10.0.0.1:2",
+                         "10.0.0.1:3",
                          MemberState::Ready,
                          aRecordGuardians };
     auto row = ToRow(record);
@@ -172,9 +172,13 @@
   LeaseTimes times;
   auto silence = WithDrift(times.promise, times) + milliseconds(1);
   MemberMonitor monitor(times);
-  MemberRecord record{
-    "d", "agenda", "z", "d:2", "d:3", MemberState::Ready, { "a", "b", "c" }
-  };
+  MemberRecord record{ "d",
+                       "agenda",
+                       "z",
+                       "10.0.0.1:2",
+                       "10.0.0.1:3",
+                       MemberState::Ready,
+                       { "a", "b", "c" } };
   auto row = ToRow(record);
   row.version = 10;
   ClusterView view;
--- a/tests/cluster/unownedrangestest.cpp
+++ b/tests/cluster/unownedrangestest.cpp
@@ -82,6 +82,8 @@
     MemberRecord other;
     other.id = "other";
     other.service = kService;
+    other.address = "10.0.0.2:2";
+    other.udpAddress = "10.0.0.2:3";
     single.store.Apply({ {}, { ToRow(other) }, {} });
     single.RunFor(seconds(12));
     THEN("it stays the owner")
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -106,13 +106,18 @@
   {
     ClusterView view;
     for (auto row :
-         { ToRow(MemberRecord{
-             "me", "agenda", "a", "127.0.0.1:1", "", MemberState::Ready, {} }),
+         { ToRow(MemberRecord{ "me",
+                               "agenda",
+                               "a",
+                               "127.0.0.1:1",
+                               "127.0.0.1:1",
+                               MemberState::Ready,
+                               {} }),
            ToRow(MemberRecord{ "other",
                                "agenda",
                                "a",
                                ToString(this->server.Address()),
-                               "",
+                               ToString(this->server.Address()),
                                MemberState::Ready,
                                {} }),
            ToRow(RangeRecord{ "agenda", { 0, aLast }, aOwner, 1, "" }) }) {
--- a/tests/fescuetillerctl/ctltest.cpp
+++ b/tests/fescuetillerctl/ctltest.cpp
@@ -105,6 +105,7 @@
     member.service = kService;
     member.zone = "qc-east-a";
     member.address = aAddress;
+    member.udpAddress = aAddress;
     this->SetRow(ToRow(member));
   }
 
@@ -226,6 +227,7 @@
     draining.id = "m1";
     draining.service = kService;
     draining.address = kAddress;
+    draining.udpAddress = kAddress;
     draining.state = MemberState::Draining;
     deployed.SetRow(ToRow(draining));
     CHECK(ana.Run("status") == 0);
--- a/tests/fuzz/parsertest.cpp
+++ b/tests/fuzz/parsertest.cpp
@@ -1,7 +1,9 @@
+#include <limits>
 #include <random>
 #include <sstream>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "audit/audit.h"
 #include "cluster/cluster.h"
@@ -10,6 +12,9 @@
 #include "fescuetillerd/configurationsharing.h"
 #include "fescuetillerd/dispatch.h"
 #include "fescuetillerd/nodesettings.h"
+#include "http/deflate.h"
+#include "platform/base64.h"
+#include "platform/jsonvalue.h"
 #include "platform/platform.h"
 #include "standins/memorystore.h"
 
@@ -112,6 +117,83 @@
   R"({"service":"agenda","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
   R"("slots":9,"state":"ready","cold":"0ms","seq":4,"born":1700000000000})";
 
+using nlohmann::json;
+
+constexpr size_t kDeepNesting = 100000;
+
+/** JSON texts that are no proper value of any field, or only of few. */
+const std::vector<std::string>&
+OddValues()
+{
+  static const std::vector<std::string> kValues = {
+    std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']'),
+    std::string(kDeepNesting, '['),
+    "1e30",
+    "1e999",
+    "-1e30",
+    "0.5",
+    "-1",
+    "-4294967295",
+    "-9223372036854775808",
+    "70000",
+    "99999",
+    "4294967296",
+    "4294967301",
+    "281474976710656",
+    "9223372036854775808",
+    "18446744073709551615",
+    "18446744073709551616",
+    "true",
+    "null",
+    "[]",
+    "{}",
+    R"("")",
+    R"("7")",
+    R"("r-5")",
+    R"("r18446744073709551616")",
+    R"("-5ms")",
+    R"("1e300s")",
+    R"("99999999999999999999999999999999999999s")",
+    R"("127.0.0.1:99999")",
+    R"("127.0.0.1:0")",
+    R"("0.0.0.0:8146")",
+    "\"" + std::string(1000000, 'x') + "\"",
+    R"("\ud800")",
+  };
+  return kValues;
+}
+
+/** Calls a function with each text that results from a JSON text if one of its
+ * innermost values is replaced by an odd one.
+ * @param aCheck Gets the text and the path of the replaced value. */
+template<typename Function>
+void
+ForEachOddText(const std::string& aText, Function aCheck)
+{
+  const std::string kMark = "replaced";
+  const auto whole = json::parse(aText);
+  const auto values = whole.flatten();
+  for (const auto& [path, value] : values.items()) {
+    auto marked = whole;
+    marked[json::json_pointer(path)] = kMark;
+    auto text = marked.dump();
+    auto at = text.find("\"" + kMark + "\"");
+    for (const auto& odd : OddValues()) {
+      INFO(path << ": " << odd.substr(0, 40));
+      aCheck(std::string(text).replace(at, kMark.size() + 2, odd), path);
+    }
+  }
+}
+
+/** Whether a number was read as it stands in a JSON text. */
+template<typename Number>
+bool
+IsNumber(const json& aValue, Number aNumber)
+{
+  // As numbers, -1 and the largest unsigned one are equal.
+  return aValue.is_number_integer() && json(aNumber).dump() == aValue.dump();
+}
+
 } // namespace
 
 TEST_CASE("Mutated settings are valid or refused with the file's name",
@@ -237,7 +319,8 @@
 
 TEST_CASE("Mutated rows of every table are ignored or parsed", "[fuzz]")
 {
-  MemberRecord member{ "m1", "agenda", "a", "1:2", "1:3", {}, { "m2" } };
+  MemberRecord member{ "m1",         "agenda", "a",     "10.0.0.1:2",
+                       "10.0.0.1:3", {},       { "m2" } };
   AuditEntry entry;
   entry.service = "agenda";
   AuditHead head;
@@ -318,3 +401,274 @@
     CHECK(code <= 4);
   }
 }
+
+// Guards against numbers that are cast: a key of 4294967301 was read as key 5,
+// and an epoch of -1 as the largest one.
+TEST_CASE("Rows with an odd value are refused or read as they stand", "[fuzz]")
+{
+  MemberRecord member{ "m1",         "agenda", "a",     "10.0.0.1:8146",
+                       "10.0.0.1:1", {},       { "m2" } };
+  const std::vector<StoreRow> kRows = {
+    ToRow(member),
+    ToRow(RangeRecord{ "agenda", { 0, 9 }, "m1", 3, "h" }),
+    ToRow(DrainRecord{ "agenda", "10.0.0.1:8146", true, 1, "ana" })
+  };
+  for (auto row : kRows) {
+    ForEachOddText(row.value,
+                   [&](const std::string& aText, const std::string& aPath) {
+                     row.value = aText;
+                     std::optional<StoreRow> read;
+                     if (auto record = ParseMember(row)) {
+                       CHECK(record->address == member.address);
+                       CHECK(record->udpAddress == member.udpAddress);
+                       read = ToRow(*record);
+                     } else if (auto range = ParseRange(row)) {
+                       CHECK(range->epoch < kMaxEpoch);
+                       read = ToRow(*range);
+                     } else if (auto drain = ParseDrain(row)) {
+                       read = ToRow(*drain);
+                     }
+                     if (read) {
+                       CHECK(json::parse(read->value) == json::parse(aText));
+                     }
+                     ClusterView view;
+                     row.version = 1;
+                     view.Apply(row);
+                     CHECK(view.RefusedRows().size() == (read ? 0 : 1));
+                     CHECK_FALSE(aPath.empty());
+                   });
+  }
+}
+
+// Guards against rows that stand under two keys of the view, or under none.
+TEST_CASE("Rows with an odd key are refused", "[fuzz]")
+{
+  const std::string kValue =
+    ToRow(RangeRecord{ "agenda", { 0, kLastKey }, "m1", 3, "" }).value;
+  for (const char* key : { "range/",
+                           "range/7",
+                           "range/-0001",
+                           "range/+0001",
+                           "range/70000",
+                           "range/99999",
+                           "range/000000",
+                           "range/4294967296",
+                           "range/1e3",
+                           "range/0x001" }) {
+    INFO(key);
+    StoreRow row{ { kClusterTable, "agenda", key }, kValue, 1, false };
+    CHECK_FALSE(ParseRange(row));
+    ClusterView view;
+    view.Apply(row);
+    CHECK(view.RefusedRows().size() == 1);
+  }
+  MemberRecord member{ "", "agenda", "a", "10.0.0.1:2", "10.0.0.1:3", {}, {} };
+  CHECK_FALSE(ParseMember(ToRow(member)));
+}
+
+// Guards against a limit of 0 connections that was written as 4294967296, and
+// against a version of -5 that is newer than all others.
+TEST_CASE("Configurations with an odd value are refused or read as they stand",
+          "[fuzz]")
+{
+  auto whole = json::parse(kConfiguration);
+  whole["routes"]["lookup"]["weighted-clusters"] = { { { "service", "agenda" },
+                                                       { "weight", 3 } } };
+  whole["limits"] = { { "max-header-bytes", 16384 },
+                      { "max-body-bytes", 1048576 },
+                      { "header-timeout", "3s" },
+                      { "idle-timeout", "15s" } };
+  REQUIRE(ParseConfiguration(whole.dump()));
+  int refused = 0;
+  ForEachOddText(
+    whole.dump(), [&](const std::string& aText, const std::string& aPath) {
+      auto configuration = ParseConfiguration(aText);
+      if (!configuration) {
+        ++refused;
+        CHECK_FALSE(configuration.error().message.empty());
+        return;
+      }
+      auto text = json::parse(aText);
+      CHECK(text["version"] == "r" + std::to_string(configuration->version));
+      const auto& service = configuration->services.at("agenda");
+      CHECK(IsNumber(text["services"]["agenda"]["max-connections"],
+                     service.maxConnections));
+      const auto& route = configuration->routes.at("lookup");
+      const auto& fields = text["routes"]["lookup"];
+      CHECK(IsNumber(fields["priority"], route.priority));
+      CHECK(IsNumber(fields["attempts"], route.attempts));
+      CHECK(IsNumber(fields["weighted-clusters"][0]["weight"],
+                     route.destinations.at(0).weight));
+      CHECK(IsNumber(text["limits"]["max-header-bytes"],
+                     configuration->limits.maxHeaderBytes));
+      CHECK(IsNumber(text["limits"]["max-body-bytes"],
+                     configuration->limits.maxBodyBytes));
+      CHECK(route.timeout >= Duration(0));
+      CHECK_FALSE(aPath.empty());
+    });
+  CHECK(refused > 0);
+}
+
+TEST_CASE("Heartbeats with an odd value are refused or read as they stand",
+          "[fuzz]")
+{
+  auto whole = json::parse(kHeartbeat);
+  whole["holds"] = { { 0, 9, 4097 } };
+  whole["freed"] = { { 10, 19, "h" } };
+  REQUIRE(ParseHeartbeat("i-1", whole.dump()));
+  ForEachOddText(
+    whole.dump(), [&](const std::string& aText, const std::string& aPath) {
+      auto report = ParseHeartbeat("i-1", aText);
+      if (!report) {
+        CHECK_FALSE(report.error().message.empty());
+        return;
+      }
+      auto text = json::parse(aText);
+      CHECK(IsNumber(text["born"], report->incarnation.startedAt));
+      CHECK(IsNumber(text["slots"], report->slots));
+      CHECK(IsNumber(text["seq"], report->sequence));
+      CHECK(
+        IsNumber(text["holds"][0][0], report->grantedRanges[0].range.first));
+      CHECK(IsNumber(text["holds"][0][1], report->grantedRanges[0].range.last));
+      CHECK(IsNumber(text["holds"][0][2], report->grantedRanges[0].fence));
+      CHECK(report->remainingWarmUp >= Duration(0));
+      CHECK_FALSE(aPath.empty());
+    });
+}
+
+// Guards against a store whose changes are no longer followed since one of the
+// rows is odd, and against versions that reach into the bits of the era.
+TEST_CASE("An odd row among those of the store leaves the others valid",
+          "[fuzz]")
+{
+  constexpr StoreEra kEra = 3;
+  const json kGood = { { "table", "cluster" },
+                       { "part", "agenda" },
+                       { "key", "range/00000" },
+                       { "value", EncodeBase64("{}") },
+                       { "ver", 5 } };
+  for (const auto& odd : OddValues()) {
+    INFO(odd.substr(0, 40));
+    auto row = kGood;
+    row["key"] = "range/00500";
+    row["value"] = EncodeBase64(odd);
+    json body = { { "rows", { kGood, row, kGood } }, { "ver", 6 } };
+    auto rows = ParseRows(200, body.dump(), kEra);
+    REQUIRE(rows);
+    REQUIRE(rows->rows.size() == 3);
+    CHECK(rows->rows[1].value == odd);
+  }
+  for (const char* value : { "A",
+                             "AB",
+                             "ABC",
+                             "A===",
+                             "====",
+                             "=ABC",
+                             "AB=C",
+                             "AAAA=",
+                             "!!!!",
+                             "AA AA",
+                             "\x7f\x7f" }) {
+    INFO(value);
+    CHECK_FALSE(DecodeBase64(value));
+    auto row = kGood;
+    row["value"] = value;
+    json body = { { "rows", { kGood, row, kGood } }, { "ver", 6 } };
+    auto rows = ParseRows(200, body.dump(), kEra);
+    REQUIRE(rows);
+    CHECK(rows->rows.size() == 3);
+    CHECK(rows->rows[1].value.empty());
+    CHECK(rows->rows[2].value == "{}");
+  }
+  json whole = { { "rows", { kGood } }, { "ver", 6 }, { "has-more", false } };
+  ForEachOddText(whole.dump(),
+                 [&](const std::string& aText, const std::string& aPath) {
+                   for (unsigned status : { 200U, 412U }) {
+                     auto outcome = ParseOutcome(status, aText, kEra);
+                     if (outcome) {
+                       CHECK(EraOf(outcome->version) == kEra);
+                       CHECK(outcome->current.size() <= 1);
+                     }
+                   }
+                   if (auto rows = ParseRows(200, aText, kEra)) {
+                     CHECK(EraOf(rows->version) == kEra);
+                     for (const auto& row : rows->rows) {
+                       CHECK(EraOf(row.version) == kEra);
+                     }
+                   }
+                   CHECK_FALSE(aPath.empty());
+                 });
+}
+
+// Guards against a datagram that ends a daemon: nesting is read by recursion,
+// and an age of many years does not fit into the type for times.
+TEST_CASE("Datagrams with an odd value are dropped or read as they stand",
+          "[fuzz]")
+{
+  PeerMessage message;
+  message.kind = PeerMessage::Kind::Rows;
+  message.from = "m1";
+  message.to = "m2";
+  message.version = 4;
+  message.rows = { ToRow(RangeRecord{ "agenda", { 0, 9 }, "m1", 3, "" }) };
+  message.crashes = { { 1, 2, { 3 }, 4, std::chrono::milliseconds(5) } };
+  message.configurationAge = std::chrono::milliseconds(6);
+  auto bytes = Encode(message);
+  auto whole = json::from_msgpack(bytes);
+  ForEachOddText(
+    whole.dump(), [&](const std::string& aText, const std::string& aPath) {
+      auto odd = json::parse(aText, nullptr, false);
+      if (odd.is_discarded() || aText.size() > kDeepNesting) {
+        return; // Not a datagram.
+      }
+      auto packed = json::to_msgpack(odd);
+      auto read = DecodePeerMessage({ packed.begin(), packed.end() });
+      if (!read) {
+        return;
+      }
+      CHECK(IsNumber(odd[4], read->version));
+      CHECK(IsNumber(odd[5], read->sentAt));
+      CHECK(odd[7].is_number());
+      CHECK(IsNumber(odd[8], ToMilliseconds(read->untilHeartbeat)));
+      CHECK(IsNumber(odd[9], read->configuration));
+      CHECK(IsNumber(odd[10], read->era));
+      CHECK(read->load >= 0);
+      CHECK(read->era <= kMaxStoreEra);
+      CHECK(EraOf(read->version) <= kMaxStoreEra);
+      CHECK(EraOf(read->configuration) <= kMaxStoreEra);
+      for (const auto& row : read->rows) {
+        CHECK(EraOf(row.version) <= kMaxStoreEra);
+      }
+      for (const auto& crash : read->crashes) {
+        CHECK(IsNumber(odd[12][0][0], crash.fingerprint));
+        CHECK(IsNumber(odd[12][0][1], crash.generation));
+        CHECK(IsNumber(odd[12][0][3][0], crash.servers.at(0)));
+        CHECK(IsNumber(odd[12][0][4], crash.trials));
+      }
+      CHECK_FALSE(aPath.empty());
+    });
+  for (double load : { std::numeric_limits<double>::quiet_NaN(),
+                       std::numeric_limits<double>::infinity(),
+                       -1.0 }) {
+    message.load = load;
+    CHECK_FALSE(DecodePeerMessage(Encode(message)));
+  }
+
+  const std::string kArray(1, '\x91');
+  const std::string kMap = "\x81\xa1k";
+  for (const auto& level : { kArray, kMap }) {
+    std::string deep;
+    while (deep.size() < 60000) {
+      deep += level;
+    }
+    deep += '\xc0';
+    CHECK_FALSE(DecodePeerMessage(deep));
+    CHECK_FALSE(DecodePeerMessage("\x9d" + deep));
+    CHECK_FALSE(DecodeSharedRow(Deflate(deep)));
+    std::string deeper;
+    for (size_t depth = 0; depth < 10 * kDeepNesting; ++depth) {
+      deeper += level;
+    }
+    CHECK_FALSE(DecodeSharedRow(Deflate(deeper + '\xc0')));
+  }
+}
