Give keys only to members that were heard

Cause: first ranges, moves, takeovers and the gaps of a new era went to each member whose row said "ready". A member without a known load counted as new and idle, so it was even preferred.

Why this works: MemberProbe, which asks each member in turn and judges the silent ones, now also knows which members were heard: a datagram of that id to this member. Who assigns keys must have heard the receiver itself, with no probe of it unanswered for 2.5 s. No store call is added, so it holds during an outage and after a restart of all daemons. Members silent for 5 s are no longer chosen as guardians. A row without a process is removed as before, by its guardians or by its long lease, now without ever having had keys. The event member-unheard names it once.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -441,7 +441,11 @@
   using Kind = PeerMessage::Kind;
   bool isProbe =
     aMessage.kind == Kind::Probe || aMessage.kind == Kind::ProbeReply;
-  if (aMessage.to != this->self || (aMessage.era != this->era && !isProbe)) {
+  if (aMessage.to != this->self) {
+    return {};
+  }
+  this->probe.OnReply(aMessage.from);
+  if (aMessage.era != this->era && !isProbe) {
     return {};
   }
   auto reply = [&](Kind aKind) {
@@ -487,12 +491,10 @@
       break;
     case Kind::Probe:
       return { { "", reply(Kind::ProbeReply) } };
-    case Kind::ProbeReply:
-      this->probe.OnReply(aMessage.from);
-      break;
     case Kind::Consent:
       this->monitor.OnConsent(aMessage.member, aMessage.from, aMessage.version);
       break;
+    case Kind::ProbeReply:
     case Kind::Confirmation:
     case Kind::Crashes:
       break; // Not about ownership.
@@ -729,9 +731,10 @@
     const MemberRecord* record;
   };
   const auto* own = this->view.FindMember(this->self);
+  auto silent = this->probe.SilentMembers(aNow);
   std::vector<Candidate> candidates;
   for (const auto& [id, member] : this->view.AllMembers()) {
-    if (id == this->self ||
+    if (id == this->self || silent.count(id) > 0 ||
         member.record.udpAddress == this->identity.udpAddress ||
         this->IsGuardianSilent(aNow, id)) {
       continue;
@@ -895,6 +898,15 @@
     aOutput.messages.push_back(
       { this->view.FindMember(id)->record.udpAddress, std::move(request) });
   }
+  auto unheard = this->probe.UnheardMembers(aNow);
+  for (const auto& id : unheard) {
+    const auto* member = this->view.FindMember(id);
+    if (member != nullptr && this->loggedUnheard.count(id) == 0) {
+      this->LogEvent("member-unheard",
+                     { { "id", id }, { "address", member->record.address } });
+    }
+  }
+  this->loggedUnheard = std::move(unheard);
 }
 
 /** Creates a peer message that includes the load of this member. */
@@ -989,6 +1001,7 @@
     // A member without a known load is new, unless it owns keys.
     bool unknown = !load && counts[member->id] > 0;
     if (member->id == this->self || member->state != MemberState::Ready ||
+        !this->probe.IsAlive(aNow, member->id) ||
         counts[member->id] >= this->settings.rebalancing.maxRanges ||
         (unknown && !aIncludeUnknown)) {
       continue;
@@ -1012,7 +1025,9 @@
   }
   std::vector<MemberId> ready;
   for (const auto* member : this->view.MembersOf(service)) {
-    if (member->state == MemberState::Ready) {
+    bool isAlive =
+      member->id == this->self || this->probe.IsAlive(aNow, member->id);
+    if (member->state == MemberState::Ready && isAlive) {
       ready.push_back(member->id);
     }
   }
