Leave contested keys with the server that holds them

What callers saw: range/10001 to 10002 of an unknown owner over a range of a member: status counted 100.003% of the keys as owned, and a member took the odd range ("orphans-taken"), so two members owned the same keys. Found by reading: each of them would grant these keys to its server, requests for the keys behind the odd range up to the next one found no owner, and with an odd row in the table the first ranges were never created.

Cause: the view took for granted that ranges never overlap, that one begins at key 0 if there is any, and that a range whose owner is no member may be taken.

Why this works: neither of two rows shows which one is wrong, so contested keys stay with the server that holds them and are granted to no other. Requests go to the owner by the oldest row meanwhile. In a new era, unowned ranges are not taken before the time after which no server can hold keys of the era before; and what a member brings along leaves out contested keys that its server does not hold.

Evidence: two new faults of the simulation, "odd member row" and "odd range row" (unknown owner, a running member as owner, an epoch at the end of its type, over several ranges), in the matrix, in all pairs, and in 40 series with other faults.

--- a/src/cluster/changes.cpp
+++ b/src/cluster/changes.cpp
@@ -131,9 +131,11 @@
 StoreTransaction
 MakeFirstRangesChange(const std::string& aService,
                       std::vector<MemberId> aMembers,
-                      StoreEra aEra)
+                      StoreEra aEra,
+                      bool aIsFirst)
 {
-  aMembers.resize(std::min(aMembers.size(), kMaxFirstRanges));
+  aMembers.resize(
+    std::min(aMembers.size(), aIsFirst ? kMaxFirstRanges : kMaxTakenRanges));
   StoreTransaction change;
   // If any range exists then one begins at key 0, so one condition is enough.
   AddCondition(change, RangeKey(aService, 0), 0);
@@ -141,6 +143,9 @@
   for (size_t index = 0; index < aMembers.size(); ++index) {
     Key last =
       static_cast<Key>((kLastKey + 1) * (index + 1) / aMembers.size() - 1);
+    if (!aIsFirst && next > 0) {
+      AddCondition(change, RangeKey(aService, next), 0);
+    }
     change.sets.push_back(ToRow(RangeRecord{
       aService, { next, last }, aMembers[index], FirstEpoch(aEra), "" }));
     next = last + 1;
@@ -223,6 +228,41 @@
   return change;
 }
 
+StoreTransaction
+MakeTrimChange(const ClusterView& aView, const Versioned<RangeRecord>& aRange)
+{
+  StoreTransaction change;
+  const auto& record = aRange.record;
+  auto others = aView.RangesOver(record);
+  if (others.empty() || others.size() > kMaxTakenRanges) {
+    return change;
+  }
+  std::vector<KeyRange> rest{ record.range };
+  for (const auto* other : others) {
+    auto key = RangeKey(record.service, other->record.range.first);
+    AddCondition(change, key, other->version);
+    rest = Subtract(rest, other->record.range);
+    if (other->record.epoch <= record.epoch) {
+      auto raised = other->record;
+      raised.epoch = record.epoch + 1;
+      change.sets.push_back(ToRow(raised));
+    }
+  }
+  std::vector<RangeRecord> parts;
+  parts.reserve(rest.size());
+  for (const auto& range : rest) {
+    parts.push_back(
+      { record.service, range, record.owner, record.epoch, record.handover });
+  }
+  AddParts(change, aRange, parts, aView);
+  auto key = RangeKey(record.service, record.range.first);
+  if (rest.empty() || rest.front().first != record.range.first) {
+    AddCondition(change, key, aRange.version);
+    change.removes.push_back(key);
+  }
+  return change;
+}
+
 StoreTransaction
 MakeTakeoverChange(const ClusterView& aView,
                    const LostMember& aLost,
--- a/src/cluster/changes.h
+++ b/src/cluster/changes.h
@@ -42,11 +42,14 @@
               const std::vector<KeyRange>& aRanges,
               StoreEra aEra);
 
-/** Divides all keys evenly among members, on condition that no range exists. */
+/** Divides all keys evenly among members, on condition that no range exists.
+ * @param aIsFirst Whether no range is known, also none of another writer. Else
+ * fewer members get one, so that there is room for more conditions. */
 StoreTransaction
 MakeFirstRangesChange(const std::string& aService,
                       std::vector<MemberId> aMembers,
-                      StoreEra aEra = 0);
+                      StoreEra aEra = 0,
+                      bool aIsFirst = true);
 
 /** Ends the time in which members bring ranges along from the era before.
  * @param aValue Value of the row, different in each change. */
@@ -79,6 +82,11 @@
                    const std::vector<KeyWeight>& aKeys,
                    const std::vector<MemberLoad>& aTargets);
 
+/** Takes from a range the keys that others contain as well; their epochs rise
+ * above its own. Empty if these are too many. */
+StoreTransaction
+MakeTrimChange(const ClusterView& aView, const Versioned<RangeRecord>& aRange);
+
 /** Adds a change of the owner of a whole range, without a handover token. */
 void
 AddOwnerChange(StoreTransaction& aChange,
--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -1,6 +1,7 @@
 #include "cluster/clusterview.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace fescuetiller {
@@ -49,6 +50,7 @@
       return this->Refuse(aRow, range.error());
     }
     this->ranges[key.part][range->range.first] = { *range, aRow.version };
+    this->UpdateOverlaps(key.part, range->range.first);
   } else if (IsDrainKey(key)) {
     auto drain = ReadDrain(aRow);
     if (!drain) {
@@ -109,7 +111,9 @@
   for (auto entry = service->second.begin(); entry != service->second.end();
        ++entry) {
     if (RangeKey(aKey.part, entry->first) == aKey) {
+      auto first = entry->first;
       service->second.erase(entry);
+      this->UpdateOverlaps(aKey.part, first);
       return true;
     }
   }
@@ -188,6 +192,76 @@
   return found == this->ranges.end() ? kNone : found->second;
 }
 
+/** Updates whether ranges overlap after the row of one has changed. */
+void
+ClusterView::UpdateOverlaps(const std::string& aService, Key aChanged)
+{
+  const auto& rows = this->RangesOf(aService);
+  auto from = rows.begin();
+  auto to = rows.end();
+  if (this->overlapping.count(aService) == 0) {
+    // Only the neighbours of the changed row can overlap it.
+    from = rows.lower_bound(aChanged);
+    from = from == rows.begin() ? from : std::prev(from);
+    to = rows.upper_bound(aChanged);
+    to = to == rows.end() ? to : std::next(to);
+  }
+  std::optional<Key> last;
+  bool anyOverlap = false;
+  for (auto row = from; row != to; ++row) {
+    const auto& range = row->second.record.range;
+    anyOverlap = anyOverlap || (last && range.first <= *last);
+    last = std::max(last.value_or(0), range.last);
+  }
+  if (anyOverlap) {
+    this->overlapping.insert(aService);
+  } else {
+    this->overlapping.erase(aService);
+  }
+}
+
+std::vector<const Versioned<RangeRecord>*>
+ClusterView::OverlappingRanges(const std::string& aService) const
+{
+  std::vector<const Versioned<RangeRecord>*> found;
+  if (this->overlapping.count(aService) == 0) {
+    return found;
+  }
+  const Versioned<RangeRecord>* widest = nullptr;
+  for (const auto& [first, range] : this->RangesOf(aService)) {
+    bool overlaps =
+      widest != nullptr && range.record.range.Overlaps(widest->record.range);
+    if (overlaps) {
+      if (found.empty() || found.back() != widest) {
+        found.push_back(widest);
+      }
+      found.push_back(&range);
+    }
+    if (widest == nullptr ||
+        range.record.range.last > widest->record.range.last) {
+      widest = &range;
+    }
+  }
+  std::sort(found.begin(), found.end(), [](const auto* aLeft, auto* aRight) {
+    return aLeft->record.range.first < aRight->record.range.first;
+  });
+  found.erase(std::unique(found.begin(), found.end()), found.end());
+  return found;
+}
+
+std::vector<const Versioned<RangeRecord>*>
+ClusterView::RangesOver(const RangeRecord& aRange) const
+{
+  std::vector<const Versioned<RangeRecord>*> found;
+  for (const auto* range : this->OverlappingRanges(aRange.service)) {
+    if (range->record.range.first != aRange.range.first &&
+        range->record.range.Overlaps(aRange.range)) {
+      found.push_back(range);
+    }
+  }
+  return found;
+}
+
 RowVersion
 ClusterView::RefusedVersion(const std::string& aService, Key aFirst) const
 {
@@ -199,6 +273,16 @@
 const RangeRecord*
 ClusterView::FindRange(const std::string& aService, Key aKey) const
 {
+  if (this->overlapping.count(aService) > 0) {
+    const Versioned<RangeRecord>* oldest = nullptr;
+    for (const auto& [first, range] : this->RangesOf(aService)) {
+      if (range.record.range.Contains(aKey) &&
+          (oldest == nullptr || range.version < oldest->version)) {
+        oldest = &range;
+      }
+    }
+    return oldest == nullptr ? nullptr : &oldest->record;
+  }
   const auto& rows = this->RangesOf(aService);
   auto next = rows.upper_bound(aKey);
   if (next == rows.begin()) {
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,11 +63,23 @@
   /** Ranges of a service by their first key. */
   const Ranges& RangesOf(const std::string& aService) const;
 
+  /** Ranges of a service that overlap others, which none of the daemons'
+   * changes leaves behind: another writer has added or changed a row, or some
+   * rows of a change have not arrived yet. */
+  std::vector<const Versioned<RangeRecord>*> OverlappingRanges(
+    const std::string& aService) const;
+
+  /** Ranges that overlap another one of the same service. */
+  std::vector<const Versioned<RangeRecord>*> RangesOver(
+    const RangeRecord& aRange) const;
+
   /** Version of a refused row with the key of a range that is not known
    * otherwise; 0 if there is none. */
   RowVersion RefusedVersion(const std::string& aService, Key aFirst) const;
 
-  /** @return nullptr if no range contains the key. */
+  /** If several ranges contain the key, the one with the oldest row is
+   * returned: rows that another writer adds are newer.
+   * @return nullptr if no range contains the key. */
   const RangeRecord* FindRange(const std::string& aService, Key aKey) const;
 
   /** Whether operators have drained the member at an address. */
@@ -97,9 +110,11 @@
   /** Refuses a row. What its key named before stays known. */
   bool Refuse(const StoreRow& aRow, const Error& aError);
   bool Remove(const StoreKey& aKey);
+  void UpdateOverlaps(const std::string& aService, Key aChanged);
 
   Members members;
   std::map<std::string, Ranges> ranges;
+  std::set<std::string> overlapping; ///< Services with overlapping ranges.
   Drains drains;
   Refused refused;
   std::map<std::string, RowVersion> claimsClosedAt; ///< By service.
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -266,7 +266,11 @@
   if (this->LeaseEnd() <= aNow) {
     return {};
   }
-  auto owned = this->OwnedKeyRanges();
+  std::vector<KeyRange> owned;
+  for (const auto* range : this->OwnedRanges()) {
+    auto parts = this->UncontestedParts(*range);
+    owned.insert(owned.end(), parts.begin(), parts.end());
+  }
   for (const auto& move : this->moves) {
     if (move.writing) {
       owned = Subtract(owned, move.plan.range);
@@ -390,7 +394,7 @@
 {
   std::vector<Grant> grants;
   for (const auto* owned : this->OwnedRanges()) {
-    std::vector<KeyRange> parts{ owned->record.range };
+    auto parts = this->UncontestedParts(*owned);
     for (const auto& move : this->moves) {
       parts = Subtract(parts, move.plan.range);
     }
@@ -558,6 +562,7 @@
       this->WriteMoves(aNow);
       this->MergeRanges(aNow);
       this->TakeUnownedRanges(aNow);
+      this->GiveUpOverlaps(aNow);
     }
     this->RemoveRefusedMembers(aNow);
   }
@@ -681,6 +686,15 @@
   return WithDrift(this->settings.times.promise, this->settings.times);
 }
 
+/** Longest time for which a daemon that does not see the latest rows may grant
+ * keys, and servers hold them. */
+Duration
+OwnershipAgent::MaxUnseenGrantTime() const
+{
+  return WithDrift(this->settings.times.longLease, this->settings.times) +
+         this->MaxGrantTime();
+}
+
 bool
 OwnershipAgent::CanOwnKeys(Time aNow) const
 {
@@ -1019,7 +1033,26 @@
 OwnershipAgent::CreateRanges(Time aNow)
 {
   const auto& service = this->identity.service;
-  if (this->hasEarlierGrants || !this->view.RangesOf(service).empty() ||
+  // Another writer may have added ranges before the first ones, of which one
+  // begins at key 0. If a member owns any, the first ones may have been removed
+  // and still be granted.
+  const auto& ranges = this->view.RangesOf(service);
+  if (ranges.count(0) > 0) {
+    this->firstRangeMissingSince = Time();
+    return;
+  }
+  if (this->firstRangeMissingSince == Time()) {
+    this->firstRangeMissingSince = aNow;
+  }
+  bool anyOwner =
+    std::any_of(ranges.begin(), ranges.end(), [&](const auto& aRange) {
+      return this->view.FindMember(aRange.second.record.owner) != nullptr;
+    });
+  auto wait =
+    anyOwner ? WithDrift(this->settings.times.longLease, this->settings.times) +
+                 this->MaxGrantTime()
+             : Duration(0);
+  if (this->hasEarlierGrants || aNow < this->firstRangeMissingSince + wait ||
       !this->queue.IsEmpty()) {
     return;
   }
@@ -1041,7 +1074,8 @@
       aNow < this->readyMembersSince + kDiscoveryTime + rank * kDiscoveryTime) {
     return;
   }
-  auto change = MakeFirstRangesChange(service, ready, this->era);
+  auto change =
+    MakeFirstRangesChange(service, ready, this->era, ranges.empty());
   this->LogEvent("ranges-created",
                  { { "members", std::to_string(ready.size()) } });
   this->SubmitChange(aNow, change);
@@ -1053,11 +1087,10 @@
 void
 OwnershipAgent::FillGaps(Time aNow)
 {
-  auto wait =
-    WithDrift(this->settings.times.longLease, this->settings.times) +
-    this->MaxGrantTime() +
+  auto spread =
     kGapFillSpread / kRanks * static_cast<int>(StableHash(this->self) % kRanks);
-  if (!this->hasEarlierGrants || aNow < this->eraSeenAt + wait ||
+  if (!this->hasEarlierGrants ||
+      aNow < this->eraSeenAt + this->MaxUnseenGrantTime() + spread ||
       !this->queue.IsEmpty() || !this->IsStoreReachable() ||
       this->DesiredState(aNow) != MemberState::Ready) {
     return;
@@ -1424,6 +1457,7 @@
   std::map<Key, Time> unowned;
   std::set<MemberId> absent;
   StoreTransaction change;
+  const Versioned<RangeRecord>* contested = nullptr;
   for (const auto& [first, range] :
        this->view.RangesOf(this->identity.service)) {
     const auto& owner = range.record.owner;
@@ -1433,24 +1467,133 @@
     }
     auto known = this->unownedSince.find(first);
     unowned[first] = known == this->unownedSince.end() ? aNow : known->second;
-    if (aNow - unowned[first] > this->MaxGrantTime() + kUnownedRangeMargin &&
-        change.sets.size() < kMaxTakenRanges) {
+    if (aNow - unowned[first] <= this->MaxGrantTime() + kUnownedRangeMargin) {
+      continue;
+    }
+    if (!this->view.RangesOver(range.record).empty()) {
+      contested = &range;
+    } else if (change.sets.size() < kMaxTakenRanges) {
       AddOwnerChange(change, range, this->self);
       absent.insert(range.record.owner);
     }
   }
   this->unownedSince = std::move(unowned);
+  // A range that another writer added to this era may be held since the last.
+  bool mayBeHeld = this->hasEarlierGrants &&
+                   aNow < this->eraSeenAt + this->MaxUnseenGrantTime();
+  if (mayBeHeld || !this->queue.IsEmpty() ||
+      this->DesiredState(aNow) != MemberState::Ready) {
+    return;
+  }
   // The owner may be a member whose row has not arrived here yet.
   for (const auto& owner : absent) {
     AddCondition(change, MemberKey(this->identity.service, owner), 0);
   }
-  if (change.sets.empty() || !this->queue.IsEmpty() ||
-      this->DesiredState(aNow) != MemberState::Ready) {
-    return;
+  if (!change.sets.empty()) {
+    this->LogEvent("orphans-taken",
+                   { { "ranges", std::to_string(change.sets.size()) } });
+    this->SubmitChange(aNow, change);
+  } else if (contested != nullptr) {
+    auto trim = MakeTrimChange(this->view, *contested);
+    if (!trim.conditions.empty()) {
+      AddCondition(
+        trim, MemberKey(this->identity.service, contested->record.owner), 0);
+      this->SubmitTrim(aNow, *contested, trim);
+    }
   }
-  this->LogEvent("orphans-taken",
-                 { { "ranges", std::to_string(change.sets.size()) } });
-  this->SubmitChange(aNow, change);
+}
+
+std::vector<KeyRange>
+OwnershipAgent::UnheldParts(const KeyRange& aRange) const
+{
+  std::vector<KeyRange> unheld{ aRange };
+  for (const auto& grant : this->granted) {
+    unheld = Subtract(unheld, grant.range);
+  }
+  if (const auto& report = this->server.Report()) {
+    for (const auto& held : report->grantedRanges) {
+      unheld = Subtract(unheld, held.range);
+    }
+  }
+  return unheld;
+}
+
+/** Keys of two ranges stay with the server that holds them, and go to no other
+ * one. So they never have two holders, whichever of the rows is wrong. */
+std::vector<KeyRange>
+OwnershipAgent::UncontestedParts(const Versioned<RangeRecord>& aOwned) const
+{
+  std::vector<KeyRange> parts{ aOwned.record.range };
+  for (const auto* other : this->view.RangesOver(aOwned.record)) {
+    const auto& range = other->record.range;
+    if (other->record.owner != this->self) {
+      for (const auto& unheld : this->UnheldParts(range)) {
+        parts = Subtract(parts, unheld);
+      }
+    } else if (other->version < aOwned.version) {
+      parts = Subtract(parts, range); // Granted with the older range.
+    }
+  }
+  return parts;
+}
+
+void
+OwnershipAgent::GiveUpOverlaps(Time aNow)
+{
+  std::map<Key, Time> since;
+  for (const auto* range :
+       this->view.OverlappingRanges(this->identity.service)) {
+    const auto& record = range->record;
+    if (record.owner != this->self) {
+      continue;
+    }
+    auto first = record.range.first;
+    auto known = this->overlapsSince.find(first);
+    since[first] = known == this->overlapsSince.end() ? aNow : known->second;
+    bool mayHold = false;
+    bool isNewest = true;
+    for (const auto* other : this->view.RangesOver(record)) {
+      const auto& theirs = other->record.range;
+      KeyRange contested{ std::max(first, theirs.first),
+                          std::min(record.range.last, theirs.last) };
+      bool isOwn = other->record.owner == this->self;
+      isNewest = isNewest && other->version < range->version;
+      mayHold =
+        mayHold || ((!isOwn || other->version > range->version) &&
+                    this->UnheldParts(contested) != std::vector{ contested });
+    }
+    auto wait = isNewest ? kOverlapTime : 2 * kOverlapTime;
+    if (!mayHold && aNow - since[first] >= wait) {
+      this->SubmitTrim(aNow, *range, MakeTrimChange(this->view, *range));
+    }
+  }
+  this->overlapsSince = std::move(since);
+}
+
+void
+OwnershipAgent::SubmitTrim(Time aNow,
+                           const Versioned<RangeRecord>& aRange,
+                           const StoreTransaction& aChange)
+{
+  if (aChange.conditions.empty() || !this->queue.IsEmpty()) {
+    return; // Nothing to change, or not now.
+  }
+  auto key = RangeKey(aRange.record.service, aRange.record.range.first);
+  this->queue.Add(
+    aChange,
+    [this, aChange, key, owner = aRange.record.owner](
+      Time aDoneAt, const TransactionResult& aResult) {
+      this->ApplyResult(aDoneAt, aChange, aResult);
+      if (aResult.committed) {
+        this->LogEvent("overlap-removed",
+                       { { "table", key.table },
+                         { "part", key.part },
+                         { "key", key.key },
+                         { "owner", owner },
+                         { "reason", "other ranges contain its keys" } });
+      }
+    },
+    aNow + kChangeTimeout);
 }
 
 /** Takes over members of other services that have this daemon's address: their
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -235,6 +235,17 @@
   bool IsStoreReachable() const;
   void MergeRanges(Time aNow);
   void TakeUnownedRanges(Time aNow);
+  /** Gives up own ranges that another one overlaps. */
+  void GiveUpOverlaps(Time aNow);
+  void SubmitTrim(Time aNow,
+                  const Versioned<RangeRecord>& aRange,
+                  const StoreTransaction& aChange);
+  /** Returns an own range without the keys that may have another holder, since
+   * another range contains them, too. */
+  std::vector<KeyRange> UncontestedParts(
+    const Versioned<RangeRecord>& aOwned) const;
+  /** Returns the keys of a range that the own server does not hold. */
+  std::vector<KeyRange> UnheldParts(const KeyRange& aRange) const;
   void TakeOverPredecessors(Time aNow);
   void TakeOver(Time aNow, const LostMember& aLost, const std::string& aBasis);
   RangeList OwnedRanges() const;
@@ -258,6 +269,7 @@
   std::vector<Grant> MakeGrants() const;
   bool IsDrained() const;
   Duration MaxGrantTime() const;
+  Duration MaxUnseenGrantTime() const;
   bool CanOwnKeys(Time aNow) const;
   MemberState DesiredState(Time aNow) const;
   void SubmitChange(Time aNow, const StoreTransaction& aChange);
@@ -308,8 +320,9 @@
   RowVersion longLeaseVersion = 0;
   uint64_t longLeaseCount = 0;
   Time joinedAt;
-  size_t readyMembers = 0; ///< Members that could get the first ranges.
-  Time readyMembersSince;  ///< When their number last changed.
+  Time firstRangeMissingSince; ///< Time(): a range begins at key 0.
+  size_t readyMembers = 0;     ///< Members that could get the first ranges.
+  Time readyMembersSince;      ///< When their number last changed.
   Time nextJoinAt;
   Time nextRenewAt;
   Time nextLongRenewAt;
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -26,6 +26,10 @@
 constexpr size_t kMaxCopies = 21; ///< Ten seconds.
 /** How long the store is away before it comes back from a copy. */
 constexpr Duration kRestoreTime = milliseconds(700);
+/** Member that another writer adds; no process has this id. */
+constexpr const char* kOddMember = "eeeeeeeeeeeeeee1";
+/** Owner of a range that another writer adds; not even a member. */
+constexpr const char* kOddOwner = "fffffffffffffff1";
 
 /** Adds the era to a version of the store, as the store's client does. */
 RowVersion
@@ -104,6 +108,10 @@
       return "machine added";
     case ClusterFault::StoreRestored:
       return "store restored from an older copy";
+    case ClusterFault::OddMemberRow:
+      return "odd member row";
+    case ClusterFault::OddRangeRow:
+      return "odd range row";
   }
   return "unknown";
 }
@@ -205,9 +213,53 @@
   return read;
 }
 
+void
+ClusterSimulation::WriteRow(StoreRow aRow)
+{
+  aRow.key = ToStoredKey(std::move(aRow.key), this->store.Era());
+  this->store.Apply({ {}, { aRow }, {} });
+}
+
+void
+ClusterSimulation::WriteOddRange(size_t aNode)
+{
+  constexpr KeyRange kKeys{ 10001, 10002 };
+  constexpr KeyRange kManyKeys{ 9000, 30000 };
+  constexpr uint64_t kVariants = 5;
+  RangeRecord range{ kService, kKeys, kOddOwner, 1, "" };
+  switch (this->random() % kVariants) {
+    case 0:
+      break;
+    case 1:
+      range.epoch = UINT64_MAX;
+      break;
+    case 2:
+      range.range = kManyKeys;
+      break;
+    case 3:
+      range.owner = this->nodes[aNode]->agent->ServingStateAt(this->now).member;
+      break;
+    default:
+      range.range = kManyKeys;
+      range.owner = this->nodes[aNode]->agent->ServingStateAt(this->now).member;
+      range.epoch = 9;
+  }
+  auto key = RangeKey(kService, range.range.first);
+  if (this->store.Find(ToStoredKey(key, this->store.Era())) == nullptr) {
+    this->WriteRow(ToRow(range));
+  }
+}
+
 StoreOutcome
 ClusterSimulation::Apply(StoreTransaction aChange, StoreEra aEra)
 {
+  for (const auto& row : aChange.sets) {
+    auto range = ParseRange(row);
+    if (range && range->owner == kOddMember) {
+      this->violations.push_back(ToString(range->range) +
+                                 " is given to a member that has no process");
+    }
+  }
   for (auto& condition : aChange.conditions) {
     condition.version = NumberOf(condition.version);
   }
@@ -810,6 +862,18 @@
         this->copies.push_front(this->store);
       });
       break;
+    case ClusterFault::OddMemberRow:
+      this->WriteRow(ToRow(MemberRecord{ kOddMember,
+                                         kService,
+                                         "zone-0",
+                                         "10.9.9.9:2",
+                                         "10.9.9.9:3",
+                                         MemberState::Ready,
+                                         {} }));
+      break;
+    case ClusterFault::OddRangeRow:
+      this->WriteOddRange(aNode);
+      break;
   }
 }
 
--- a/tests/cluster/clustersimulation.h
+++ b/tests/cluster/clustersimulation.h
@@ -41,9 +41,11 @@
   MemberDrained,         ///< Operators drain a member and undrain it later.
   MachineAdded,          ///< Another machine joins.
   StoreRestored, ///< The store is away, then comes back from an older copy.
+  OddMemberRow,  ///< Another writer adds a member that has no process.
+  OddRangeRow,   ///< Another writer adds a range over those of others.
 };
 
-constexpr ClusterFault kLastClusterFault = ClusterFault::StoreRestored;
+constexpr ClusterFault kLastClusterFault = ClusterFault::OddRangeRow;
 
 const char*
 ToString(ClusterFault aFault);
@@ -131,6 +133,9 @@
   void Release(Node& aNode, const KeyRange& aRange);
   void AddNode();
   void CopyStore();
+  /** Writes a row as another writer does, without any condition. */
+  void WriteRow(StoreRow aRow);
+  void WriteOddRange(size_t aNode);
   /** Tells a daemon the era that a response of the store has shown to it. */
   void UpdateEra(size_t aNode);
   /** Returns what a daemon reads from the store, as its client presents it. */
--- a/tests/cluster/clusterviewtest.cpp
+++ b/tests/cluster/clusterviewtest.cpp
@@ -165,6 +165,65 @@
   }
 }
 
+// Guards against keys behind an odd range that no longer had an owner, and
+// against two owners of the same key.
+SCENARIO("Ranges that overlap are found", "[clusterview]")
+{
+  ClusterView view;
+  view.Apply(RangeRow(0, 999, "a", 10));
+  view.Apply(RangeRow(1000, 1999, "b", 10));
+  view.Apply(RangeRow(2000, kLastKey, "c", 10));
+  auto overlapping = [&] {
+    std::vector<Key> firsts;
+    for (const auto* range : view.OverlappingRanges("agenda")) {
+      firsts.push_back(range->record.range.first);
+    }
+    return firsts;
+  };
+  REQUIRE(overlapping().empty());
+
+  GIVEN("a range within another one")
+  {
+    view.Apply(RangeRow(500, 501, "odd", 20));
+    THEN("both are found")
+    {
+      CHECK(overlapping() == std::vector<Key>{ 0, 500 });
+      CHECK(view.RangesOver(view.RangesOf("agenda").at(0).record).size() == 1);
+      CHECK(view.RangesOver(view.RangesOf("agenda").at(1000).record).empty());
+    }
+    THEN("requests go to the owner by the older row")
+    {
+      CHECK(view.FindRange("agenda", 500)->owner == "a");
+      CHECK(view.FindRange("agenda", 502)->owner == "a");
+      CHECK(view.FindRange("agenda", 1500)->owner == "b");
+    }
+    THEN("a trim leaves the others with higher epochs")
+    {
+      auto change = MakeTrimChange(view, view.RangesOf("agenda").at(500));
+      REQUIRE(change.sets.size() == 1);
+      CHECK(ParseRange(change.sets[0])->range == KeyRange{ 0, 999 });
+      CHECK(ParseRange(change.sets[0])->epoch == 2);
+      CHECK(change.removes == std::vector<StoreKey>{ RangeKey("agenda", 500) });
+      CHECK(change.conditions.size() == 2);
+    }
+    THEN("none are left after its removal")
+    {
+      view.Apply({ RangeKey("agenda", 500), "", 21, true });
+      CHECK(overlapping().empty());
+    }
+  }
+  GIVEN("a range over several")
+  {
+    view.Apply(RangeRow(900, 3000, "odd", 20));
+    THEN("all of them are found")
+    {
+      CHECK(overlapping() == std::vector<Key>{ 0, 900, 1000, 2000 });
+      CHECK(view.FindRange("agenda", 1500)->owner == "b");
+      CHECK(view.FindRange("agenda", 950)->owner == "a");
+    }
+  }
+}
+
 SCENARIO("Peer messages can be encoded and decoded", "[messages]")
 {
   PeerMessage message;
--- a/tests/cluster/ownershipmatrixtest.cpp
+++ b/tests/cluster/ownershipmatrixtest.cpp
@@ -26,6 +26,8 @@
 };
 
 constexpr ClusterStep kLastClusterStep = ClusterStep::Restarting;
+/** Last fault of the series whose seeds are kept as regression tests. */
+constexpr ClusterFault kLastSeriesFault = ClusterFault::StoreRestored;
 constexpr size_t kNodes = 6;
 /** Time after the last fault within which all keys must be served again; the
  * long lease limits it. */
@@ -266,7 +268,7 @@
     size_t lost = 0;
     for (int count = 0; count < 12; ++count) {
       auto fault = static_cast<ClusterFault>(
-        random() % (static_cast<uint64_t>(kLastClusterFault) + 1));
+        random() % (static_cast<uint64_t>(kLastSeriesFault) + 1));
       bool permanent = fault == ClusterFault::MachineLost ||
                        fault == ClusterFault::ServerSilent ||
                        fault == ClusterFault::ServerDraining;
@@ -283,6 +285,104 @@
   }
 }
 
+// Guards against keys that nobody serves, and keys that two servers hold, since
+// another writer left rows among those of the members.
+SCENARIO("Odd rows beside other faults leave one holder for each key",
+         "[matrix][series][slow][oddrows]")
+{
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937_64 random(seed);
+    ClusterSimulation simulation(kNodes, seed);
+    simulation.RunFor(milliseconds(random() % 8000));
+    for (int count = 0; count < 4; ++count) {
+      simulation.Inject(random() % 2 == 0 ? ClusterFault::OddMemberRow
+                                          : ClusterFault::OddRangeRow,
+                        random() % simulation.Nodes());
+      simulation.RunFor(milliseconds(random() % 3000));
+      auto fault = static_cast<ClusterFault>(
+        random() % (static_cast<uint64_t>(kLastSeriesFault) + 1));
+      bool permanent = fault == ClusterFault::MachineLost ||
+                       fault == ClusterFault::ServerSilent ||
+                       fault == ClusterFault::ServerDraining;
+      if (!permanent) {
+        simulation.Inject(fault, random() % simulation.Nodes());
+      }
+      simulation.RunFor(milliseconds(random() % 5000));
+    }
+    simulation.RunFor(kRecovery);
+    INFO("seed " << seed << "\n"
+                 << FirstViolation(simulation) << "\n"
+                 << simulation.DescribeUnheldRanges());
+    CHECK(FirstViolation(simulation).empty());
+    CHECK(simulation.HeldShare() == 1.0);
+  }
+}
+
+SCENARIO("A member that has no process gets no keys", "[matrix][oddrows]")
+{
+  auto forEachSeed = [](auto aRun) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+      INFO("seed " << seed);
+      ClusterSimulation simulation(kNodes, seed);
+      aRun(simulation);
+      CHECK(FirstViolation(simulation).empty());
+      CHECK(simulation.HeldShare() == 1.0);
+    }
+  };
+  GIVEN("its row is there before the first ranges")
+  {
+    THEN("all keys are held soon")
+    {
+      forEachSeed([](ClusterSimulation& aSimulation) {
+        aSimulation.RunFor(milliseconds(400));
+        aSimulation.Inject(ClusterFault::OddMemberRow, 0);
+        aSimulation.RunFor(seconds(8));
+      });
+    }
+  }
+  GIVEN("its row appears under load, while a member drains")
+  {
+    THEN("all keys are held")
+    {
+      forEachSeed([](ClusterSimulation& aSimulation) {
+        aSimulation.RunFor(seconds(8));
+        aSimulation.Inject(ClusterFault::OddMemberRow, 0);
+        aSimulation.Inject(ClusterFault::HotKeys, 1);
+        aSimulation.RunFor(seconds(2));
+        aSimulation.Inject(ClusterFault::ServerDraining, 2);
+        aSimulation.RunFor(seconds(5));
+      });
+    }
+  }
+  GIVEN("its row is there while all daemons are restarted, the store away")
+  {
+    THEN("all keys are held")
+    {
+      forEachSeed([](ClusterSimulation& aSimulation) {
+        aSimulation.RunFor(seconds(8));
+        aSimulation.Inject(ClusterFault::OddMemberRow, 0);
+        aSimulation.Inject(ClusterFault::AllDaemonsKilled, 0);
+        aSimulation.Inject(ClusterFault::StoreUnavailable, 0);
+        aSimulation.RunFor(seconds(20));
+      });
+    }
+  }
+  GIVEN("its row is there when a machine is added")
+  {
+    THEN("the added machine gets keys")
+    {
+      forEachSeed([](ClusterSimulation& aSimulation) {
+        aSimulation.RunFor(seconds(8));
+        aSimulation.Inject(ClusterFault::OddMemberRow, 0);
+        aSimulation.Inject(ClusterFault::MachineAdded, 0);
+        aSimulation.Inject(ClusterFault::HotKeys, 1);
+        aSimulation.RunFor(seconds(7));
+        CHECK(aSimulation.HeldBy(kNodes) > 0);
+      });
+    }
+  }
+}
+
 SCENARIO("Every member of a large cluster gets one of the first ranges",
          "[fleet]")
 {
