--- a/src/fescuetillerctl/statuscommand.cpp
+++ b/src/fescuetillerctl/statuscommand.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <nlohmann/json.hpp>
 
 #include "fescuetillerctl/deployment.h"
@@ -18,12 +20,17 @@
   return (static_cast<double>(aRange.last) - aRange.first + 1) / kAllKeys;
 }
 
+/** Members that have a long lease in the store. */
+using LeaseHolders = std::set<MemberId>;
+
 struct MemberStatus
 {
   MemberRecord record;
   size_t ranges = 0;
   double keyShare = 0;  ///< Share of the service's keys that it owns.
   bool drained = false; ///< Whether operators have drained it.
+  /** Each process that joins writes a lease, so a row without one has none. */
+  bool hasLease = false;
 };
 
 struct ServiceStatus
@@ -45,10 +52,13 @@
 };
 
 MemberStatus
-SummarizeMember(const ClusterView& aCluster, const MemberRecord& aRecord)
+SummarizeMember(const ClusterView& aCluster,
+                const LeaseHolders& aLeases,
+                const MemberRecord& aRecord)
 {
   MemberStatus status;
   status.record = aRecord;
+  status.hasLease = aLeases.count(aRecord.id) > 0;
   status.drained = aCluster.IsDrained(aRecord.service, aRecord.address);
   for (const auto& [first, range] : aCluster.RangesOf(aRecord.service)) {
     if (range.record.owner == aRecord.id) {
@@ -74,8 +84,25 @@
   }
 }
 
+/** Adds rows that another writer has left. */
+void
+AddOddRows(const Deployment& aDeployment, Status& aStatus)
+{
+  for (const auto& [key, row] : aDeployment.cluster.RefusedRows()) {
+    aStatus.degraded.push_back("row " + ToString(key) +
+                               " is refused: " + row.error.message);
+  }
+  for (const auto& [name, service] : aDeployment.configuration.services) {
+    for (const auto* range : aDeployment.cluster.OverlappingRanges(name)) {
+      aStatus.degraded.push_back(name + ": keys " +
+                                 ToString(range->record.range) +
+                                 " overlap those of another row");
+    }
+  }
+}
+
 Status
-Summarize(const Deployment& aDeployment)
+Summarize(const Deployment& aDeployment, const LeaseHolders& aLeases)
 {
   Status status;
   status.configuration = aDeployment.configuration.version;
@@ -84,10 +111,16 @@
     summary.name = name;
     summary.ownsKeys = service.ownsKeys;
     for (const auto* record : aDeployment.cluster.MembersOf(name)) {
-      auto member = SummarizeMember(aDeployment.cluster, *record);
+      auto member = SummarizeMember(aDeployment.cluster, aLeases, *record);
       ++summary.members;
-      summary.ready += record->state == MemberState::Ready ? 1 : 0;
+      bool isReady = record->state == MemberState::Ready && member.hasLease;
+      summary.ready += isReady ? 1 : 0;
       summary.ownedShare += member.keyShare;
+      if (!member.hasLease) {
+        status.degraded.push_back(record->address + " (" + name + "): member " +
+                                  record->id +
+                                  " has no lease, so no process of its own");
+      }
       if (record->state != MemberState::Ready) {
         status.degraded.push_back(
           record->address + " (" + name + "): " +
@@ -98,9 +131,36 @@
     AddDegraded(summary, status);
     status.services.push_back(std::move(summary));
   }
+  AddOddRows(aDeployment, status);
   return status;
 }
 
+Result<LeaseHolders>
+ReadLeases(const StoreCalls& aStore, const Deployment& aDeployment)
+{
+  LeaseHolders holders;
+  for (const auto& [name, service] : aDeployment.configuration.services) {
+    auto rows = aStore.read(kLeaseTable, name);
+    if (!rows) {
+      return tl::unexpected(rows.error());
+    }
+    for (const auto& row :
+         FromStored(std::move(rows->rows), EraOf(rows->version))) {
+      holders.insert(row.key.key);
+    }
+  }
+  return holders;
+}
+
+std::string
+DescribeState(const MemberStatus& aMember)
+{
+  if (!aMember.hasLease) {
+    return "no lease";
+  }
+  return aMember.drained ? "drained" : ToString(aMember.record.state);
+}
+
 json
 ToJson(const Status& aStatus)
 {
@@ -120,6 +180,7 @@
                         { "address", member.record.address },
                         { "state", ToString(member.record.state) },
                         { "drained", member.drained },
+                        { "has_lease", member.hasLease },
                         { "ranges", member.ranges },
                         { "key_share", member.keyShare },
                         { "guardians", member.record.guardians } });
@@ -158,7 +219,7 @@
                   member.record.service,
                   member.record.zone,
                   member.record.address,
-                  member.drained ? "drained" : ToString(member.record.state),
+                  DescribeState(member),
                   std::to_string(member.ranges),
                   FormatNumber(member.keyShare * kPercent) + "%",
                   std::to_string(member.record.guardians.size()) });
@@ -176,11 +237,19 @@
            const CommonOptions& aOptions,
            const options::variables_map& /*aValues*/)
 {
-  auto deployment = ReadDeployment(aSession, aOptions);
+  auto store = OpenStore(aSession, aOptions);
+  if (!store) {
+    return ReportError(aSession, store.error());
+  }
+  auto deployment = ReadDeployment(*store);
   if (!deployment) {
     return ReportError(aSession, deployment.error());
   }
-  auto status = Summarize(*deployment);
+  auto leases = ReadLeases(*store, *deployment);
+  if (!leases) {
+    return ReportError(aSession, leases.error());
+  }
+  auto status = Summarize(*deployment, *leases);
   if (aOptions.json) {
     aSession.out << ToJson(status).dump() << "\n";
   } else {
--- a/tests/fescuetillerctl/ctltest.cpp
+++ b/tests/fescuetillerctl/ctltest.cpp
@@ -107,6 +107,7 @@
     member.address = aAddress;
     member.udpAddress = aAddress;
     this->SetRow(ToRow(member));
+    this->SetRow({ LeaseKey(kService, aId), "0", 0, false });
   }
 
   std::optional<DrainRecord> FindDrain() const
@@ -235,6 +236,30 @@
     CHECK(ana.Printed("of the keys have no owner that is a member"));
     CHECK(ana.Printed("(agenda): drained by operators"));
   }
+  SECTION("rows that another writer has left are listed")
+  {
+    MemberRecord odd;
+    odd.id = "m3";
+    odd.service = kService;
+    odd.address = "10.0.0.3:8146";
+    odd.udpAddress = odd.address;
+    deployed.SetRow(ToRow(odd));
+    odd.id = "m4";
+    odd.address = "10.0.0.4:99999";
+    deployed.SetRow(ToRow(odd));
+    deployed.SetRow(
+      ToRow(RangeRecord{ kService, { 5, 6 }, "m1", UINT64_MAX, "" }));
+    deployed.SetRow(ToRow(RangeRecord{ kService, { 90, 99 }, "m9", 1, "" }));
+    CHECK(ana.Run("status") == 0);
+    CHECK(ana.Printed("10.0.0.3:8146 (agenda): member m3 has no lease"));
+    CHECK(ana.Printed("row cluster agenda member/m4 is refused: field 'address'"
+                      " is not an IP address and port"));
+    CHECK(ana.Printed("row cluster agenda range/00005 is refused: field "
+                      "'epoch' is greater than 1099511627775"));
+    CHECK(ana.Printed("agenda: keys 90-99 overlap those of another row"));
+    auto status = ana.RunJson("status");
+    CHECK(status["services"][0]["ready"] == 2);
+  }
   SECTION("keys are located and classes are listed")
   {
     CHECK(ana.Run("key locate agenda 12") == 0);
