--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -211,6 +212,10 @@
   std::vector<KeyRange> UnownedKeys() const;
   void FillGaps(Time aNow);
   void RestoreDrains(Time aNow);
+  void LogRefusedRows();
+  /** Writes the own rows again that another writer has spoilt. */
+  void RestoreOwnRows(Time aNow);
+  void RemoveRefusedMembers(Time aNow);
   void Join(Time aNow);
   void OnJoinFinished(Time aNow,
                       const TransactionResult& aResult,
@@ -235,6 +240,17 @@
   bool IsStoreReachable() const;
   void MergeRanges(Time aNow);
   void TakeUnownedRanges(Time aNow);
+  /** Gives up own ranges that another one overlaps. */
+  void GiveUpOverlaps(Time aNow);
+  void SubmitTrim(Time aNow,
+                  const Versioned<RangeRecord>& aRange,
+                  const StoreTransaction& aChange);
+  /** Returns an own range without the keys that may have another holder, since
+   * another range contains them, too. */
+  std::vector<KeyRange> UncontestedParts(
+    const Versioned<RangeRecord>& aOwned) const;
+  /** Returns the keys of a range that the own server does not hold. */
+  std::vector<KeyRange> UnheldParts(const KeyRange& aRange) const;
   void TakeOverPredecessors(Time aNow);
   void TakeOver(Time aNow, const LostMember& aLost, const std::string& aBasis);
   RangeList OwnedRanges() const;
@@ -258,6 +274,7 @@
   std::vector<Grant> MakeGrants() const;
   bool IsDrained() const;
   Duration MaxGrantTime() const;
+  Duration MaxUnseenGrantTime() const;
   bool CanOwnKeys(Time aNow) const;
   MemberState DesiredState(Time aNow) const;
   void SubmitChange(Time aNow, const StoreTransaction& aChange);
@@ -300,11 +317,17 @@
   uint64_t closeCount = 0; ///< Changes of the row with ClaimsClosedKey.
   std::map<MemberId, Time> guardianSince; ///< When each got its first renewal.
   std::map<Key, Time> unownedSince;       ///< By first key of unowned ranges.
+  std::map<Key, Time> overlapsSince;      ///< By first key of own ranges.
+  /** Refused rows that were logged, and the reasons. */
+  std::map<StoreKey, std::string> loggedRefusals;
+  std::map<StoreKey, Time> refusedSince; ///< By key of refused member rows.
+  std::set<MemberId> loggedUnheard;
   RowVersion longLeaseVersion = 0;
   uint64_t longLeaseCount = 0;
   Time joinedAt;
-  size_t readyMembers = 0; ///< Members that could get the first ranges.
-  Time readyMembersSince;  ///< When their number last changed.
+  Time firstRangeMissingSince; ///< Time(): a range begins at key 0.
+  size_t readyMembers = 0;     ///< Members that could get the first ranges.
+  Time readyMembersSince;      ///< When their number last changed.
   Time nextJoinAt;
   Time nextRenewAt;
   Time nextLongRenewAt;
