Add faulty backend servers and checking clients for runs with processes

Cause: the server stand-in was the project's own HttpServer, which never writes a second answer, a refusal twice, a part of an answer or bytes that are no answer, and no client noticed bytes between answers. So no run showed the users' case: callers got answers that were not their own.

The stand-in now writes its answers over a socket of its own, with seeded faults (--fault NAME:SHARE, or posted to /standin/faults), and logs each request and write. checkingload sends lookups, bookings, HEAD and requests without a route over kept and new connections, up to eleven in one write, and compares each answer with its request and with the servers' run logs. nodeload keeps its checks; its reader of run logs is a file of its own.

--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -16,11 +16,14 @@
   daemon[$1]=$!
 }
 
+# server_arguments NUMBER: prints further options of a server; scripts replace it.
+server_arguments() { :; }
+
 start_server() {
   "$build/tests/keyserverstandin" --service agenda \
     --daemon "$(address "$1" 7304)" --address "$(address "$1" 7305)" \
     --run-log "$folder/server-$1.runs" --fatal-body fatal \
-    >>"$folder/server-$1.log" 2>&1 &
+    $(server_arguments "$1") >>"$folder/server-$1.log" 2>&1 &
   server[$1]=$!
 }
 
--- /dev/null
+++ b/tests/standins/answerbody.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace fescuetiller {
+
+/** Header field with the size of the body that a client of the stand-ins
+ * expects; without it the body is as short as possible. */
+constexpr const char* kBodyBytesField = "X-Body-Bytes";
+
+/** Makes the body of the answer to a request. It names the request all over, so
+ * that any part of it shows which request it belongs to.
+ * @param aLeastBytes Size, unless the shortest body is larger. */
+std::string
+AnswerBody(const std::string& aRequestId, size_t aLeastBytes = 0);
+
+} // namespace fescuetiller
--- /dev/null
+++ b/tests/standins/answerfaults.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "base/base.h"
+
+namespace fescuetiller {
+
+/** What a faulty backend server does with an answer. */
+enum class AnswerFault
+{
+  Second,            ///< Writes it once more, late.
+  SecondNoId,        ///< The same without the request's id.
+  SecondChunked,     ///< Writes it once more, late and in chunks.
+  SecondChunkedNoId, ///< The same without the request's id.
+  Refuse,            ///< Refuses the request instead of running it.
+  RefuseTwice,       ///< Refuses and writes the refusal once more, late.
+  RefuseTwiceNoId,   ///< The same, the late refusal without the request's id.
+  CutHead,           ///< Breaks off inside the head, then closes.
+  CutBody,           ///< Breaks off inside a body with a length, then closes.
+  Reset,             ///< No length, a part of the body, then a reset.
+  Garbage,           ///< Bytes that are no answer, right behind the answer.
+  GarbageLate,       ///< The same, late.
+  Chunked,           ///< No fault: the answer comes in chunks.
+  Unframed,          ///< No fault: the answer ends with its connection.
+};
+
+/**
+ * Faults of a backend server's answers. Each fault befalls a share of the
+ * answers, drawn from a seeded sequence, so that several may meet.
+ */
+class AnswerFaults
+{
+public:
+  using Drawn = std::set<AnswerFault>;
+
+  /** Reads "NAME:SHARE,NAME:SHARE"; empty text: no faults. */
+  static Result<AnswerFaults> Parse(const std::string& aText);
+
+  void SetSeed(uint32_t aSeed);
+
+  /** Whether there are any. */
+  bool IsEmpty() const;
+
+  /** The faults of the next answer. */
+  Drawn Draw();
+
+private:
+  std::map<AnswerFault, double> shares;
+  std::mt19937 random;
+};
+
+/** The name in options and logs. */
+const char*
+ToString(AnswerFault aFault);
+
+/** Whether the server refuses the request instead of running it. */
+bool
+IsRefused(const AnswerFaults::Drawn& aFaults);
+
+} // namespace fescuetiller
--- /dev/null
+++ b/tests/standins/faultysession.cpp
@@ -0,0 +1,344 @@
+#include "standins/faultysession.h"
+
+#include <sstream>
+
+#include "platform/platform.h"
+
+namespace fescuetiller {
+
+namespace {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+/** Range of the pause before late bytes. */
+constexpr int64_t kLeastPauseMs = 5;
+constexpr int64_t kMostPauseMs = 300;
+/** One of so many late writes doesn't wait for the next request. */
+constexpr unsigned kIdleWriteShare = 4;
+/** Time that the peer has to read the bytes before a reset. */
+constexpr Duration kResetPause = milliseconds(2);
+
+/** Whether the peer expects a body behind the head. */
+bool
+HasBody(const HttpRequest& aRequest)
+{
+  return aRequest.method() != http::verb::head;
+}
+
+/** The head and, if there is one, the body as they go over the connection. */
+std::string
+ToBytes(HttpResponse aResponse, bool aBody, bool aChunked)
+{
+  if (aChunked) {
+    aResponse.chunked(true);
+  } else if (aResponse.keep_alive()) {
+    aResponse.content_length(aResponse.body().size());
+  }
+  std::ostringstream head;
+  head << aResponse.base();
+  std::string bytes = head.str();
+  const auto& body = aResponse.body();
+  if (!aBody) {
+    return bytes;
+  }
+  if (!aChunked) {
+    return bytes + body;
+  }
+  std::ostringstream chunks;
+  auto half = body.size() / 2;
+  for (const auto& part : { body.substr(0, half), body.substr(half) }) {
+    if (!part.empty()) {
+      chunks << std::hex << part.size() << "\r\n" << part << "\r\n";
+    }
+  }
+  return bytes + chunks.str() + "0\r\n\r\n";
+}
+
+std::string
+Describe(const HttpResponse& aResponse)
+{
+  return std::to_string(aResponse.result_int()) +
+         (aResponse[headers::kRequestId].empty() ? " without id" : "");
+}
+
+HttpResponse
+WithoutId(HttpResponse aResponse)
+{
+  aResponse.erase(headers::kRequestId);
+  return aResponse;
+}
+
+} // namespace
+
+FaultySession::FaultySession(FaultyServer& aServer,
+                             Tcp::socket aSocket,
+                             uint64_t aNumber)
+  : server(aServer)
+  , socket(std::move(aSocket))
+  , number(aNumber)
+{
+}
+
+void
+FaultySession::Start()
+{
+  error_code ignored; // Without the option, answers are only delayed.
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->ReadRequest();
+}
+
+void
+FaultySession::ReadRequest()
+{
+  this->request = {};
+  http::async_read(
+    this->socket,
+    this->buffer,
+    this->request,
+    [self = this->shared_from_this()](error_code aError, size_t) {
+      if (aError) {
+        self->Close(false);
+      } else if (!self->closed) {
+        self->OnRequest();
+      }
+    });
+}
+
+void
+FaultySession::OnRequest()
+{
+  this->requestWaits = true;
+  this->requestId = std::string(this->request[headers::kRequestId]);
+  this->server.Log(this->number, "read request", this->requestId);
+  bool current = this->faultsVersion == this->server.faultsVersion;
+  for (auto& late : std::exchange(this->held, {})) {
+    if (current) {
+      this->Write(std::move(late));
+    }
+  }
+  this->faultsVersion = this->server.faultsVersion;
+  auto faults = this->server.faults.Draw();
+  if (IsRefused(faults)) {
+    this->Refuse(faults);
+    return;
+  }
+  this->server.handler(
+    this->request,
+    [self = this->shared_from_this(), faults](HttpResponse aResponse) {
+      self->Answer(faults, std::move(aResponse));
+    });
+}
+
+void
+FaultySession::Refuse(const AnswerFaults::Drawn& aFaults)
+{
+  auto response = TextResponse(503, "");
+  response.set(headers::kNotExecuted, "1");
+  response.set(headers::kRequestId, this->requestId);
+  auto bytes = ToBytes(response, HasBody(this->request), false);
+  this->requestWaits = false;
+  this->Write({ bytes, "refusal " + Describe(response), this->requestId });
+  bool withoutId = aFaults.count(AnswerFault::RefuseTwiceNoId) > 0;
+  if (withoutId) {
+    response = WithoutId(response);
+  }
+  if (withoutId || aFaults.count(AnswerFault::RefuseTwice) > 0) {
+    this->WriteLate({ ToBytes(response, HasBody(this->request), false),
+                      "second refusal " + Describe(response),
+                      this->requestId });
+  }
+  this->ReadRequest();
+}
+
+void
+FaultySession::Answer(const AnswerFaults::Drawn& aFaults,
+                      HttpResponse aResponse)
+{
+  this->requestWaits = false;
+  bool ran = aResponse.result_int() == 200;
+  bool unframed = ran && aFaults.count(AnswerFault::Unframed) > 0;
+  bool chunked = ran && aFaults.count(AnswerFault::Chunked) > 0;
+  if (ran && this->BreakOff(aFaults, aResponse)) {
+    return;
+  }
+  if (unframed) {
+    aResponse.keep_alive(false);
+  }
+  this->Write(
+    { ToBytes(aResponse, HasBody(this->request), chunked && !unframed),
+      "answer " + Describe(aResponse),
+      this->requestId });
+  if (unframed || !this->request.keep_alive()) {
+    this->End(Ending::Close);
+    return;
+  }
+  if (ran) {
+    this->WriteExtraBytes(aFaults, aResponse);
+  }
+  this->ReadRequest();
+}
+
+bool
+FaultySession::BreakOff(const AnswerFaults::Drawn& aFaults,
+                        const HttpResponse& aResponse)
+{
+  auto bytes = ToBytes(aResponse, true, false);
+  auto headBytes = bytes.size() - aResponse.body().size();
+  if (aFaults.count(AnswerFault::CutHead) > 0) {
+    this->Write(
+      { bytes.substr(0, headBytes / 2), "half a head", this->requestId });
+    this->End(Ending::Close);
+    return true;
+  }
+  if (!HasBody(this->request)) {
+    return false;
+  }
+  if (aFaults.count(AnswerFault::CutBody) > 0) {
+    this->Write({ bytes.substr(0, (headBytes + bytes.size()) / 2),
+                  "half a body",
+                  this->requestId });
+    this->End(Ending::Close);
+    return true;
+  }
+  if (aFaults.count(AnswerFault::Reset) > 0) {
+    auto unframed = aResponse;
+    unframed.keep_alive(false);
+    auto whole = ToBytes(unframed, true, false);
+    this->Write({ whole.substr(0, whole.size() - aResponse.body().size() / 2),
+                  "half a body without length",
+                  this->requestId });
+    this->End(Ending::Reset);
+    return true;
+  }
+  return false;
+}
+
+void
+FaultySession::WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
+                               const HttpResponse& aResponse)
+{
+  for (auto fault : aFaults) {
+    bool chunked = fault == AnswerFault::SecondChunked ||
+                   fault == AnswerFault::SecondChunkedNoId;
+    bool withoutId = fault == AnswerFault::SecondNoId ||
+                     fault == AnswerFault::SecondChunkedNoId;
+    if (fault == AnswerFault::Garbage) {
+      this->Write({ this->Garbage(aResponse), "garbage", this->requestId });
+    } else if (fault == AnswerFault::GarbageLate) {
+      this->WriteLate(
+        { this->Garbage(aResponse), "late garbage", this->requestId });
+    } else if (chunked || withoutId || fault == AnswerFault::Second) {
+      auto second = withoutId ? WithoutId(aResponse) : aResponse;
+      this->WriteLate({ ToBytes(second, HasBody(this->request), chunked),
+                        std::string("second ") + (chunked ? "chunked " : "") +
+                          "answer " + Describe(second),
+                        this->requestId });
+    }
+  }
+}
+
+std::string
+FaultySession::Garbage(const HttpResponse& aResponse)
+{
+  const std::string kinds[] = {
+    "server out of order\n",
+    std::string("\0\1\2\3", 4),
+    aResponse.body().substr(aResponse.body().size() / 2),
+    "\r\n\r\n",
+    "HTTP/1.1 ",
+    "0\r\n\r\n",
+  };
+  return kinds[this->server.random() % std::size(kinds)];
+}
+
+void
+FaultySession::Write(Output aOutput)
+{
+  this->outputs.push_back(std::move(aOutput));
+  this->WriteNext();
+}
+
+void
+FaultySession::WriteLate(Output aOutput)
+{
+  auto pause = milliseconds(std::uniform_int_distribution<int64_t>(
+    kLeastPauseMs, kMostPauseMs)(this->server.random));
+  bool waitsForRequest = this->server.random() % kIdleWriteShare != 0;
+  auto timer = std::make_shared<asio::steady_timer>(this->server.context);
+  timer->expires_after(pause);
+  timer->async_wait([self = this->shared_from_this(),
+                     timer,
+                     waitsForRequest,
+                     version = this->server.faultsVersion,
+                     output = std::move(aOutput)](error_code) {
+    if (self->closed || version != self->server.faultsVersion) {
+      return;
+    }
+    if (waitsForRequest && !self->requestWaits) {
+      self->held.push_back(output);
+    } else {
+      self->Write(output);
+    }
+  });
+}
+
+void
+FaultySession::WriteNext()
+{
+  if (this->writing || this->closed) {
+    return;
+  }
+  if (this->outputs.empty()) {
+    if (this->ending == Ending::Close) {
+      this->Close(false);
+    } else if (this->ending == Ending::Reset) {
+      auto timer = std::make_shared<asio::steady_timer>(this->server.context);
+      timer->expires_after(kResetPause);
+      timer->async_wait([self = this->shared_from_this(), timer](error_code) {
+        self->Close(true);
+      });
+    }
+    return;
+  }
+  this->writing = true;
+  const auto& output = this->outputs.front();
+  this->server.Log(this->number, "write " + output.text, output.requestId);
+  asio::async_write(
+    this->socket,
+    asio::buffer(output.bytes),
+    [self = this->shared_from_this()](error_code aError, size_t) {
+      self->writing = false;
+      self->outputs.pop_front();
+      if (aError) {
+        self->Close(false);
+      } else {
+        self->WriteNext();
+      }
+    });
+}
+
+void
+FaultySession::End(Ending aEnding)
+{
+  this->ending = aEnding;
+  this->WriteNext();
+}
+
+void
+FaultySession::Close(bool aWithReset)
+{
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  this->server.Log(
+    this->number, aWithReset ? "reset" : "closed", this->requestId);
+  error_code ignored; // The socket is closed in any case.
+  if (aWithReset) {
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  this->socket.close(ignored);
+}
+
+} // namespace fescuetiller
--- /dev/null
+++ b/tests/standins/faultysession.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "standins/faultyserver.h"
+
+namespace fescuetiller {
+
+/** A connection of a FaultyServer. */
+class FaultySession : public std::enable_shared_from_this<FaultySession>
+{
+public:
+  FaultySession(FaultyServer& aServer, Tcp::socket aSocket, uint64_t aNumber);
+
+  void Start();
+
+private:
+  /** How the connection ends once all is written. */
+  enum class Ending
+  {
+    None,
+    Close,
+    Reset,
+  };
+  /** Bytes to write. */
+  struct Output
+  {
+    std::string bytes;
+    std::string text; ///< What they are, for the log.
+    std::string requestId;
+  };
+
+  void ReadRequest();
+  void OnRequest();
+  void Refuse(const AnswerFaults::Drawn& aFaults);
+  void Answer(const AnswerFaults::Drawn& aFaults, HttpResponse aResponse);
+  /** Writes an answer that breaks off.
+   * @return Whether the faults contain one that does so. */
+  bool BreakOff(const AnswerFaults::Drawn& aFaults,
+                const HttpResponse& aResponse);
+  void WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
+                       const HttpResponse& aResponse);
+  /** Bytes that are no answer. */
+  std::string Garbage(const HttpResponse& aResponse);
+
+  void Write(Output aOutput);
+  /** Writes after a pause, mostly when the next request waits. */
+  void WriteLate(Output aOutput);
+  void WriteNext();
+  void End(Ending aEnding);
+  void Close(bool aWithReset);
+
+  FaultyServer& server;
+  Tcp::socket socket;
+  uint64_t number;
+  boost::beast::flat_buffer buffer;
+  HttpRequest request;
+  std::string requestId;
+  bool requestWaits = false;
+  bool writing = false;
+  bool closed = false;
+  Ending ending = Ending::None;
+  std::deque<Output> outputs;
+  std::vector<Output> held; ///< Written when the next request arrives.
+  uint64_t faultsVersion = 0;
+};
+
+} // namespace fescuetiller
--- a/tests/standins/keyserverstandin.cpp
+++ b/tests/standins/keyserverstandin.cpp
@@ -1,12 +1,16 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <random>
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <nlohmann/json.hpp>
 
 #include "http/http.h"
 #include "platform/platform.h"
+#include "standins/answerbody.h"
+#include "standins/faultyserver.h"
 #include "standins/standin.h"
 
 namespace fescuetiller {
@@ -19,6 +23,8 @@
 /** Interval of heartbeats while there are freed ranges to report. */
 constexpr Duration kFastHeartbeat = milliseconds(100);
 constexpr Duration kResponseTimeout = milliseconds(1000);
+/** Where the faults of all further answers are posted. */
+constexpr const char* kFaultsPath = "/standin/faults";
 
 } // namespace
 
@@ -26,16 +32,20 @@
 struct KeyServerOptions
 {
   std::string service;
-  std::string daemon;               ///< Address that heartbeats are sent to.
-  std::string address;              ///< Where it listens for requests.
-  uint32_t slots = 6;               ///< Requests that run at the same time.
-  Duration work = milliseconds(10); ///< Time that each request takes.
+  std::string daemon;  ///< Address that heartbeats are sent to.
+  std::string address; ///< Where it listens for requests.
+  uint32_t slots = 6;  ///< Requests that run at the same time.
+  /** Range of the time that a request takes. */
+  int64_t leastWorkMs = 10;
+  int64_t mostWorkMs = 10;
   Duration heartbeat = milliseconds(300); ///< Interval of heartbeats.
   std::string runLog;             ///< File that all runs are appended to.
   std::string requestLimit = "5"; ///< See ToggleRequestLimit; per second.
   /** Requests with this body end the process when their work is done; empty:
    * none do. */
   std::string fatalBody;
+  std::string faults; ///< See AnswerFaults::Parse.
+  uint32_t seed = 1;  ///< For the faults and the time that requests take.
 };
 
 /**
@@ -49,15 +59,18 @@
   KeyServerStandIn(asio::io_context& aContext, KeyServerOptions aOptions)
     : context(aContext)
     , options(std::move(aOptions))
-    , server(aContext,
-             [this](const std::shared_ptr<Exchange>& aExchange) {
-               this->HandleRequest(aExchange);
-             })
+    , server(
+        aContext,
+        [this](const HttpRequest& aRequest, FaultyServer::Respond aRespond) {
+          this->HandleRequest(aRequest, std::move(aRespond));
+        })
     , pool(aContext)
     , timer(aContext)
     , runLog(options.runLog, std::ios::app)
     , id("i-" + std::to_string(ToBootNanoseconds(BootClock::now())))
+    , random(options.seed)
   {
+    this->server.SetSeed(this->options.seed);
   }
 
   Result<void> Start()
@@ -66,6 +79,11 @@
     if (!address) {
       return tl::unexpected(address.error());
     }
+    auto faults = AnswerFaults::Parse(this->options.faults);
+    if (!faults) {
+      return tl::unexpected(faults.error());
+    }
+    this->server.SetFaults(*faults);
     auto listening = this->server.Listen(*address);
     if (listening) {
       this->SendHeartbeat();
@@ -99,16 +117,17 @@
     return nullptr;
   }
 
-  void Reject(const std::shared_ptr<Exchange>& aExchange, unsigned aStatus)
+  void Reject(const HttpRequest& aRequest,
+              const FaultyServer::Respond& aRespond,
+              unsigned aStatus)
   {
     auto response = TextResponse(aStatus, "");
     response.set(headers::kNotExecuted, "1");
-    response.set(headers::kRequestId, aExchange->request[headers::kRequestId]);
-    this->Respond(aExchange, std::move(response));
+    response.set(headers::kRequestId, aRequest[headers::kRequestId]);
+    this->Respond(aRespond, std::move(response));
   }
 
-  void Respond(const std::shared_ptr<Exchange>& aExchange,
-               HttpResponse aResponse)
+  void Respond(const FaultyServer::Respond& aRespond, HttpResponse aResponse)
   {
     if (this->statesLimit) {
       aResponse.set(headers::kRequestLimit, this->options.requestLimit);
@@ -116,46 +135,70 @@
     if (this->statesLeaving) {
       aResponse.set(headers::kLeaving, headers::kIsLeaving);
     }
-    aExchange->Respond(std::move(aResponse));
+    aRespond(std::move(aResponse));
+  }
+
+  void SetFaults(const HttpRequest& aRequest,
+                 const FaultyServer::Respond& aRespond)
+  {
+    auto faults = AnswerFaults::Parse(aRequest.body());
+    if (!faults) {
+      aRespond(TextResponse(400, ToString(faults.error()) + "\n"));
+      return;
+    }
+    aRespond(TextResponse(200, ""));
+    this->server.SetFaults(*faults);
   }
 
-  void HandleRequest(const std::shared_ptr<Exchange>& aExchange)
+  void HandleRequest(const HttpRequest& aRequest,
+                     FaultyServer::Respond aRespond)
   {
-    const auto& request = aExchange->request;
+    if (aRequest.target() == kFaultsPath) {
+      this->SetFaults(aRequest, aRespond);
+      return;
+    }
     Key key = 0;
     const Grant* grant = nullptr;
     if (boost::conversion::try_lexical_convert(
-          std::string(request[headers::kKey]), key)) {
+          std::string(aRequest[headers::kKey]), key)) {
       grant = this->FindGrant(key);
     }
-    if (request[headers::kTargetServer] != this->id || grant == nullptr) {
-      this->Reject(aExchange, 421);
+    if (aRequest[headers::kTargetServer] != this->id || grant == nullptr) {
+      this->Reject(aRequest, aRespond, 421);
       return;
     }
     if (this->running >= this->options.slots) {
-      this->Reject(aExchange, 503);
+      this->Reject(aRequest, aRespond, 503);
       return;
     }
     ++this->running;
-    std::string requestId(request[headers::kRequestId]);
+    std::string requestId(aRequest[headers::kRequestId]);
     this->runLog << ToBootNanoseconds(BootClock::now()) << ' ' << this->id
                  << ' ' << key << ' ' << grant->fence << ' ' << requestId
                  << std::endl;
+    size_t bodyBytes = 0; // Stays so without the header field.
+    boost::conversion::try_lexical_convert(
+      std::string(aRequest[kBodyBytesField]), bodyBytes);
     bool isFatal = !this->options.fatalBody.empty() &&
-                   request.body() == this->options.fatalBody;
+                   aRequest.body() == this->options.fatalBody;
     auto work = std::make_shared<asio::steady_timer>(this->context);
-    work->expires_after(this->options.work);
-    work->async_wait(
-      [this, aExchange, work, requestId, isFatal](boost::system::error_code) {
-        if (isFatal) {
-          std::_Exit(EXIT_FAILURE);
-        }
-        --this->running;
-        auto response = TextResponse(200, "answer to " + requestId);
-        response.set(headers::kRequestId, requestId);
-        response.set(headers::kSignature, this->id + ":" + requestId);
-        this->Respond(aExchange, std::move(response));
-      });
+    work->expires_after(milliseconds(std::uniform_int_distribution<int64_t>(
+      this->options.leastWorkMs, this->options.mostWorkMs)(this->random)));
+    work->async_wait([this,
+                      respond = std::move(aRespond),
+                      work,
+                      requestId,
+                      bodyBytes,
+                      isFatal](boost::system::error_code) {
+      if (isFatal) {
+        std::_Exit(EXIT_FAILURE);
+      }
+      --this->running;
+      auto response = TextResponse(200, AnswerBody(requestId, bodyBytes));
+      response.set(headers::kRequestId, requestId);
+      response.set(headers::kSignature, this->id + ":" + requestId);
+      this->Respond(respond, std::move(response));
+    });
   }
 
   void SendHeartbeat()
@@ -237,11 +280,12 @@
 
   asio::io_context& context;
   KeyServerOptions options;
-  HttpServer server;
+  FaultyServer server;
   ConnectionPool pool;
   asio::steady_timer timer;
   std::ofstream runLog;
   std::string id;
+  std::mt19937 random;
   std::vector<Grant> grants;
   std::vector<KeyRange> freed;
   uint64_t sequence = 0;
@@ -292,8 +336,22 @@
   add("fatal-body",
       options::value(&settings.fatalBody),
       "requests with this body end the process");
+  add("fault",
+      options::value<std::vector<std::string>>(),
+      "NAME:SHARE, a fault of its answers; may be given several times");
+  add("seed", options::value(&settings.seed), "for the faults");
+  add("least-work-ms",
+      options::value(&settings.leastWorkMs),
+      "shortest time that a request takes");
+  add("most-work-ms",
+      options::value(&settings.mostWorkMs),
+      "longest time that a request takes");
   auto values = fescuetiller::ParseOptions(aCount, aArguments, description);
   options::notify(values);
+  if (values.count("fault") != 0) {
+    settings.faults = boost::algorithm::join(
+      values["fault"].as<std::vector<std::string>>(), ",");
+  }
   fescuetiller::asio::io_context context(1);
   fescuetiller::KeyServerStandIn server(context, settings);
   auto started = server.Start();
--- a/tests/standins/nodeload.cpp
+++ b/tests/standins/nodeload.cpp
@@ -1,10 +1,9 @@
-#include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 #include "http/http.h"
 #include "platform/platform.h"
+#include "standins/runlog.h"
 #include "standins/standin.h"
 
 namespace fescuetiller {
@@ -27,39 +26,6 @@
   WrongResponse, ///< The response belongs to another request.
 };
 
-/** A request that a backend server has run, from its log. */
-struct Run
-{
-  int64_t startedAt = 0; ///< Boot time in nanoseconds.
-  std::string incarnation;
-  Key key = 0;
-  Fence fence = 0;
-  std::string request;
-};
-
-/** Reads the runs of all backend servers, in order of time. */
-std::vector<Run>
-ReadRuns(const std::vector<std::string>& aFiles)
-{
-  std::vector<Run> runs;
-  for (const auto& file : aFiles) {
-    std::ifstream input(file);
-    std::string line;
-    while (std::getline(input, line)) {
-      std::istringstream text(line);
-      Run run;
-      if (text >> run.startedAt >> run.incarnation >> run.key >> run.fence >>
-          run.request) {
-        runs.push_back(run);
-      }
-    }
-  }
-  std::sort(runs.begin(), runs.end(), [](const Run& aLeft, const Run& aRight) {
-    return aLeft.startedAt < aRight.startedAt;
-  });
-  return runs;
-}
-
 } // namespace
 
 /** Sends bookings and lookups for random keys to all daemons and compares the
