--- a/tests/standins/checkingload.cpp
+++ b/tests/standins/checkingload.cpp
@@ -67,5 +67,6 @@
   }
   auto runs =
     fescuetiller::ReadRuns(values["run-log"].as<std::vector<std::string>>());
-  return audit.Report(runs, values["least-served"].as<double>()) ? 0 : 1;
+  return audit.Report(runs, values["least-served"].as<double>(), std::cout) ? 0
+                                                                            : 1;
 }
--- a/tests/standins/faultysession.cpp
+++ b/tests/standins/faultysession.cpp
@@ -1,7 +1,10 @@
 #include "standins/faultysession.h"
 
+#include <cmath>
 #include <sstream>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "platform/platform.h"
 
 namespace fescuetiller {
@@ -12,13 +15,30 @@
 using std::chrono::milliseconds;
 
 /** Range of the pause before late bytes. */
-constexpr int64_t kLeastPauseMs = 5;
-constexpr int64_t kMostPauseMs = 300;
+constexpr double kLeastPauseMs = 5;
+constexpr double kMostPauseMs = 300;
 /** One of so many late writes doesn't wait for the next request. */
 constexpr unsigned kIdleWriteShare = 4;
 /** Time that the peer has to read the bytes before a reset. */
 constexpr Duration kResetPause = milliseconds(2);
 
+/** Whether the request is one to the stand-in itself. */
+bool
+IsControl(const HttpRequest& aRequest)
+{
+  return boost::algorithm::starts_with(aRequest.target(), "/standin/");
+}
+
+/** A pause whose logarithm is evenly distributed: many are as short as the time
+ * after which a refused request is sent again. */
+int64_t
+DrawPauseMs(std::mt19937& aRandom)
+{
+  std::uniform_real_distribution<> exponent(0, 1);
+  return std::llround(
+    kLeastPauseMs * std::pow(kMostPauseMs / kLeastPauseMs, exponent(aRandom)));
+}
+
 /** Whether the peer expects a body behind the head. */
 bool
 HasBody(const HttpRequest& aRequest)
@@ -118,7 +138,10 @@
     }
   }
   this->faultsVersion = this->server.faultsVersion;
-  auto faults = this->server.faults.Draw();
+  AnswerFaults::Drawn faults;
+  if (!IsControl(this->request)) {
+    faults = this->server.faults.Draw();
+  }
   if (IsRefused(faults)) {
     this->Refuse(faults);
     return;
@@ -262,8 +285,7 @@
 void
 FaultySession::WriteLate(Output aOutput)
 {
-  auto pause = milliseconds(std::uniform_int_distribution<int64_t>(
-    kLeastPauseMs, kMostPauseMs)(this->server.random));
+  auto pause = milliseconds(DrawPauseMs(this->server.random));
   bool waitsForRequest = this->server.random() % kIdleWriteShare != 0;
   auto timer = std::make_shared<asio::steady_timer>(this->server.context);
   timer->expires_after(pause);
--- a/tests/standins/requestaudit.cpp
+++ b/tests/standins/requestaudit.cpp
@@ -1,8 +1,7 @@
 #include "standins/requestaudit.h"
 
 #include <algorithm>
-#include <iostream>
-#include <set>
+#include <sstream>
 
 namespace fescuetiller {
 
@@ -38,34 +37,35 @@
 }
 
 bool
-RequestAudit::Report(const std::vector<Run>& aRuns, double aLeastServed)
+RequestAudit::Report(const std::vector<Run>& aRuns,
+                     double aLeastServed,
+                     std::ostream& aOutput)
 {
-  this->CountReplies();
-  this->CompareWithRuns(aRuns);
+  this->CountReplies(aOutput);
+  this->CompareWithRuns(aRuns, aOutput);
   bool served = this->ServedShare() >= aLeastServed;
   if (!served) {
-    std::cout << "BROKEN served " << this->ServedShare() << ", least "
-              << aLeastServed << std::endl;
+    aOutput << "BROKEN served " << this->ServedShare() << ", least "
+            << aLeastServed << std::endl;
   }
   int wrongCount = 0;
   for (const auto& [kind, count] : this->wrong) {
     wrongCount += count;
   }
-  std::cout << "sent " << this->requests.size() << ", answered "
-            << this->replies[Reply::Answered] << " (without id "
-            << this->withoutId << "), no route "
-            << this->replies[Reply::NoRoute] << ", not run "
-            << this->replies[Reply::NotRun] << " (" << ToText(this->refusals)
-            << "), 502 " << this->failures[502] << ", 504 "
-            << this->failures[504] << ", broken off "
-            << this->replies[Reply::None] << " (" << ToText(this->brokenOff)
-            << "), wrong " << wrongCount << " (" << ToText(this->wrong) << ")"
-            << std::endl;
+  aOutput << "sent " << this->requests.size() << ", answered "
+          << this->replies[Reply::Answered] << " (without id "
+          << this->withoutId << "), no route " << this->replies[Reply::NoRoute]
+          << ", not run " << this->replies[Reply::NotRun] << " ("
+          << ToText(this->refusals) << "), 502 " << this->failures[502]
+          << ", 504 " << this->failures[504] << ", broken off "
+          << this->replies[Reply::None] << " (" << ToText(this->brokenOff)
+          << "), wrong " << wrongCount << " (" << ToText(this->wrong) << ")"
+          << std::endl;
   return served && wrongCount == 0;
 }
 
 void
-RequestAudit::CountReplies()
+RequestAudit::CountReplies(std::ostream& aOutput)
 {
   for (const auto& [id, request] : this->requests) {
     ++this->replies[request.reply];
@@ -84,7 +84,7 @@
                                                  : request.reason];
         break;
       case Reply::Wrong:
-        this->AddWrong(request.reason, request);
+        this->AddWrong(request.reason, request, aOutput);
         break;
       case Reply::NoRoute:
         break;
@@ -93,7 +93,8 @@
 }
 
 void
-RequestAudit::CompareWithRuns(const std::vector<Run>& aRuns)
+RequestAudit::CompareWithRuns(const std::vector<Run>& aRuns,
+                              std::ostream& aOutput)
 {
   std::map<std::string, int> runsOf;
   for (const auto& run : aRuns) {
@@ -106,37 +107,39 @@
     if (found == this->requests.end()) {
       CheckedRequest unknown;
       unknown.id = id;
-      this->AddWrong("UNASKED", unknown);
+      this->AddWrong("UNASKED", unknown, aOutput);
       continue;
     }
     const auto& request = found->second;
     bool booking = request.question == Question::Booking;
     if (booking && count > 1) {
-      this->AddWrong("TWICE", request);
+      this->AddWrong("TWICE", request, aOutput);
     }
     if (request.reply == Reply::NotRun) {
-      this->AddWrong(booking ? "REFUSED" : "REFUSED-lookup", request);
+      this->AddWrong(booking ? "REFUSED" : "REFUSED-lookup", request, aOutput);
     }
   }
   for (const auto& [id, request] : this->requests) {
     if (request.reply == Reply::Answered && runsOf.count(id) == 0) {
-      this->AddWrong("answered-not-run", request);
+      this->AddWrong("answered-not-run", request, aOutput);
     }
   }
 }
 
 void
-RequestAudit::AddWrong(const std::string& aKind, const CheckedRequest& aRequest)
+RequestAudit::AddWrong(const std::string& aKind,
+                       const CheckedRequest& aRequest,
+                       std::ostream& aOutput)
 {
   if (++this->wrong[aKind] > kMostPrinted) {
     return;
   }
-  std::cout << "WRONG " << aKind << ' ' << aRequest.id << ", sent "
-            << ToBootNanoseconds(aRequest.sentAt) << ", replied "
-            << ToBootNanoseconds(aRequest.repliedAt) << ", status "
-            << aRequest.status << ", "
-            << (aRequest.got.empty() ? aRequest.reason : aRequest.got)
-            << std::endl;
+  aOutput << "WRONG " << aKind << ' ' << aRequest.id << ", sent "
+          << ToBootNanoseconds(aRequest.sentAt) << ", replied "
+          << ToBootNanoseconds(aRequest.repliedAt) << ", status "
+          << aRequest.status << ", "
+          << (aRequest.got.empty() ? aRequest.reason : aRequest.got)
+          << std::endl;
 }
 
 double
--- a/tests/standins/requestaudit.h
+++ b/tests/standins/requestaudit.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -27,12 +28,16 @@
    * @param aLeastServed Share of the requests with a route that must be
    * answered.
    * @return Whether nothing was wrong. */
-  bool Report(const std::vector<Run>& aRuns, double aLeastServed);
+  bool Report(const std::vector<Run>& aRuns,
+              double aLeastServed,
+              std::ostream& aOutput);
 
 private:
-  void CountReplies();
-  void CompareWithRuns(const std::vector<Run>& aRuns);
-  void AddWrong(const std::string& aKind, const CheckedRequest& aRequest);
+  void CountReplies(std::ostream& aOutput);
+  void CompareWithRuns(const std::vector<Run>& aRuns, std::ostream& aOutput);
+  void AddWrong(const std::string& aKind,
+                const CheckedRequest& aRequest,
+                std::ostream& aOutput);
   double ServedShare() const;
 
   std::string name;
