Let faulty servers write a part of a second answer's head

A late copy that ends inside its head joins the head of the next answer: a field's value or the reason phrase swallows the next status line, and the next answer's id makes the whole look like its own. Callers got successes with a second signature, and 503 for requests that ran. Not among the default faults of the test yet.

--- a/tests/standins/answerfaults.cpp
+++ b/tests/standins/answerfaults.cpp
@@ -13,9 +13,11 @@
   { AnswerFault::SecondNoId, "second-no-id" },
   { AnswerFault::SecondChunked, "second-chunked" },
   { AnswerFault::SecondChunkedNoId, "second-chunked-no-id" },
+  { AnswerFault::SecondCut, "second-cut" },
   { AnswerFault::Refuse, "refuse" },
   { AnswerFault::RefuseTwice, "refuse-twice" },
   { AnswerFault::RefuseTwiceNoId, "refuse-twice-no-id" },
+  { AnswerFault::RefuseTwiceCut, "refuse-twice-cut" },
   { AnswerFault::CutHead, "cut-head" },
   { AnswerFault::CutBody, "cut-body" },
   { AnswerFault::Reset, "reset" },
@@ -99,7 +101,8 @@
 {
   return aFaults.count(AnswerFault::Refuse) +
            aFaults.count(AnswerFault::RefuseTwice) +
-           aFaults.count(AnswerFault::RefuseTwiceNoId) >
+           aFaults.count(AnswerFault::RefuseTwiceNoId) +
+           aFaults.count(AnswerFault::RefuseTwiceCut) >
          0;
 }
 
--- a/tests/standins/answerfaults.h
+++ b/tests/standins/answerfaults.h
@@ -16,9 +16,11 @@
   SecondNoId,        ///< The same without the request's id.
   SecondChunked,     ///< Writes it once more, late and in chunks.
   SecondChunkedNoId, ///< The same without the request's id.
+  SecondCut,         ///< The same without the id, and only a part of the head.
   Refuse,            ///< Refuses the request instead of running it.
   RefuseTwice,       ///< Refuses and writes the refusal once more, late.
   RefuseTwiceNoId,   ///< The same, the late refusal without the request's id.
+  RefuseTwiceCut,    ///< The same, and only a part of the late head.
   CutHead,           ///< Breaks off inside the head, then closes.
   CutBody,           ///< Breaks off inside a body with a length, then closes.
   Reset,             ///< No length, a part of the body, then a reset.
--- a/tests/standins/faultysession.cpp
+++ b/tests/standins/faultysession.cpp
@@ -162,11 +162,16 @@
   auto bytes = ToBytes(response, HasBody(this->request), false);
   this->requestWaits = false;
   this->Write({ bytes, "refusal " + Describe(response), this->requestId });
-  bool withoutId = aFaults.count(AnswerFault::RefuseTwiceNoId) > 0;
+  bool cut = aFaults.count(AnswerFault::RefuseTwiceCut) > 0;
+  bool withoutId = cut || aFaults.count(AnswerFault::RefuseTwiceNoId) > 0;
   if (withoutId) {
     response = WithoutId(response);
   }
-  if (withoutId || aFaults.count(AnswerFault::RefuseTwice) > 0) {
+  if (cut) {
+    this->WriteLate({ this->PartOfHead(response),
+                      "part of second refusal",
+                      this->requestId });
+  } else if (withoutId || aFaults.count(AnswerFault::RefuseTwice) > 0) {
     this->WriteLate({ ToBytes(response, HasBody(this->request), false),
                       "second refusal " + Describe(response),
                       this->requestId });
@@ -251,6 +256,10 @@
     } else if (fault == AnswerFault::GarbageLate) {
       this->WriteLate(
         { this->Garbage(aResponse), "late garbage", this->requestId });
+    } else if (fault == AnswerFault::SecondCut) {
+      this->WriteLate({ this->PartOfHead(WithoutId(aResponse)),
+                        "part of second answer",
+                        this->requestId });
     } else if (chunked || withoutId || fault == AnswerFault::Second) {
       auto second = withoutId ? WithoutId(aResponse) : aResponse;
       this->WriteLate({ ToBytes(second, HasBody(this->request), chunked),
@@ -261,6 +270,13 @@
   }
 }
 
+std::string
+FaultySession::PartOfHead(const HttpResponse& aResponse)
+{
+  auto head = ToBytes(aResponse, false, false);
+  return head.substr(0, 1 + this->server.random() % (head.size() - 1));
+}
+
 std::string
 FaultySession::Garbage(const HttpResponse& aResponse)
 {
--- a/tests/standins/faultysession.h
+++ b/tests/standins/faultysession.h
@@ -44,6 +44,8 @@
                 const HttpResponse& aResponse);
   void WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
                        const HttpResponse& aResponse);
+  /** The beginning of an answer's head. */
+  std::string PartOfHead(const HttpResponse& aResponse);
   /** Bytes that are no answer. */
   std::string Garbage(const HttpResponse& aResponse);
 
