--- a/tests/daemon/faultyservers.sh
+++ b/tests/daemon/faultyservers.sh
@@ -21,7 +21,8 @@
     second-chunked-no-id:0.25 refuse:0.3 refuse-twice:0.3
     refuse-twice-no-id:0.3 refuse-twice:0.3,second:0.25 cut-head:0.12
     cut-body:0.12 reset:0.12 garbage:0.1,garbage-late:0.1
-    old@unframed:0.3,reset:0.1 restart@second:0.25)
+    second-cut:0.2,refuse-twice-cut:0.2 old@unframed:0.3,reset:0.1
+    restart@second:0.25)
 fi
 here=$(cd "$(dirname "$0")" && pwd)
 network=127.0.7
