--- a/src/cluster/changes.cpp
+++ b/src/cluster/changes.cpp
@@ -25,18 +25,20 @@
   aChange.removes.push_back(LeaseKey(aService, aId));
 }
 
-/** Adds the parts of a range to a change. Only the first part replaces an
- * existing row. */
+/** Adds the parts of a range to a change. The first part replaces the row of
+ * the range; others may replace a row that was refused. */
 void
 AddParts(StoreTransaction& aChange,
          const Versioned<RangeRecord>& aWhole,
-         const std::vector<RangeRecord>& aParts)
+         const std::vector<RangeRecord>& aParts,
+         const ClusterView& aView)
 {
   for (const auto& part : aParts) {
     bool first = part.range.first == aWhole.record.range.first;
     AddCondition(aChange,
                  RangeKey(part.service, part.range.first),
-                 first ? aWhole.version : 0);
+                 first ? aWhole.version
+                       : aView.RefusedVersion(part.service, part.range.first));
     aChange.sets.push_back(ToRow(part));
   }
 }
@@ -66,7 +68,9 @@
   changed.owner = aOwner;
   changed.epoch += 1;
   changed.handover.clear();
-  AddParts(aChange, aRange, { changed });
+  AddCondition(
+    aChange, RangeKey(changed.service, changed.range.first), aRange.version);
+  aChange.sets.push_back(ToRow(changed));
 }
 
 StoreTransaction
@@ -127,9 +131,11 @@
 StoreTransaction
 MakeFirstRangesChange(const std::string& aService,
                       std::vector<MemberId> aMembers,
-                      StoreEra aEra)
+                      StoreEra aEra,
+                      bool aIsFirst)
 {
-  aMembers.resize(std::min(aMembers.size(), kMaxFirstRanges));
+  aMembers.resize(
+    std::min(aMembers.size(), aIsFirst ? kMaxFirstRanges : kMaxTakenRanges));
   StoreTransaction change;
   // If any range exists then one begins at key 0, so one condition is enough.
   AddCondition(change, RangeKey(aService, 0), 0);
@@ -137,6 +143,9 @@
   for (size_t index = 0; index < aMembers.size(); ++index) {
     Key last =
       static_cast<Key>((kLastKey + 1) * (index + 1) / aMembers.size() - 1);
+    if (!aIsFirst && next > 0) {
+      AddCondition(change, RangeKey(aService, next), 0);
+    }
     change.sets.push_back(ToRow(RangeRecord{
       aService, { next, last }, aMembers[index], FirstEpoch(aEra), "" }));
     next = last + 1;
@@ -176,7 +185,7 @@
       parts.push_back(
         { aService, range, aOwner, record.epoch, record.handover });
     }
-    AddParts(change, *owned, parts);
+    AddParts(change, *owned, parts, aView);
   }
   for (const auto& [id, version] : targets) {
     AddCondition(change, MemberKey(aService, id), version);
@@ -211,7 +220,7 @@
     merged.epoch = std::max(left.record.epoch, right.record.epoch) + 1;
     merged.handover.clear();
     auto rightKey = RangeKey(aService, right.record.range.first);
-    AddParts(change, left, { merged });
+    AddParts(change, left, { merged }, aView);
     AddCondition(change, rightKey, right.version);
     change.removes.push_back(rightKey);
     break;
@@ -219,6 +228,41 @@
   return change;
 }
 
+StoreTransaction
+MakeTrimChange(const ClusterView& aView, const Versioned<RangeRecord>& aRange)
+{
+  StoreTransaction change;
+  const auto& record = aRange.record;
+  auto others = aView.RangesOver(record);
+  if (others.empty() || others.size() > kMaxTakenRanges) {
+    return change;
+  }
+  std::vector<KeyRange> rest{ record.range };
+  for (const auto* other : others) {
+    auto key = RangeKey(record.service, other->record.range.first);
+    AddCondition(change, key, other->version);
+    rest = Subtract(rest, other->record.range);
+    if (other->record.epoch <= record.epoch) {
+      auto raised = other->record;
+      raised.epoch = record.epoch + 1;
+      change.sets.push_back(ToRow(raised));
+    }
+  }
+  std::vector<RangeRecord> parts;
+  parts.reserve(rest.size());
+  for (const auto& range : rest) {
+    parts.push_back(
+      { record.service, range, record.owner, record.epoch, record.handover });
+  }
+  AddParts(change, aRange, parts, aView);
+  auto key = RangeKey(record.service, record.range.first);
+  if (rest.empty() || rest.front().first != record.range.first) {
+    AddCondition(change, key, aRange.version);
+    change.removes.push_back(key);
+  }
+  return change;
+}
+
 StoreTransaction
 MakeTakeoverChange(const ClusterView& aView,
                    const LostMember& aLost,
@@ -251,7 +295,7 @@
           { service, plan.range, plan.target, range->record.epoch + 1, "" });
       }
     }
-    AddParts(change, *range, parts);
+    AddParts(change, *range, parts, aView);
   }
   return change;
 }
--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -1,6 +1,7 @@
 #include "cluster/clusterview.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace fescuetiller {
@@ -30,24 +31,65 @@
     this->claimsClosedAt[aRow.key.part] = aRow.removed ? 0 : aRow.version;
     return true;
   }
-  if (auto member = ParseMember(aRow)) {
+  return aRow.removed ? this->Remove(aRow.key) : this->ApplyRecord(aRow);
+}
+
+bool
+ClusterView::ApplyRecord(const StoreRow& aRow)
+{
+  const auto& key = aRow.key;
+  if (IsMemberKey(key)) {
+    auto member = ReadMember(aRow);
+    if (!member) {
+      return this->Refuse(aRow, member.error());
+    }
     this->members[member->id] = { *member, aRow.version };
-    return true;
+  } else if (IsRangeKey(key)) {
+    auto range = ReadRange(aRow);
+    if (!range) {
+      return this->Refuse(aRow, range.error());
+    }
+    this->ranges[key.part][range->range.first] = { *range, aRow.version };
+    this->UpdateOverlaps(key.part, range->range.first);
+  } else if (IsDrainKey(key)) {
+    auto drain = ReadDrain(aRow);
+    if (!drain) {
+      return this->Refuse(aRow, drain.error());
+    }
+    this->drains[{ key.part, drain->address }] = { *drain, aRow.version };
+  } else {
+    return false; // Of a later release.
   }
-  if (auto range = ParseRange(aRow)) {
-    this->ranges[range->service][range->range.first] = { *range, aRow.version };
-    return true;
+  this->refused.erase(key);
+  return true;
+}
+
+bool
+ClusterView::Refuse(const StoreRow& aRow, const Error& aError)
+{
+  this->refused[aRow.key] = { aRow.version, aError };
+  for (auto& [id, member] : this->members) {
+    if (MemberKey(member.record.service, id) == aRow.key) {
+      member.version = aRow.version;
+    }
   }
-  if (auto drain = ParseDrain(aRow)) {
-    this->drains[{ drain->service, drain->address }] = { *drain, aRow.version };
-    return true;
+  for (auto& [id, drain] : this->drains) {
+    if (DrainKey(id.first, id.second) == aRow.key) {
+      drain.version = aRow.version;
+    }
+  }
+  for (auto& [first, range] : this->ranges[aRow.key.part]) {
+    if (RangeKey(aRow.key.part, first) == aRow.key) {
+      range.version = aRow.version;
+    }
   }
-  return this->Remove(aRow.key);
+  return true;
 }
 
 bool
 ClusterView::Remove(const StoreKey& aKey)
 {
+  this->refused.erase(aKey);
   for (auto entry = this->members.begin(); entry != this->members.end();
        ++entry) {
     if (MemberKey(entry->second.record.service, entry->first) == aKey) {
@@ -69,7 +111,9 @@
   for (auto entry = service->second.begin(); entry != service->second.end();
        ++entry) {
     if (RangeKey(aKey.part, entry->first) == aKey) {
+      auto first = entry->first;
       service->second.erase(entry);
+      this->UpdateOverlaps(aKey.part, first);
       return true;
     }
   }
@@ -148,9 +192,97 @@
   return found == this->ranges.end() ? kNone : found->second;
 }
 
+/** Updates whether ranges overlap after the row of one has changed. */
+void
+ClusterView::UpdateOverlaps(const std::string& aService, Key aChanged)
+{
+  const auto& rows = this->RangesOf(aService);
+  auto from = rows.begin();
+  auto to = rows.end();
+  if (this->overlapping.count(aService) == 0) {
+    // Only the neighbours of the changed row can overlap it.
+    from = rows.lower_bound(aChanged);
+    from = from == rows.begin() ? from : std::prev(from);
+    to = rows.upper_bound(aChanged);
+    to = to == rows.end() ? to : std::next(to);
+  }
+  std::optional<Key> last;
+  bool anyOverlap = false;
+  for (auto row = from; row != to; ++row) {
+    const auto& range = row->second.record.range;
+    anyOverlap = anyOverlap || (last && range.first <= *last);
+    last = std::max(last.value_or(0), range.last);
+  }
+  if (anyOverlap) {
+    this->overlapping.insert(aService);
+  } else {
+    this->overlapping.erase(aService);
+  }
+}
+
+std::vector<const Versioned<RangeRecord>*>
+ClusterView::OverlappingRanges(const std::string& aService) const
+{
+  std::vector<const Versioned<RangeRecord>*> found;
+  if (this->overlapping.count(aService) == 0) {
+    return found;
+  }
+  const Versioned<RangeRecord>* widest = nullptr;
+  for (const auto& [first, range] : this->RangesOf(aService)) {
+    bool overlaps =
+      widest != nullptr && range.record.range.Overlaps(widest->record.range);
+    if (overlaps) {
+      if (found.empty() || found.back() != widest) {
+        found.push_back(widest);
+      }
+      found.push_back(&range);
+    }
+    if (widest == nullptr ||
+        range.record.range.last > widest->record.range.last) {
+      widest = &range;
+    }
+  }
+  std::sort(found.begin(), found.end(), [](const auto* aLeft, auto* aRight) {
+    return aLeft->record.range.first < aRight->record.range.first;
+  });
+  found.erase(std::unique(found.begin(), found.end()), found.end());
+  return found;
+}
+
+std::vector<const Versioned<RangeRecord>*>
+ClusterView::RangesOver(const RangeRecord& aRange) const
+{
+  std::vector<const Versioned<RangeRecord>*> found;
+  for (const auto* range : this->OverlappingRanges(aRange.service)) {
+    if (range->record.range.first != aRange.range.first &&
+        range->record.range.Overlaps(aRange.range)) {
+      found.push_back(range);
+    }
+  }
+  return found;
+}
+
+RowVersion
+ClusterView::RefusedVersion(const std::string& aService, Key aFirst) const
+{
+  auto found = this->refused.find(RangeKey(aService, aFirst));
+  bool isKnown = this->RangesOf(aService).count(aFirst) > 0;
+  return found == this->refused.end() || isKnown ? 0 : found->second.version;
+}
+
 const RangeRecord*
 ClusterView::FindRange(const std::string& aService, Key aKey) const
 {
+  if (this->overlapping.count(aService) > 0) {
+    const Versioned<RangeRecord>* oldest = nullptr;
+    for (const auto& [first, range] : this->RangesOf(aService)) {
+      if (range.record.range.Contains(aKey) &&
+          (oldest == nullptr || range.version < oldest->version)) {
+        oldest = &range;
+      }
+    }
+    return oldest == nullptr ? nullptr : &oldest->record;
+  }
   const auto& rows = this->RangesOf(aService);
   auto next = rows.upper_bound(aKey);
   if (next == rows.begin()) {
@@ -174,6 +306,12 @@
   return this->drains;
 }
 
+const ClusterView::Refused&
+ClusterView::RefusedRows() const
+{
+  return this->refused;
+}
+
 RowVersion
 ClusterView::ClaimsClosedAt(const std::string& aService) const
 {
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,10 +17,18 @@
   RowVersion version = 0;
 };
 
+/** A row whose value or key is invalid, and why. */
+struct RefusedRow
+{
+  RowVersion version = 0;
+  Error error;
+};
+
 /**
  * Members, key ranges and drain requests as known to this daemon. A row never
  * replaces a newer version, so rows may arrive late, repeatedly and in any
- * order.
+ * order. An invalid row is refused: what its key named before stays known, with
+ * the version of the invalid row, which the next change must replace.
  */
 class ClusterView
 {
@@ -29,6 +38,7 @@
   /** By service and address. */
   using Drains =
     std::map<std::pair<std::string, std::string>, Versioned<DrainRecord>>;
+  using Refused = std::map<StoreKey, RefusedRow>;
 
   /** Applies one row. @return Whether anything changed. */
   bool Apply(const StoreRow& aRow);
@@ -53,7 +63,23 @@
   /** Ranges of a service by their first key. */
   const Ranges& RangesOf(const std::string& aService) const;
 
-  /** @return nullptr if no range contains the key. */
+  /** Ranges of a service that overlap others, which none of the daemons'
+   * changes leaves behind: another writer has added or changed a row, or some
+   * rows of a change have not arrived yet. */
+  std::vector<const Versioned<RangeRecord>*> OverlappingRanges(
+    const std::string& aService) const;
+
+  /** Ranges that overlap another one of the same service. */
+  std::vector<const Versioned<RangeRecord>*> RangesOver(
+    const RangeRecord& aRange) const;
+
+  /** Version of a refused row with the key of a range that is not known
+   * otherwise; 0 if there is none. */
+  RowVersion RefusedVersion(const std::string& aService, Key aFirst) const;
+
+  /** If several ranges contain the key, the one with the oldest row is
+   * returned: rows that another writer adds are newer.
+   * @return nullptr if no range contains the key. */
   const RangeRecord* FindRange(const std::string& aService, Key aKey) const;
 
   /** Whether operators have drained the member at an address. */
@@ -62,6 +88,9 @@
 
   const Drains& AllDrains() const;
 
+  /** Invalid rows that are in the store, by key. */
+  const Refused& RefusedRows() const;
+
   /** Version of the row with ClaimsClosedKey; 0 if there is none. */
   RowVersion ClaimsClosedAt(const std::string& aService) const;
 
@@ -77,11 +106,17 @@
 
 private:
   bool ApplyNewer(const StoreRow& aRow);
+  bool ApplyRecord(const StoreRow& aRow);
+  /** Refuses a row. What its key named before stays known. */
+  bool Refuse(const StoreRow& aRow, const Error& aError);
   bool Remove(const StoreKey& aKey);
+  void UpdateOverlaps(const std::string& aService, Key aChanged);
 
   Members members;
   std::map<std::string, Ranges> ranges;
+  std::set<std::string> overlapping; ///< Services with overlapping ranges.
   Drains drains;
+  Refused refused;
   std::map<std::string, RowVersion> claimsClosedAt; ///< By service.
   std::map<StoreKey, RowVersion> versions;          ///< Also of removed rows.
   RowVersion newest = 0;
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -37,6 +37,13 @@
 /** Time after which ranges whose owner is no member are taken over, in addition
  * to the time that grants of the owner may last: its record may arrive late. */
 constexpr Duration kUnownedRangeMargin = milliseconds(850);
+/** Time for which ranges overlap before an owner whose server holds none of the
+ * contested keys gives them up: longer than any row is late. If no server holds
+ * them, the owner of the newer range is the first one. */
+constexpr Duration kOverlapTime = std::chrono::seconds(5);
+/** Time after which a refused member row is removed if it has no lease. The
+ * process that it may belong to has written it again by then. */
+constexpr Duration kRefusedMemberTime = std::chrono::seconds(30);
 /** Number of ranges from which a member merges adjacent ones. */
 constexpr size_t kMergeThreshold = 16;
 /** Number of grants in a response to a heartbeat up to which ranges are divided
@@ -119,6 +126,17 @@
   return tie(aLeft) == tie(aRight);
 }
 
+ServingState
+WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer)
+{
+  if (aState.server == aNewer.server) {
+    aState.draining = aNewer.draining;
+    aState.sendUntil = aNewer.sendUntil;
+    aState.drainTime = aNewer.drainTime;
+  }
+  return aState;
+}
+
 OwnershipAgent::OwnershipAgent(AgentIdentity aIdentity,
                                AgentSettings aSettings,
                                IdFunction aNewId,
@@ -259,7 +277,11 @@
   if (this->LeaseEnd() <= aNow) {
     return {};
   }
-  auto owned = this->OwnedKeyRanges();
+  std::vector<KeyRange> owned;
+  for (const auto* range : this->OwnedRanges()) {
+    auto parts = this->UncontestedParts(*range);
+    owned.insert(owned.end(), parts.begin(), parts.end());
+  }
   for (const auto& move : this->moves) {
     if (move.writing) {
       owned = Subtract(owned, move.plan.range);
@@ -383,7 +405,7 @@
 {
   std::vector<Grant> grants;
   for (const auto* owned : this->OwnedRanges()) {
-    std::vector<KeyRange> parts{ owned->record.range };
+    auto parts = this->UncontestedParts(*owned);
     for (const auto& move : this->moves) {
       parts = Subtract(parts, move.plan.range);
     }
@@ -434,7 +456,11 @@
   using Kind = PeerMessage::Kind;
   bool isProbe =
     aMessage.kind == Kind::Probe || aMessage.kind == Kind::ProbeReply;
-  if (aMessage.to != this->self || (aMessage.era != this->era && !isProbe)) {
+  if (aMessage.to != this->self) {
+    return {};
+  }
+  this->probe.OnReply(aMessage.from);
+  if (aMessage.era != this->era && !isProbe) {
     return {};
   }
   auto reply = [&](Kind aKind) {
@@ -467,8 +493,10 @@
       }
       break;
     case Kind::Acknowledge:
-      this->lease.OnAcknowledgement(aMessage.from,
-                                    FromBootNanoseconds(aMessage.sentAt));
+      if (FromBootNanoseconds(aMessage.sentAt) <= aNow) {
+        this->lease.OnAcknowledgement(aMessage.from,
+                                      FromBootNanoseconds(aMessage.sentAt));
+      }
       break;
     case Kind::RequestConsent:
       if (this->monitor.OnConsentRequest(
@@ -478,12 +506,10 @@
       break;
     case Kind::Probe:
       return { { "", reply(Kind::ProbeReply) } };
-    case Kind::ProbeReply:
-      this->probe.OnReply(aMessage.from);
-      break;
     case Kind::Consent:
       this->monitor.OnConsent(aMessage.member, aMessage.from, aMessage.version);
       break;
+    case Kind::ProbeReply:
     case Kind::Confirmation:
     case Kind::Crashes:
       break; // Not about ownership.
@@ -529,6 +555,7 @@
   if (aNow > this->eraSeenAt + kReturnTime) {
     this->earlierMembers.clear();
   }
+  this->LogRefusedRows();
   if (this->phase == Phase::NotMember) {
     this->Join(aNow);
   }
@@ -538,6 +565,7 @@
     this->SendProbes(aNow, output);
     this->RenewLongLease(aNow);
     if (this->ownsKeys) {
+      this->RestoreOwnRows(aNow);
       this->CreateRanges(aNow);
       this->FillGaps(aNow);
       this->DropStaleMoves(aNow);
@@ -545,7 +573,9 @@
       this->WriteMoves(aNow);
       this->MergeRanges(aNow);
       this->TakeUnownedRanges(aNow);
+      this->GiveUpOverlaps(aNow);
     }
+    this->RemoveRefusedMembers(aNow);
   }
   auto findings = this->monitor.Tick(
     aNow, this->view, this->self, this->probe.SilentMembers(aNow));
@@ -667,6 +697,15 @@
   return WithDrift(this->settings.times.promise, this->settings.times);
 }
 
+/** Longest time for which a daemon that does not see the latest rows may grant
+ * keys, and servers hold them. */
+Duration
+OwnershipAgent::MaxUnseenGrantTime() const
+{
+  return WithDrift(this->settings.times.longLease, this->settings.times) +
+         this->MaxGrantTime();
+}
+
 bool
 OwnershipAgent::CanOwnKeys(Time aNow) const
 {
@@ -717,9 +756,10 @@
     const MemberRecord* record;
   };
   const auto* own = this->view.FindMember(this->self);
+  auto silent = this->probe.SilentMembers(aNow);
   std::vector<Candidate> candidates;
   for (const auto& [id, member] : this->view.AllMembers()) {
-    if (id == this->self ||
+    if (id == this->self || silent.count(id) > 0 ||
         member.record.udpAddress == this->identity.udpAddress ||
         this->IsGuardianSilent(aNow, id)) {
       continue;
@@ -763,8 +803,14 @@
     return;
   }
   auto record = own->record;
+  record.zone = this->identity.zone;
+  record.address = this->identity.address;
+  record.udpAddress = this->identity.udpAddress;
   record.state = this->DesiredState(aNow);
-  bool urgent = record.state != own->record.state;
+  // Another writer may have changed or spoilt the row.
+  bool urgent = record != own->record ||
+                this->view.RefusedRows().count(
+                  MemberKey(this->identity.service, this->self)) > 0;
   if (aNow >= this->nextMemberChangeAt) {
     bool outdated =
       own->record.guardians.size() < this->settings.times.guardianCount;
@@ -877,6 +923,15 @@
     aOutput.messages.push_back(
       { this->view.FindMember(id)->record.udpAddress, std::move(request) });
   }
+  auto unheard = this->probe.UnheardMembers(aNow);
+  for (const auto& id : unheard) {
+    const auto* member = this->view.FindMember(id);
+    if (member != nullptr && this->loggedUnheard.count(id) == 0) {
+      this->LogEvent("member-unheard",
+                     { { "id", id }, { "address", member->record.address } });
+    }
+  }
+  this->loggedUnheard = std::move(unheard);
 }
 
 /** Creates a peer message that includes the load of this member. */
@@ -971,6 +1026,7 @@
     // A member without a known load is new, unless it owns keys.
     bool unknown = !load && counts[member->id] > 0;
     if (member->id == this->self || member->state != MemberState::Ready ||
+        !this->probe.IsAlive(aNow, member->id) ||
         counts[member->id] >= this->settings.rebalancing.maxRanges ||
         (unknown && !aIncludeUnknown)) {
       continue;
@@ -988,13 +1044,34 @@
 OwnershipAgent::CreateRanges(Time aNow)
 {
   const auto& service = this->identity.service;
-  if (this->hasEarlierGrants || !this->view.RangesOf(service).empty() ||
+  // Another writer may have added ranges before the first ones, of which one
+  // begins at key 0. If a member owns any, the first ones may have been removed
+  // and still be granted.
+  const auto& ranges = this->view.RangesOf(service);
+  if (ranges.count(0) > 0) {
+    this->firstRangeMissingSince = Time();
+    return;
+  }
+  if (this->firstRangeMissingSince == Time()) {
+    this->firstRangeMissingSince = aNow;
+  }
+  bool anyOwner =
+    std::any_of(ranges.begin(), ranges.end(), [&](const auto& aRange) {
+      return this->view.FindMember(aRange.second.record.owner) != nullptr;
+    });
+  auto wait =
+    anyOwner ? WithDrift(this->settings.times.longLease, this->settings.times) +
+                 this->MaxGrantTime()
+             : Duration(0);
+  if (this->hasEarlierGrants || aNow < this->firstRangeMissingSince + wait ||
       !this->queue.IsEmpty()) {
     return;
   }
   std::vector<MemberId> ready;
   for (const auto* member : this->view.MembersOf(service)) {
-    if (member->state == MemberState::Ready) {
+    bool isAlive =
+      member->id == this->self || this->probe.IsAlive(aNow, member->id);
+    if (member->state == MemberState::Ready && isAlive) {
       ready.push_back(member->id);
     }
   }
@@ -1008,7 +1085,8 @@
       aNow < this->readyMembersSince + kDiscoveryTime + rank * kDiscoveryTime) {
     return;
   }
-  auto change = MakeFirstRangesChange(service, ready, this->era);
+  auto change =
+    MakeFirstRangesChange(service, ready, this->era, ranges.empty());
   this->LogEvent("ranges-created",
                  { { "members", std::to_string(ready.size()) } });
   this->SubmitChange(aNow, change);
@@ -1020,11 +1098,10 @@
 void
 OwnershipAgent::FillGaps(Time aNow)
 {
-  auto wait =
-    WithDrift(this->settings.times.longLease, this->settings.times) +
-    this->MaxGrantTime() +
+  auto spread =
     kGapFillSpread / kRanks * static_cast<int>(StableHash(this->self) % kRanks);
-  if (!this->hasEarlierGrants || aNow < this->eraSeenAt + wait ||
+  if (!this->hasEarlierGrants ||
+      aNow < this->eraSeenAt + this->MaxUnseenGrantTime() + spread ||
       !this->queue.IsEmpty() || !this->IsStoreReachable() ||
       this->DesiredState(aNow) != MemberState::Ready) {
     return;
@@ -1057,6 +1134,79 @@
   this->SubmitChange(aNow, change);
 }
 
+/** Logs each refused row once for each reason. */
+void
+OwnershipAgent::LogRefusedRows()
+{
+  const auto& refused = this->view.RefusedRows();
+  for (auto logged = this->loggedRefusals.begin();
+       logged != this->loggedRefusals.end();) {
+    logged = refused.count(logged->first) == 0
+               ? this->loggedRefusals.erase(logged)
+               : std::next(logged);
+  }
+  for (const auto& [key, row] : refused) {
+    auto& reason = this->loggedRefusals[key];
+    if (reason != row.error.message) {
+      reason = row.error.message;
+      this->LogEvent("row-refused",
+                     { { "table", key.table },
+                       { "part", key.part },
+                       { "key", key.key },
+                       { "reason", reason } });
+    }
+  }
+}
+
+void
+OwnershipAgent::RestoreOwnRows(Time aNow)
+{
+  const auto& refused = this->view.RefusedRows();
+  if (refused.empty() || !this->queue.IsEmpty()) {
+    return;
+  }
+  StoreTransaction change;
+  for (const auto* range : this->OwnedRanges()) {
+    auto key = RangeKey(this->identity.service, range->record.range.first);
+    if (refused.count(key) > 0 && change.sets.size() < kMaxTakenRanges) {
+      AddCondition(change, key, range->version);
+      change.sets.push_back(ToRow(range->record));
+    }
+  }
+  if (!change.sets.empty()) {
+    this->SubmitChange(aNow, change);
+  }
+}
+
+/** Removes refused member rows without a lease. Each process that joins writes
+ * its lease with its row, so no process stands behind these. */
+void
+OwnershipAgent::RemoveRefusedMembers(Time aNow)
+{
+  std::map<StoreKey, Time> since;
+  for (const auto& [key, row] : this->view.RefusedRows()) {
+    if (!IsMemberKey(key) || key.part != this->identity.service) {
+      continue;
+    }
+    auto known = this->refusedSince.find(key);
+    since[key] = known == this->refusedSince.end() ? aNow : known->second;
+    auto rank = static_cast<int>(StableHash(this->self) % kRanks);
+    auto wait = kRefusedMemberTime + kGapFillSpread / kRanks * rank;
+    if (aNow - since[key] < wait || !this->queue.IsEmpty()) {
+      continue;
+    }
+    since[key] = aNow; // A row with a lease is tried again after the wait.
+    StoreTransaction change;
+    auto id = key.key.substr(MemberKey("", "").key.size());
+    AddCondition(change, key, row.version);
+    AddCondition(change, LeaseKey(key.part, id), 0);
+    change.removes.push_back(key);
+    this->SubmitChange(aNow, change);
+    this->LogEvent("refused-member-removed", { { "id", id } });
+  }
+  this->refusedSince = std::move(since);
+}
+
 /** Writes drain requests again that the copy of the store lacks. */
 void
 OwnershipAgent::RestoreDrains(Time aNow)
@@ -1314,34 +1464,147 @@
 void
 OwnershipAgent::TakeUnownedRanges(Time aNow)
 {
+  const auto& refused = this->view.RefusedRows();
   std::map<Key, Time> unowned;
   std::set<MemberId> absent;
   StoreTransaction change;
+  const Versioned<RangeRecord>* contested = nullptr;
   for (const auto& [first, range] :
        this->view.RangesOf(this->identity.service)) {
-    if (this->view.FindMember(range.record.owner) != nullptr) {
-      continue;
+    const auto& owner = range.record.owner;
+    if (this->view.FindMember(owner) != nullptr ||
+        refused.count(MemberKey(range.record.service, owner)) > 0) {
+      continue; // A refused row may be that of a process that runs.
     }
     auto known = this->unownedSince.find(first);
     unowned[first] = known == this->unownedSince.end() ? aNow : known->second;
-    if (aNow - unowned[first] > this->MaxGrantTime() + kUnownedRangeMargin &&
-        change.sets.size() < kMaxTakenRanges) {
+    if (aNow - unowned[first] <= this->MaxGrantTime() + kUnownedRangeMargin) {
+      continue;
+    }
+    if (!this->view.RangesOver(range.record).empty()) {
+      contested = &range;
+    } else if (change.sets.size() < kMaxTakenRanges) {
       AddOwnerChange(change, range, this->self);
       absent.insert(range.record.owner);
     }
   }
   this->unownedSince = std::move(unowned);
+  // A range that another writer added to this era may be held since the last.
+  bool mayBeHeld = this->hasEarlierGrants &&
+                   aNow < this->eraSeenAt + this->MaxUnseenGrantTime();
+  if (mayBeHeld || !this->queue.IsEmpty() ||
+      this->DesiredState(aNow) != MemberState::Ready) {
+    return;
+  }
   // The owner may be a member whose row has not arrived here yet.
   for (const auto& owner : absent) {
     AddCondition(change, MemberKey(this->identity.service, owner), 0);
   }
-  if (change.sets.empty() || !this->queue.IsEmpty() ||
-      this->DesiredState(aNow) != MemberState::Ready) {
-    return;
+  if (!change.sets.empty()) {
+    this->LogEvent("orphans-taken",
+                   { { "ranges", std::to_string(change.sets.size()) } });
+    this->SubmitChange(aNow, change);
+  } else if (contested != nullptr) {
+    auto trim = MakeTrimChange(this->view, *contested);
+    if (!trim.conditions.empty()) {
+      AddCondition(
+        trim, MemberKey(this->identity.service, contested->record.owner), 0);
+      this->SubmitTrim(aNow, *contested, trim);
+    }
   }
-  this->LogEvent("orphans-taken",
-                 { { "ranges", std::to_string(change.sets.size()) } });
-  this->SubmitChange(aNow, change);
+}
+
+std::vector<KeyRange>
+OwnershipAgent::UnheldParts(const KeyRange& aRange) const
+{
+  std::vector<KeyRange> unheld{ aRange };
+  for (const auto& grant : this->granted) {
+    unheld = Subtract(unheld, grant.range);
+  }
+  if (const auto& report = this->server.Report()) {
+    for (const auto& held : report->grantedRanges) {
+      unheld = Subtract(unheld, held.range);
+    }
+  }
+  return unheld;
+}
+
+/** Keys of two ranges stay with the server that holds them, and go to no other
+ * one. So they never have two holders, whichever of the rows is wrong. */
+std::vector<KeyRange>
+OwnershipAgent::UncontestedParts(const Versioned<RangeRecord>& aOwned) const
+{
+  std::vector<KeyRange> parts{ aOwned.record.range };
+  for (const auto* other : this->view.RangesOver(aOwned.record)) {
+    const auto& range = other->record.range;
+    if (other->record.owner != this->self) {
+      for (const auto& unheld : this->UnheldParts(range)) {
+        parts = Subtract(parts, unheld);
+      }
+    } else if (other->version < aOwned.version) {
+      parts = Subtract(parts, range); // Granted with the older range.
+    }
+  }
+  return parts;
+}
+
+void
+OwnershipAgent::GiveUpOverlaps(Time aNow)
+{
+  std::map<Key, Time> since;
+  for (const auto* range :
+       this->view.OverlappingRanges(this->identity.service)) {
+    const auto& record = range->record;
+    if (record.owner != this->self) {
+      continue;
+    }
+    auto first = record.range.first;
+    auto known = this->overlapsSince.find(first);
+    since[first] = known == this->overlapsSince.end() ? aNow : known->second;
+    bool mayHold = false;
+    bool isNewest = true;
+    for (const auto* other : this->view.RangesOver(record)) {
+      const auto& theirs = other->record.range;
+      KeyRange contested{ std::max(first, theirs.first),
+                          std::min(record.range.last, theirs.last) };
+      bool isOwn = other->record.owner == this->self;
+      isNewest = isNewest && other->version < range->version;
+      mayHold =
+        mayHold || ((!isOwn || other->version > range->version) &&
+                    this->UnheldParts(contested) != std::vector{ contested });
+    }
+    auto wait = isNewest ? kOverlapTime : 2 * kOverlapTime;
+    if (!mayHold && aNow - since[first] >= wait) {
+      this->SubmitTrim(aNow, *range, MakeTrimChange(this->view, *range));
+    }
+  }
+  this->overlapsSince = std::move(since);
+}
+
+void
+OwnershipAgent::SubmitTrim(Time aNow,
+                           const Versioned<RangeRecord>& aRange,
+                           const StoreTransaction& aChange)
+{
+  if (aChange.conditions.empty() || !this->queue.IsEmpty()) {
+    return; // Nothing to change, or not now.
+  }
+  auto key = RangeKey(aRange.record.service, aRange.record.range.first);
+  this->queue.Add(
+    aChange,
+    [this, aChange, key, owner = aRange.record.owner](
+      Time aDoneAt, const TransactionResult& aResult) {
+      this->ApplyResult(aDoneAt, aChange, aResult);
+      if (aResult.committed) {
+        this->LogEvent("overlap-removed",
+                       { { "table", key.table },
+                         { "part", key.part },
+                         { "key", key.key },
+                         { "owner", owner },
+                         { "reason", "other ranges contain its keys" } });
+      }
+    },
+    aNow + kChangeTimeout);
 }
 
 /** Takes over members of other services that have this daemon's address: their
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,7 +71,7 @@
   uint32_t slots = 0;           ///< Requests that the server runs concurrently.
   bool available = false;       ///< Whether the server is known and not lost.
   bool draining = false;        ///< Whether the server announced its shutdown.
-  Time sendUntil = Time::max(); ///< No requests are sent to it afterwards.
+  Time sendUntil = Time::max(); ///< It must get no requests afterwards.
   /** Time from an announced shutdown until no more requests are sent. */
   Duration drainTime = std::chrono::seconds(2);
   Time nextHeartbeat; ///< When the next grants are expected.
@@ -82,6 +83,11 @@
   friend bool operator==(const ServingState& aLeft, const ServingState& aRight);
 };
 
+/** Returns a state with the shutdown that its server has announced since.
+ * @param aNewer A newer state. */
+ServingState
+WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer);
+
 /**
  * Makes all decisions of a daemon about membership and key ownership: joining,
  * monitoring other members, keeping the own lease, granting keys to the backend
@@ -206,6 +212,10 @@
   std::vector<KeyRange> UnownedKeys() const;
   void FillGaps(Time aNow);
   void RestoreDrains(Time aNow);
+  void LogRefusedRows();
+  /** Writes the own rows again that another writer has spoilt. */
+  void RestoreOwnRows(Time aNow);
+  void RemoveRefusedMembers(Time aNow);
   void Join(Time aNow);
   void OnJoinFinished(Time aNow,
                       const TransactionResult& aResult,
@@ -230,6 +240,17 @@
   bool IsStoreReachable() const;
   void MergeRanges(Time aNow);
   void TakeUnownedRanges(Time aNow);
+  /** Gives up own ranges that another one overlaps. */
+  void GiveUpOverlaps(Time aNow);
+  void SubmitTrim(Time aNow,
+                  const Versioned<RangeRecord>& aRange,
+                  const StoreTransaction& aChange);
+  /** Returns an own range without the keys that may have another holder, since
+   * another range contains them, too. */
+  std::vector<KeyRange> UncontestedParts(
+    const Versioned<RangeRecord>& aOwned) const;
+  /** Returns the keys of a range that the own server does not hold. */
+  std::vector<KeyRange> UnheldParts(const KeyRange& aRange) const;
   void TakeOverPredecessors(Time aNow);
   void TakeOver(Time aNow, const LostMember& aLost, const std::string& aBasis);
   RangeList OwnedRanges() const;
@@ -253,6 +274,7 @@
   std::vector<Grant> MakeGrants() const;
   bool IsDrained() const;
   Duration MaxGrantTime() const;
+  Duration MaxUnseenGrantTime() const;
   bool CanOwnKeys(Time aNow) const;
   MemberState DesiredState(Time aNow) const;
   void SubmitChange(Time aNow, const StoreTransaction& aChange);
@@ -295,11 +317,17 @@
   uint64_t closeCount = 0; ///< Changes of the row with ClaimsClosedKey.
   std::map<MemberId, Time> guardianSince; ///< When each got its first renewal.
   std::map<Key, Time> unownedSince;       ///< By first key of unowned ranges.
+  std::map<Key, Time> overlapsSince;      ///< By first key of own ranges.
+  /** Refused rows that were logged, and the reasons. */
+  std::map<StoreKey, std::string> loggedRefusals;
+  std::map<StoreKey, Time> refusedSince; ///< By key of refused member rows.
+  std::set<MemberId> loggedUnheard;
   RowVersion longLeaseVersion = 0;
   uint64_t longLeaseCount = 0;
   Time joinedAt;
-  size_t readyMembers = 0; ///< Members that could get the first ranges.
-  Time readyMembersSince;  ///< When their number last changed.
+  Time firstRangeMissingSince; ///< Time(): a range begins at key 0.
+  size_t readyMembers = 0;     ///< Members that could get the first ranges.
+  Time readyMembersSince;      ///< When their number last changed.
   Time nextJoinAt;
   Time nextRenewAt;
   Time nextLongRenewAt;
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -18,6 +18,16 @@
 constexpr Duration kServerRefusalRetryAfter = milliseconds(100);
 /** Time before a retry if the backend server could not be reached. */
 constexpr Duration kServerUnreachableRetryAfter = milliseconds(400);
+/** Status of a server at the same address that is not the one asked for. */
+constexpr unsigned kMisdirected = 421;
+
+/** Whether a server states that it has not run the request. */
+bool
+IsRefusal(const http::response_header<>& aResponse)
+{
+  return aResponse.result_int() == kMisdirected ||
+         aResponse.find(headers::kNotExecuted) != aResponse.end();
+}
 
 } // namespace
 
@@ -25,7 +35,7 @@
                      uint64_t aId,
                      HttpRequest aRequest,
                      const Dispatch& aDispatch,
-                     std::shared_ptr<ResponseReceiver> aReceiver)
+                     std::shared_ptr<ExecutionReceiver> aReceiver)
   : requestId(aRequest[headers::kRequestId])
   , fingerprint(
       FingerprintOf(aRequest, std::string(aRequest[headers::kCallerService])))
@@ -60,18 +70,21 @@
   this->executor.slotUsage.OnStarted(aNow);
   this->server = this->executor.serving.server;
   this->executor.runningIds.insert(this->requestId);
-  auto timeLeft = this->deadline - aNow;
   auto forwarded = std::move(this->request); // Sent only once.
   RemoveHopByHopFields(forwarded);
   forwarded.erase(kDispatchField);
   forwarded.erase(kServerNoticeField);
-  forwarded.set(headers::kTimeLeft, std::to_string(ToMilliseconds(timeLeft)));
   forwarded.set(headers::kTargetServer, this->server.id);
   forwarded.keep_alive(true);
   CallOptions options;
   options.connectTimeout = kConnectTimeout;
-  options.timeout = timeLeft + kResponseMargin;
+  options.timeout = this->deadline - aNow + kResponseMargin;
   options.correlationField = headers::kRequestId;
+  options.mayRepeatResponses = true;
+  options.mayProcessPart = true;
+  options.beforeSend = [this](HttpRequest& aRequest) {
+    return this->PrepareToSend(aRequest);
+  };
   this->call = UpstreamCall::Start(this->executor.pool,
                                    this->executor.server,
                                    std::move(forwarded),
@@ -79,6 +92,22 @@
                                    this->shared_from_this());
 }
 
+bool
+Execution::PrepareToSend(HttpRequest& aRequest)
+{
+  auto now = BootClock::now();
+  if (this->server != this->executor.serving.server) {
+    this->withdrawnReason = "server-down";
+  } else if (this->deadline <= now) {
+    this->withdrawnReason = "expired";
+  } else {
+    this->withdrawnReason = this->executor.ReasonNotToSend(now, this->key);
+  }
+  aRequest.set(headers::kTimeLeft,
+               std::to_string(ToMilliseconds(this->deadline - now)));
+  return this->withdrawnReason.empty();
+}
+
 SlotUse
 Execution::UseByResponse(unsigned aStatus) const
 {
@@ -91,7 +120,7 @@
   return inTime ? SlotUse::InTime : SlotUse::Late;
 }
 
-std::shared_ptr<ResponseReceiver>
+std::shared_ptr<ExecutionReceiver>
 Execution::Finish(SlotUse aUse)
 {
   auto responseReceiver = std::move(this->receiver);
@@ -148,7 +177,6 @@
 Execution::RespondWithFailure(const std::string& aReason,
                               ExecutionOutcome aOutcome)
 {
-  this->LogOutcome(ToString(aOutcome), aReason);
   auto self = this->shared_from_this();
   auto retryAfter = aReason == "server-unreachable"
                       ? kServerUnreachableRetryAfter
@@ -156,6 +184,7 @@
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(
     aOutcome == ExecutionOutcome::Refused ? 503 : 502, aReason + "\n");
+  response.set(headers::kRequestId, this->requestId);
   auto report = this->executor.MakeReport(aOutcome, *this, aReason, retryAfter);
   report.reachedServer = aReason != "server-unreachable";
   this->executor.SetReport(response, report);
@@ -169,6 +198,7 @@
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(503, aReason + "\n");
+  response.set(headers::kRequestId, this->requestId);
   auto report = this->executor.MakeReport(
     ExecutionOutcome::Refused, *this, aReason, aRetryAfter);
   if (this->key) {
@@ -198,19 +228,16 @@
 Execution::OnCompleteResponse(HttpResponse aResponse)
 {
   auto status = aResponse.result_int();
-  // Another server at the same address responds with status 421.
-  if (status != 421) {
+  if (status != kMisdirected) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
     this->ReadServerState(aResponse);
   }
-  bool notRun =
-    status == 421 || aResponse.find(headers::kNotExecuted) != aResponse.end();
+  bool notRun = IsRefusal(aResponse.base());
   if (notRun) {
-    this->RespondWithFailure("server-refused-" + std::to_string(status),
-                             ExecutionOutcome::Refused);
+    this->OnRefused(status);
     return;
   }
-  this->executor.OnAnswered(
-    this->fingerprint, this->server, this->startedAt, status);
+  this->executor.OnAnswered(this->fingerprint, status);
   this->LogOutcome("answered", std::to_string(status));
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(this->UseByResponse(status));
@@ -219,11 +246,28 @@
   responseReceiver->OnCompleteResponse(std::move(aResponse));
 }
 
+void
+Execution::OnRefused(unsigned aStatus)
+{
+  auto reason = "server-refused-" + std::to_string(aStatus);
+  this->LogOutcome("refused", reason);
+  this->RespondWithFailure(reason, ExecutionOutcome::Refused);
+}
+
 void
 Execution::OnHeaders(ResponseHeaders aHeaders)
 {
-  this->ReadServerState(aHeaders.message);
   this->status = aHeaders.message.result_int();
+  if (this->status != kMisdirected) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
+    this->ReadServerState(aHeaders.message);
+  }
+  if (IsRefusal(aHeaders.message.base())) {
+    auto self = this->shared_from_this(); // The call keeps it until its end.
+    this->call->Cancel();
+    this->OnRefused(this->status);
+    return;
+  }
   this->executor.SetReport(
     aHeaders.message,
     this->executor.MakeReport(ExecutionOutcome::Answered, *this));
@@ -239,8 +283,7 @@
 void
 Execution::OnBodyEnd()
 {
-  this->executor.OnAnswered(
-    this->fingerprint, this->server, this->startedAt, this->status);
+  this->executor.OnAnswered(this->fingerprint, this->status);
   this->LogOutcome("answered", "streamed");
   auto self = this->shared_from_this();
   this->Finish(this->UseByResponse(this->status))->OnBodyEnd();
@@ -249,26 +292,38 @@
 void
 Execution::OnFailure(const CallFailure& aFailure)
 {
+  if (aFailure.withdrawn) {
+    this->Refuse(this->withdrawnReason, kServerRefusalRetryAfter);
+    return;
+  }
   if (aFailure.connectionRefused && this->executor.onServerConnectionRefused) {
     this->executor.onServerConnectionRefused();
   }
+  if (aFailure.stage == CallStage::ResponseStarted) {
+    this->executor.OnSignOfLife(this->server, this->startedAt);
+  }
   if (aFailure.stage != CallStage::NotSent && !aFailure.timedOut) {
     this->executor.OnBrokenOff(this->fingerprint, this->server);
   }
   switch (aFailure.stage) {
     case CallStage::NotSent:
+      this->LogOutcome("refused", "server-unreachable");
       this->RespondWithFailure("server-unreachable", ExecutionOutcome::Refused);
       break;
     case CallStage::Sent:
+      this->LogOutcome("failed", "answer-lost");
       this->RespondWithFailure("answer-lost", ExecutionOutcome::Failed);
       break;
-    case CallStage::ResponseStarted: {
+    case CallStage::ResponseStarted:
       this->LogOutcome("failed",
                        "answer broke off: " + ToString(aFailure.error));
-      auto self = this->shared_from_this();
-      this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
+      if (this->receiver->HasPassedOn()) {
+        auto self = this->shared_from_this();
+        this->Finish(SlotUse::Unanswered)->OnFailure(aFailure);
+      } else {
+        this->RespondWithFailure(kBrokenOffReason, ExecutionOutcome::Failed);
+      }
       break;
-    }
   }
 }
 
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -20,7 +20,7 @@
             uint64_t aId,
             HttpRequest aRequest,
             const Dispatch& aDispatch,
-            std::shared_ptr<ResponseReceiver> aReceiver);
+            std::shared_ptr<ExecutionReceiver> aReceiver);
 
   void Cancel() override;
 
@@ -53,11 +53,16 @@
    * @param aUse What the time in the slot was good for. A success counts as a
    * service time of the class.
    * @return The receiver, which gets nothing further from this execution. */
-  std::shared_ptr<ResponseReceiver> Finish(SlotUse aUse);
+  std::shared_ptr<ExecutionReceiver> Finish(SlotUse aUse);
+  /** Checks, immediately before the request is sent to the server, that it
+   * still may be, and sets the time that is left. */
+  bool PrepareToSend(HttpRequest& aRequest);
   /** Use of the slot by a response of the server that ends now. */
   SlotUse UseByResponse(unsigned aStatus) const;
-  /** Responds that the backend server refused the request, could not be reached
-   * or did not respond. */
+  /** Handles that the server stated that it has not run the request. */
+  void OnRefused(unsigned aStatus);
+  /** Responds that the backend server refused the request, could not be
+   * reached, or did not respond completely. */
   void RespondWithFailure(const std::string& aReason,
                           ExecutionOutcome aOutcome);
   /** Passes what the server states about itself in the headers of a response to
@@ -70,11 +75,12 @@
   Executor& executor;
   uint64_t id;
   HttpRequest request;
-  std::shared_ptr<ResponseReceiver> receiver;
+  std::shared_ptr<ExecutionReceiver> receiver;
   std::shared_ptr<UpstreamCall> call;
   Time startedAt;
-  ServerIncarnation server; ///< Server that the request was sent to.
-  unsigned status = 0;      ///< Of a response whose body follows in chunks.
+  ServerIncarnation server;    ///< Server that the request was sent to.
+  std::string withdrawnReason; ///< Why it was not sent; empty if it was.
+  unsigned status = 0;         ///< Of a response whose body follows in chunks.
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -9,6 +9,7 @@
 #include "cluster/cluster.h"
 #include "fescuetillerd/dispatch.h"
 #include "fescuetillerd/eventlog.h"
+#include "fescuetillerd/executionreceiver.h"
 #include "http/http.h"
 
 namespace fescuetiller {
@@ -41,6 +42,8 @@
   /** Called when the server states in a response that it is about to shut down,
    * with the time of that response. */
   std::function<void(const ServerIncarnation&, Time)> onServerLeaving;
+  /** Called when the server sends data that no request waits for. */
+  std::function<void(const UnexpectedData&)> onUnexpectedData;
   /** Called with crash records that other daemons need. */
   std::function<void(CrashRecords::Records)> onCrashNews;
 
@@ -66,7 +69,7 @@
   std::shared_ptr<Cancellable> Start(
     HttpRequest aRequest,
     const Dispatch& aDispatch,
-    std::shared_ptr<ResponseReceiver> aReceiver,
+    std::shared_ptr<ExecutionReceiver> aReceiver,
     const std::optional<LinkEstimate>& aLink = std::nullopt);
 
   /** Whether a request with this id holds a slot of the backend server. */
@@ -104,10 +107,19 @@
                              SlotRequest& aSlot,
                              std::optional<Key>& aKey);
   bool CanStart(uint64_t aId) const;
+  /** Why a request must not be sent to the server now; empty if it may be.
+   * Checked before the request gets a slot, and again when it is written: it
+   * may have waited for the processor or a connection in between.
+   * @param aKey Key of the request, if it has one. */
+  std::string ReasonNotToSend(Time aNow, const std::optional<Key>& aKey) const;
+  /** Why a request for a key that is not served here is refused. */
+  std::string ReasonNotServed(Key aKey) const;
   /** Whether the server announced its shutdown. */
   bool IsServerLeaving() const;
   /** Until when requests are sent to the server. */
   Time SendUntil() const;
+  /** When the server's drain time is over, after which it must get none. */
+  Time DrainEnd() const;
   /** Passes on to the slot usage how many slots requests can make use of. */
   void UpdateSlotCapacity();
   const ServedRange* FindServedRange(Key aKey) const;
@@ -124,11 +136,11 @@
 
   void OnBrokenOff(RequestFingerprint aFingerprint,
                    const ServerIncarnation& aServer);
-  /** Handles a response of the server to a request. */
-  void OnAnswered(RequestFingerprint aFingerprint,
-                  const ServerIncarnation& aServer,
-                  Time aSentAt,
-                  unsigned aStatus);
+  /** The server has sent the head of a response, also if it refuses the request
+   * or breaks the response off: it did not end before that request was sent. */
+  void OnSignOfLife(const ServerIncarnation& aServer, Time aSentAt);
+  /** Handles a complete response of the server to a request that it ran. */
+  void OnAnswered(RequestFingerprint aFingerprint, unsigned aStatus);
   /** Records the requests that were broken off by the end of their server. */
   void RecordCrashes();
   void LogBlocked(const CrashRecords::Records& aNews);
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -3,21 +3,52 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "base/ids.h"
 #include "http/socketstate.h"
 
 namespace fescuetiller {
 
 namespace {
 
-/** Whether the peer neither closed the connection nor sent any data. */
-bool
-IsOpenAndIdle(Tcp::socket& aSocket)
+/** State of a connection that is not in use. */
+enum class IdleState
+{
+  Usable,
+  Closed,
+  HasData, ///< The peer sent something that no request waits for.
+};
+
+IdleState
+CheckIdle(Tcp::socket& aSocket)
 {
-  return PeekByte(aSocket) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  auto count = PeekByte(aSocket);
+  if (count > 0) {
+    return IdleState::HasData;
+  }
+  bool open = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return open ? IdleState::Usable : IdleState::Closed;
 }
 
 } // namespace
 
+const char*
+ToString(UnexpectedData::Kind aKind)
+{
+  switch (aKind) {
+    case UnexpectedData::Kind::OtherId:
+      return "other-id";
+    case UnexpectedData::Kind::NoId:
+      return "no-id";
+    case UnexpectedData::Kind::TwoHeads:
+      return "two-heads";
+    case UnexpectedData::Kind::AfterResponse:
+      return "after-response";
+    case UnexpectedData::Kind::WhileIdle:
+      return "while-idle";
+  }
+  return "unknown";
+}
+
 Connection::Connection(asio::io_context& aContext)
   : socket(aContext)
 {
@@ -28,22 +59,63 @@
 {
 }
 
+void
+Connection::OnSent(std::string_view aRequestId)
+{
+  this->sentIds.push_back(StableHash(aRequestId));
+}
+
+bool
+Connection::HasSent(std::string_view aRequestId) const
+{
+  return std::find(this->sentIds.begin(),
+                   this->sentIds.end(),
+                   StableHash(aRequestId)) != this->sentIds.end();
+}
+
+bool
+ConnectionPool::IsUsable(const Tcp::endpoint& aPeer,
+                         Connection& aConnection,
+                         Time aNow) const
+{
+  if (aNow >= aConnection.idleUntil) {
+    return false;
+  }
+  auto state = CheckIdle(aConnection.socket);
+  if (state == IdleState::HasData) {
+    UnexpectedData data;
+    data.kind = UnexpectedData::Kind::WhileIdle;
+    data.peer = aPeer;
+    this->Report(data);
+  }
+  return state == IdleState::Usable;
+}
+
 std::unique_ptr<Connection>
-ConnectionPool::Take(const Tcp::endpoint& aPeer, Time aNow)
+ConnectionPool::Take(const Tcp::endpoint& aPeer,
+                     Time aNow,
+                     std::string_view aRequestId)
 {
   auto found = this->idle.find(aPeer);
   if (found == this->idle.end()) {
     return nullptr;
   }
+  // The one that was used last is the least likely to be closed by the peer.
   auto& connections = found->second;
-  while (!connections.empty()) {
-    auto connection = std::move(connections.back());
-    connections.pop_back();
-    if (aNow < connection->idleUntil && IsOpenAndIdle(connection->socket)) {
-      connection->reused = true;
+  for (auto index = connections.size(); index > 0; --index) {
+    auto entry = connections.begin() + static_cast<std::ptrdiff_t>(index - 1);
+    if (!aRequestId.empty() && (*entry)->HasSent(aRequestId)) {
+      continue;
+    }
+    auto connection = std::move(*entry);
+    connections.erase(entry);
+    if (this->IsUsable(aPeer, *connection, aNow)) {
       return connection;
     }
   }
+  if (!connections.empty()) {
+    connections.erase(connections.begin());
+  }
   return nullptr;
 }
 
@@ -75,6 +147,14 @@
   }
 }
 
+void
+ConnectionPool::Report(const UnexpectedData& aData) const
+{
+  if (this->onUnexpectedData) {
+    this->onUnexpectedData(aData);
+  }
+}
+
 asio::io_context&
 ConnectionPool::Context()
 {
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -29,7 +29,7 @@
 /** How far a call got that failed before its response was complete. */
 enum class CallStage
 {
-  NotSent,        ///< The peer did not get the whole request.
+  NotSent,        ///< The peer did not get enough to process the request.
   Sent,           ///< The peer may have processed the request.
   ResponseStarted ///< The headers of the response arrived, its end did not.
 };
@@ -43,6 +43,7 @@
   CallStage stage = CallStage::NotSent;
   bool connectionRefused = false; ///< No process listens on the peer's address.
   bool timedOut = false;          ///< The connection did not fail by itself.
+  bool withdrawn = false; ///< CallOptions::beforeSend did not let it be sent.
   Error error;
 };
 
