Decide in one place whether requests may be sent, and how long keys may be held unseen

Found on the last read of the change. The check of the server and the end of its drain stood in ReasonNotToSend and, written out again, in CheckAdmission, in the expiry of waiting requests and in the capacity of the slots; these call it now, without a key. CreateRanges spelled out MaxUnseenGrantTime. No change of behaviour: the same conditions, order and reasons.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1059,10 +1059,7 @@
     std::any_of(ranges.begin(), ranges.end(), [&](const auto& aRange) {
       return this->view.FindMember(aRange.second.record.owner) != nullptr;
     });
-  auto wait =
-    anyOwner ? WithDrift(this->settings.times.longLease, this->settings.times) +
-                 this->MaxGrantTime()
-             : Duration(0);
+  auto wait = anyOwner ? this->MaxUnseenGrantTime() : Duration(0);
   if (this->hasEarlierGrants || aNow < this->firstRangeMissingSince + wait ||
       !this->queue.IsEmpty()) {
     return;
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -96,7 +96,7 @@
 Executor::UpdateSlotCapacity()
 {
   auto now = BootClock::now();
-  bool mayRun = this->serving.available && now <= this->SendUntil();
+  bool mayRun = this->ReasonNotToSend(now, std::nullopt).empty();
   const auto& ranges = this->serving.ranges;
   bool hasKeys =
     !this->serving.ownsKeys ||
@@ -361,11 +361,12 @@
   if (aDispatch.service != this->service) {
     return "wrong-service";
   }
-  if (this->serving.server.id.empty() || !this->serving.available) {
+  if (this->serving.server.id.empty()) {
     return "server-down";
   }
-  if (aNow > this->SendUntil()) {
-    return "draining";
+  auto stopped = this->ReasonNotToSend(aNow, std::nullopt);
+  if (!stopped.empty()) {
+    return stopped;
   }
   aSlot.notBefore = aNow;
   if (!this->serving.ownsKeys) {
@@ -507,10 +508,9 @@
     }
     auto now = BootClock::now();
     auto refused = this->queue.Expire(now);
-    bool stopped = !this->serving.available || now > this->SendUntil();
-    if (stopped) {
-      auto waiting = this->queue.RefuseAll(
-        now, this->serving.available ? "draining" : "server-down");
+    auto stopped = this->ReasonNotToSend(now, std::nullopt);
+    if (!stopped.empty()) {
+      auto waiting = this->queue.RefuseAll(now, stopped);
       refused.insert(refused.end(), waiting.begin(), waiting.end());
     }
     for (const auto& refusal : refused) {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -110,7 +110,8 @@
   /** Why a request must not be sent to the server now; empty if it may be.
    * Checked before the request gets a slot, and again when it is written: it
    * may have waited for the processor or a connection in between.
-   * @param aKey Key of the request, if it has one. */
+   * @param aKey Key of the request, if it has one. Without a key, only what
+   * holds for all requests is checked. */
   std::string ReasonNotToSend(Time aNow, const std::optional<Key>& aKey) const;
   /** Why a request for a key that is not served here is refused. */
   std::string ReasonNotServed(Key aKey) const;
