Read what cold servers tolerate, evacuation time, memory and transfer cost

The configuration states for how long servers are cold after a start and which rate they tolerate meanwhile (warmup, cold-per-s). Settings state the allowed excess, the time for an evacuation, the machine's memory and descriptors, and what a KiB to another zone is worth.

--- a/src/fescuetillerd/nodesettings.cpp
+++ b/src/fescuetillerd/nodesettings.cpp
@@ -12,6 +12,13 @@
 using Setters = IniSetters<NodeSettings>;
 
 constexpr uint64_t kMaxPort = 65535;
+constexpr double kMaxColdOverage = 100;
+constexpr uint64_t kMaxColdSlack = 100000;
+constexpr uint64_t kMinMemoryMegabytes = 32;
+constexpr uint64_t kMaxMemoryMegabytes = 1024 * 1024;
+/** Below this, a daemon cannot keep a connection to each of a few others. */
+constexpr uint64_t kMinDescriptors = 256;
+constexpr uint64_t kMaxDescriptors = 16 * 1024 * 1024;
 
 IniSetter<NodeSettings>
 TextSetter(std::string NodeSettings::*aMember)
@@ -51,6 +58,42 @@
     };
 }
 
+IniSetter<NodeSettings>
+NumberSetter(uint32_t NodeSettings::*aMember, uint64_t aMin, uint64_t aMax)
+{
+  return [aMember, aMin, aMax](const IniEntry& aEntry,
+                               NodeSettings& aSettings) -> Result<void> {
+    auto number = ParseNumber(aEntry, aMin, aMax);
+    if (!number) {
+      return tl::unexpected(number.error());
+    }
+    aSettings.*aMember = static_cast<uint32_t>(*number);
+    return {};
+  };
+}
+
+Result<void>
+SetColdOverage(const IniEntry& aEntry, NodeSettings& aSettings)
+{
+  auto factor = ParseFraction(aEntry, 0, kMaxColdOverage);
+  if (!factor) {
+    return tl::unexpected(factor.error());
+  }
+  aSettings.coldOverage = *factor;
+  return {};
+}
+
+Result<void>
+SetTransferCost(const IniEntry& aEntry, NodeSettings& aSettings)
+{
+  auto cost = ParseDuration(aEntry.value, aEntry.key);
+  if (!cost) {
+    return tl::unexpected(aEntry.MakeError(cost.error().message));
+  }
+  aSettings.transferCost = *cost;
+  return {};
+}
+
 Result<void>
 SetRetryRatio(const IniEntry& aEntry, NodeSettings& aSettings)
 {
@@ -87,7 +130,21 @@
         { "longest-hold", DurationSetter(&NodeSettings::maxGrantTime) },
         { "drain-time", DurationSetter(&NodeSettings::drainTime) },
         { "stop-time", DurationSetter(&NodeSettings::stopTime) },
-        { "retry-ratio", SetRetryRatio } } },
+        { "retry-ratio", SetRetryRatio },
+        { "cold-overage", SetColdOverage },
+        { "cold-slack",
+          NumberSetter(&NodeSettings::coldSlack, 0, kMaxColdSlack) },
+        { "evacuation", DurationSetter(&NodeSettings::evacuationTime) } } },
+    { "limits",
+      { { "memory",
+          NumberSetter(&NodeSettings::memoryMegabytes,
+                       kMinMemoryMegabytes,
+                       kMaxMemoryMegabytes) },
+        { "descriptors",
+          NumberSetter(&NodeSettings::maxDescriptors,
+                       kMinDescriptors,
+                       kMaxDescriptors) } } },
+    { "zones", { { "transfer-cost", SetTransferCost } } },
   };
   return kSections;
 }
@@ -148,7 +205,13 @@
                     aSettings.maxGrantTime,
                     aSettings.drainTime,
                     aSettings.stopTime,
-                    aSettings.retryRatio);
+                    aSettings.retryRatio,
+                    aSettings.coldOverage,
+                    aSettings.coldSlack,
+                    aSettings.evacuationTime,
+                    aSettings.memoryMegabytes,
+                    aSettings.maxDescriptors,
+                    aSettings.transferCost);
   };
   return tie(aLeft) == tie(aRight);
 }
--- a/src/fescuetillerd/nodesettings.h
+++ b/src/fescuetillerd/nodesettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,19 @@
   /** Longest time from a stop signal to the exit of the daemon. */
   Duration stopTime = std::chrono::seconds(6);
   double retryRatio = 0.2; ///< Retries per request, over all daemons.
+  /** Requests that a cold server may get in a second: what it tolerates times
+   * the factor, plus the slack. */
+  double coldOverage = 1;
+  uint32_t coldSlack = 0;
+  /** Time from the order to evacuate a zone until its servers get no more
+   * requests. */
+  Duration evacuationTime = std::chrono::seconds(5);
+  /** Memory of the machine for this process, in MiB; 0: not stated. */
+  uint32_t memoryMegabytes = 0;
+  uint32_t maxDescriptors = 0; ///< Open files and sockets; 0: not stated.
+  /** Time of a caller that sending a KiB to another zone is worth; empty: not
+   * stated. */
+  std::optional<Duration> transferCost;
 
   friend bool operator==(const NodeSettings& aLeft, const NodeSettings& aRight);
 };
--- a/src/fescuetillerd/settingsreload.cpp
+++ b/src/fescuetillerd/settingsreload.cpp
@@ -49,6 +49,12 @@
   apply("drain-time", &NodeSettings::drainTime);
   apply("stop-time", &NodeSettings::stopTime);
   apply("retry-ratio", &NodeSettings::retryRatio);
+  apply("cold-overage", &NodeSettings::coldOverage);
+  apply("cold-slack", &NodeSettings::coldSlack);
+  apply("evacuation", &NodeSettings::evacuationTime);
+  apply("memory", &NodeSettings::memoryMegabytes);
+  apply("descriptors", &NodeSettings::maxDescriptors);
+  apply("transfer-cost", &NodeSettings::transferCost);
   requireRestart("name", &NodeSettings::name);
   requireRestart("ip", &NodeSettings::ip);
   requireRestart("zone", &NodeSettings::zone);
--- a/src/model/configuration.cpp
+++ b/src/model/configuration.cpp
@@ -34,7 +34,9 @@
     return std::tie(aService.name,
                     aService.healthPath,
                     aService.maxConnections,
-                    aService.ownsKeys);
+                    aService.ownsKeys,
+                    aService.warmUp,
+                    aService.coldRequestsPerSecond);
   };
   return tie(aLeft) == tie(aRight);
 }
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,11 @@
   std::string healthPath;
   uint32_t maxConnections = 0;
   bool ownsKeys = false; ///< Each key belongs to one of its backend servers.
+  /** How long a backend server is cold after it has started. */
+  Duration warmUp = Duration(0);
+  /** Requests per second that a cold backend server tolerates; empty: no limit
+   * is stated. */
+  std::optional<double> coldRequestsPerSecond;
 
   friend bool operator==(const Service& aLeft, const Service& aRight);
 };
--- a/src/platform/configurationcodec.cpp
+++ b/src/platform/configurationcodec.cpp
@@ -78,6 +78,22 @@
   return route;
 }
 
+/** Reads the rate that cold servers tolerate. @return Nothing if it is absent
+ * or 0, which states no limit. */
+std::optional<double>
+ParseColdRate(const JsonObject& aService)
+{
+  if (!aService.Has("cold-per-s")) {
+    return std::nullopt;
+  }
+  const auto& value = aService.Get("cold-per-s");
+  if (!value.is_number() || value.get<double>() < 0) {
+    throw JsonMismatch{ "field 'cold-per-s' is not a non-negative number" };
+  }
+  auto rate = value.get<double>();
+  return rate > 0 ? std::optional(rate) : std::nullopt;
+}
+
 Service
 ParseService(const std::string& aName, const json& aValue)
 {
@@ -88,6 +104,9 @@
     object.Has("health-check") ? object.Text("health-check") : "";
   service.maxConnections = object.SmallNumber("max-connections");
   service.ownsKeys = object.Has("sharded") && object.Flag("sharded");
+  service.warmUp =
+    object.Has("warmup") ? ReadTime(object, "warmup") : Duration(0);
+  service.coldRequestsPerSecond = ParseColdRate(object);
   if (object.Has("protocol") && object.Text("protocol") != "h1") {
     throw JsonMismatch{ "service '" + aName +
                         "' uses a protocol other than HTTP/1.1" };
--- a/tests/daemon/nodetest.cpp
+++ b/tests/daemon/nodetest.cpp
@@ -30,6 +30,14 @@
 heartbeat = 1500ms
 drain-time = 2.5s
 retry-ratio = 0.3
+cold-overage = 1.5
+cold-slack = 8
+evacuation = 4s
+[limits]
+memory = 160
+descriptors = 4100
+[zones]
+transfer-cost = 2ms
 )";
 
 std::string
@@ -53,6 +61,12 @@
     CHECK(settings->retryRatio == Approx(0.3));
     CHECK(settings->stopTime == NodeSettings().stopTime);
     CHECK(settings->lastPort == 7395);
+    CHECK(settings->coldOverage == Approx(1.5));
+    CHECK(settings->coldSlack == 8);
+    CHECK(settings->evacuationTime == milliseconds(4000));
+    CHECK(settings->memoryMegabytes == 160);
+    CHECK(settings->maxDescriptors == 4100);
+    CHECK(settings->transferCost == milliseconds(2));
   }
   GIVEN("an invalid file")
   {
@@ -64,6 +78,12 @@
            { "first-port = 7380", "first-port = 7400", "first-port" },
            { "heartbeat = 1500ms", "heartbeat = 1500", "heartbeat" },
            { "retry-ratio = 0.3", "retry-ratio = 3", "retry-ratio" },
+           { "cold-overage = 1.5", "cold-overage = -1", "cold-overage" },
+           { "cold-slack = 8", "cold-slack = 8.5", "cold-slack" },
+           { "evacuation = 4s", "evacuation = 4", "evacuation" },
+           { "memory = 160", "memory = 1", "memory" },
+           { "descriptors = 4100", "descriptors = all", "descriptors" },
+           { "transfer-cost = 2ms", "transfer-cost = 2", "transfer-cost" },
            { "store = 10.200.1.7:8142", "store =", "store" },
            { "name = side-1\n", "", "name" } }) {
       INFO(from << " replaced by " << to);
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -24,7 +24,8 @@
   R"("weighted-clusters":[{"service":"huvo","weight":90},)"
   R"({"service":"wuno","weight":10}]}},)"
   R"("services":{"huvo":{"health-check":"/h","max-connections":120,)"
-  R"("protocol":"h1","tls":false,"sharded":true,"warm":"5s"},)"
+  R"("protocol":"h1","tls":false,"sharded":true,"warm":"5s",)"
+  R"("warmup":"3s","cold-per-s":19.5},)"
   R"("wuno":{"health-check":"/h","max-connections":76,"protocol":"h1",)"
   R"("tls":false}},"limits":{"max-header-bytes":16384,)"
   R"("max-body-bytes":67108864,"header-timeout":"3000ms",)"
@@ -121,6 +122,9 @@
     CHECK(configuration->version == 7);
     CHECK(configuration->services.at("huvo").ownsKeys);
     CHECK_FALSE(configuration->services.at("wuno").ownsKeys);
+    CHECK(configuration->services.at("huvo").warmUp == milliseconds(3000));
+    CHECK(configuration->services.at("huvo").coldRequestsPerSecond == 19.5);
+    CHECK_FALSE(configuration->services.at("wuno").coldRequestsPerSecond);
     const auto& unsafe = configuration->routes.at("r-a");
     CHECK(unsafe.kind == RequestKind::NonIdempotent);
     CHECK(unsafe.timeout == milliseconds(1000));
