Refuse at the sender what the owner of a key would refuse, and early retries

Under overload each refused request crosses the network to the owner of its key, often with a body, is refused there, comes back and is refused again. The owner now states which share of a class it wants to be sent (SendShare), and the other daemons refuse the rest at once as not run. What is sent stands for what was held back (its weight), so the owner's figures on load, starved classes and hot keys stay those of the whole demand.

A retry that arrives before the time that its client was told is refused by the daemon that told it, so it does not compete with first attempts. Equally urgent requests start in the order of their clients' first attempts.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -6,6 +6,7 @@
 #include "admission/crashrecords.h"
 #include "admission/linkload.h"
 #include "admission/requestlimit.h"
+#include "admission/sendshare.h"
 #include "admission/servicetimes.h"
 #include "admission/slotqueue.h"
 #include "admission/slotusage.h"
--- /dev/null
+++ b/src/admission/sendshare.cpp
@@ -0,0 +1,66 @@
+#include "admission/sendshare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuetiller {
+
+namespace {
+
+/** Half-life of the counts. A burst begins and ends within seconds. */
+constexpr Duration kHalfLife = std::chrono::milliseconds(700);
+/** Requests that are sent for each one that starts. The excess covers uneven
+ * arrivals, and lets the server choose the more urgent ones. */
+constexpr double kSupply = 1.5;
+/** With fewer requests than this within the half-life, the share that started
+ * is left to chance. */
+constexpr double kMinOffered = 6;
+/** Lowest share, so that each daemon keeps hearing of the server. */
+constexpr double kMinShare = 0.05;
+
+double
+DecayFactor(Time aNow, Time aSince)
+{
+  return std::exp2(-static_cast<double>((aNow - aSince).count()) /
+                   static_cast<double>(kHalfLife.count()));
+}
+
+} // namespace
+
+SendShare::Counts&
+SendShare::Decay(Time aNow, const std::string& aClass)
+{
+  auto& entry = this->counts[aClass];
+  double factor = DecayFactor(aNow, entry.decayedAt);
+  entry.offered *= factor;
+  entry.started *= factor;
+  entry.decayedAt = aNow;
+  return entry;
+}
+
+void
+SendShare::OnOffered(Time aNow, const std::string& aClass, double aWeight)
+{
+  this->Decay(aNow, aClass).offered += aWeight;
+}
+
+void
+SendShare::OnStarted(Time aNow, const std::string& aClass)
+{
+  this->Decay(aNow, aClass).started += 1;
+}
+
+double
+SendShare::Of(Time aNow, const std::string& aClass) const
+{
+  auto found = this->counts.find(aClass);
+  if (found == this->counts.end() ||
+      found->second.offered * DecayFactor(aNow, found->second.decayedAt) <
+        kMinOffered) {
+    return 1;
+  }
+  const auto& entry = found->second;
+  return std::clamp(kSupply * entry.started / entry.offered, kMinShare, 1.0);
+}
+
+} // namespace fescuetiller
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -144,7 +144,7 @@
     return std::tuple(!this->CanMeetTarget(aNow, aRequest),
                       this->EffectiveRank(aNow, aRequest),
                       this->StartedShareStep(aRequest.requestClass),
-                      aRequest.arrivedAt,
+                      aRequest.arrivedAt - aRequest.sinceFirstAttempt,
                       aRequest.id);
   };
   return order(aLeft) < order(aRight);
@@ -221,12 +221,12 @@
 {
   double decay = this->OfferedDecay(aNow);
   double work = static_cast<double>(aWork.count()) / 1e9;
-  this->offeredWork = this->offeredWork * decay + work;
-  this->offeredCount = this->offeredCount * decay + 1;
+  this->offeredWork = this->offeredWork * decay + work * aRequest.weight;
+  this->offeredCount = this->offeredCount * decay + aRequest.weight;
   for (auto& [rank, sum] : this->offeredWorkByRank) {
     sum *= decay;
   }
-  this->offeredWorkByRank[BaseRank(aRequest)] += work;
+  this->offeredWorkByRank[BaseRank(aRequest)] += work * aRequest.weight;
   this->offeredDecayedAt = aNow;
 }
 
@@ -301,7 +301,8 @@
 {
   auto usual = this->EstimateServiceTime(aRequest);
   this->AddOfferedWork(aNow, aRequest, usual);
-  this->DecayClassShare(aNow, aRequest.requestClass).offered += 1;
+  this->DecayClassShare(aNow, aRequest.requestClass).offered += aRequest.weight;
+  this->sendShare.OnOffered(aNow, aRequest.requestClass, aRequest.weight);
   bool inTime = this->CanMeetTarget(aNow, aRequest);
   auto untilGranted = Duration(aRequest.notBefore - aNow);
   auto wait = std::max(this->EstimateWait(aNow, &aRequest), untilGranted);
@@ -363,6 +364,7 @@
     }
     started.push_back(best->id);
     this->DecayClassShare(aNow, best->requestClass).started += 1;
+    this->sendShare.OnStarted(aNow, best->requestClass);
     this->running[best->id] = { *best, aNow };
     this->limit.OnSent(aNow);
     this->waiting.erase(best);
@@ -472,6 +474,13 @@
          this->times.Estimate(aClass, Duration(0));
 }
 
+double
+SlotQueue::ShareToSend(Time aNow, const std::string& aClass) const
+{
+  bool slotIsFree = this->running.size() + this->waiting.size() < this->slots;
+  return slotIsFree ? 1 : this->sendShare.Of(aNow, aClass);
+}
+
 size_t
 SlotQueue::RunningCount() const
 {
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "admission/requestlimit.h"
+#include "admission/sendshare.h"
 #include "admission/servicetimes.h"
 #include "base/base.h"
 
@@ -19,6 +20,12 @@
   uint32_t priority = 0; ///< 0 is the highest priority.
   bool nested = false;   ///< Sent by a request that occupies a slot meanwhile.
   Time arrivedAt;
+  /** Time since the client's first attempt arrived, if this is a later one.
+   * Equally urgent requests start in the order of the first attempts. */
+  Duration sinceFirstAttempt = Duration(0);
+  /** Number of requests that this one stands for: its sender has refused the
+   * others itself, as SendShare demands. */
+  double weight = 1;
   Time targetTime; ///< A response by then meets the target latency.
   Time deadline;   ///< A response after this is of no use to the client.
   /** The earliest time at which the request may start. Later than its arrival
@@ -108,6 +115,9 @@
    * arrives now. */
   Duration ExpectedLatency(Time aNow, const std::string& aClass) const;
 
+  /** Share of the requests of a class that other daemons should send. */
+  double ShareToSend(Time aNow, const std::string& aClass) const;
+
   size_t RunningCount() const;
   size_t WaitingCount() const;
   ServiceTimes& Times();
@@ -152,6 +162,7 @@
   ServiceTimes times;
   RequestLimit limit;
   std::map<std::string, ClassShare> shares;
+  SendShare sendShare;
   double offeredWork = 0;  ///< Slot seconds, summed with exponential decay.
   double offeredCount = 0; ///< Requests, summed in the same way.
   /** The same by rank as BaseRank gives it. */
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -116,6 +116,7 @@
                     aState.available,
                     aState.draining,
                     aState.sendUntil,
+                    aState.coldUntil,
                     aState.drainTime,
                     aState.nextHeartbeat,
                     aState.leaseUntil,
@@ -1715,6 +1716,9 @@
     state.slots = report.slots;
     state.available = !this->server.IsLost(aNow);
     state.draining = this->server.IsDraining();
+    if (report.remainingWarmUp > Duration(0)) {
+      state.coldUntil = this->lastHeartbeat + report.remainingWarmUp;
+    }
   }
   state.drainTime = this->settings.drainTime;
   if (state.draining) {
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -72,6 +72,8 @@
   bool available = false;       ///< Whether the server is known and not lost.
   bool draining = false;        ///< Whether the server announced its shutdown.
   Time sendUntil = Time::max(); ///< It must get no requests afterwards.
+  /** Until when the server is cold by its last heartbeat; Time(): it is not. */
+  Time coldUntil;
   /** Time from an announced shutdown until no more requests are sent. */
   Duration drainTime = std::chrono::seconds(2);
   Time nextHeartbeat; ///< When the next grants are expected.
--- a/src/fescuetillerd/dispatch.cpp
+++ b/src/fescuetillerd/dispatch.cpp
@@ -1,5 +1,6 @@
 #include "fescuetillerd/dispatch.h"
 
+#include <algorithm>
 #include <cmath>
 #include <sstream>
 #include <tuple>
@@ -14,6 +15,14 @@
 constexpr int kLastOutcome = static_cast<int>(ExecutionOutcome::Failed);
 /** Loads are encoded as integers in units of 1/1000. */
 constexpr double kLoadUnit = 1000;
+/** The same for weights and shares. */
+constexpr double kThousandths = 1000;
+/** Prefixes of parts that are absent if they have their usual value. */
+constexpr const char* kSinceFirstPrefix = "f=";
+constexpr const char* kWeightPrefix = "w=";
+constexpr const char* kSharePrefix = "s=";
+/** Bounds what one request of a faulty sender counts for. */
+constexpr double kMaxWeight = 100;
 
 /** Upper bound of the time since a server announced its shutdown, far beyond
  * the time for which a machine runs: ten years. */
@@ -21,6 +30,26 @@
 /** Stands for a part that is absent. */
 constexpr const char* kAbsent = "-";
 
+int64_t
+ToThousandths(double aValue)
+{
+  return std::llround(aValue * kThousandths);
+}
+
+/** Reads the number of an optional part. @return Nothing if it has another
+ * prefix or is no number that fits into 32 bits. */
+std::optional<int64_t>
+ReadOption(const std::string& aText, const std::string& aPrefix)
+{
+  uint32_t value = 0;
+  if (aText.compare(0, aPrefix.size(), aPrefix) != 0 ||
+      !boost::conversion::try_lexical_convert(aText.substr(aPrefix.size()),
+                                              value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 Duration
 Milliseconds(int64_t aCount)
 {
@@ -39,7 +68,9 @@
                     aDispatch.kind,
                     aDispatch.nested,
                     aDispatch.untilTarget,
-                    aDispatch.untilDeadline);
+                    aDispatch.untilDeadline,
+                    aDispatch.sinceFirstAttempt,
+                    aDispatch.weight);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -56,7 +87,8 @@
                     aReport.load,
                     aReport.expectedTime,
                     aReport.untilHeartbeat,
-                    aReport.elapsed);
+                    aReport.elapsed,
+                    aReport.sendShare);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -69,6 +101,13 @@
        << aDispatch.priority << ' ' << static_cast<int>(aDispatch.kind) << ' '
        << aDispatch.nested << ' ' << ToMilliseconds(aDispatch.untilTarget)
        << ' ' << ToMilliseconds(aDispatch.untilDeadline);
+  if (aDispatch.sinceFirstAttempt > Duration(0)) {
+    text << ' ' << kSinceFirstPrefix
+         << ToMilliseconds(aDispatch.sinceFirstAttempt);
+  }
+  if (aDispatch.weight != 1) {
+    text << ' ' << kWeightPrefix << ToThousandths(aDispatch.weight);
+  }
   return text.str();
 }
 
@@ -88,6 +127,15 @@
   dispatch.kind = static_cast<RequestKind>(kind);
   dispatch.untilTarget = Milliseconds(target);
   dispatch.untilDeadline = Milliseconds(deadline);
+  std::string option;
+  while (text >> option) {
+    if (auto since = ReadOption(option, kSinceFirstPrefix)) {
+      dispatch.sinceFirstAttempt = Milliseconds(*since);
+    } else if (auto weight = ReadOption(option, kWeightPrefix)) {
+      dispatch.weight = std::clamp(
+        static_cast<double>(*weight) / kThousandths, 1.0, kMaxWeight);
+    }
+  }
   return dispatch;
 }
 
@@ -105,6 +153,9 @@
   if (!aReport.owner.empty()) {
     text << ' ' << aReport.owner;
   }
+  if (aReport.sendShare < 1) {
+    text << ' ' << kSharePrefix << ToThousandths(aReport.sendShare);
+  }
   return text.str();
 }
 
@@ -124,7 +175,15 @@
   if (!text || outcome < 0 || outcome > kLastOutcome) {
     return std::nullopt;
   }
-  text >> report.owner;
+  std::string option;
+  while (text >> option) {
+    if (auto share = ReadOption(option, kSharePrefix)) {
+      report.sendShare =
+        std::min(static_cast<double>(*share) / kThousandths, 1.0);
+    } else {
+      report.owner = option;
+    }
+  }
   report.outcome = static_cast<ExecutionOutcome>(outcome);
   report.retryAfter = Milliseconds(retry);
   report.load = static_cast<double>(load) / kLoadUnit;
--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -31,6 +31,11 @@
   /** Until the target time; negative once that has passed. */
   Duration untilTarget = Duration(0);
   Duration untilDeadline = Duration(0);
+  /** Time since the client's first attempt, if this is a later one. */
+  Duration sinceFirstAttempt = Duration(0);
+  /** Number of requests that this one stands for: the sender has refused the
+   * others itself, as ExecutionReport::sendShare demands. */
+  double weight = 1;
 
   friend bool operator==(const Dispatch& aLeft, const Dispatch& aRight);
 };
@@ -76,6 +81,9 @@
   Duration expectedTime = Duration(0);
   Duration untilHeartbeat = Duration(0); ///< The backend server's next one.
   Duration elapsed = Duration(0); ///< Time waiting and running at this daemon.
+  /** Share of the requests of the class that should be sent here. The others
+   * would be refused, and their sender should refuse them at once. */
+  double sendShare = 1;
 
   friend bool operator==(const ExecutionReport& aLeft,
                          const ExecutionReport& aRight);
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -409,6 +409,8 @@
   slot.priority = aDispatch.priority;
   slot.nested = aDispatch.nested;
   slot.arrivedAt = now;
+  slot.sinceFirstAttempt = aDispatch.sinceFirstAttempt;
+  slot.weight = aDispatch.weight;
   slot.targetTime = now + aDispatch.untilTarget;
   slot.deadline = now + aDispatch.untilDeadline;
   if (aLink) {
@@ -439,8 +441,10 @@
     if (execution->key) {
       auto serviceTime = this->queue.Times().Estimate(
         slot.requestClass, Duration(kDefaultServiceTime));
-      this->keyLoad.Add(
-        now, *execution->key, static_cast<double>(serviceTime.count()) / 1e9);
+      this->keyLoad.Add(now,
+                        *execution->key,
+                        static_cast<double>(serviceTime.count()) / 1e9 *
+                          slot.weight);
     }
     for (const auto& refused : this->queue.Offer(now, slot)) {
       this->Refuse(refused);
@@ -552,6 +556,10 @@
       std::max(report.expectedTime, link.untilFree) + link.transmission;
   }
   report.elapsed = now - aExecution.arrivedAt;
+  if (aExecution.key && !aExecution.dispatch.nested) {
+    report.sendShare =
+      this->queue.ShareToSend(now, aExecution.dispatch.requestClass);
+  }
   return report;
 }
 
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -25,6 +25,7 @@
   , counters(aCounters)
   , pool(aContext)
   , view(std::make_shared<ClusterView>())
+  , random(std::random_device()())
 {
   this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
     if (this->onUnexpectedData) {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 
 #include "cluster/cluster.h"
 #include "fescuetillerd/counters.h"
@@ -75,7 +76,8 @@
   ServerNotices serverNotices;
   std::map<std::string, RetryBudget> budgets; ///< By service.
   ClientRetries clientRetries;
-  size_t inFlight = 0; ///< Number of IngressRequests that exist.
+  std::mt19937_64 random; ///< Decides which requests are held back.
+  size_t inFlight = 0;    ///< Number of IngressRequests that exist.
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -57,6 +57,17 @@
   return aStatus == 503 || aStatus < kFirstServerError;
 }
 
+/** Reason of requests that the owner of their key would refuse. */
+constexpr const char* kHeldBackReason = "owner-overloaded";
+/** Reason of retries that are sent too early. */
+constexpr const char* kEarlyRetryReason = "early-retry";
+/** Share of the time left after which clients come back, even if they were told
+ * to wait for longer. */
+constexpr int kMaxWaitDivisor = 3;
+/** Share of the wait that a retry may be early: clocks differ and the time left
+ * travels with the request. */
+constexpr double kEarlyTolerance = 0.2;
+
 /** Whether the reason means that another member will soon serve the keys. */
 bool
 IsOwnershipChange(const std::string& aReason)
@@ -115,12 +126,24 @@
       self->OnClientDisconnected();
     }
   };
-  if (this->ReadRequest() && !this->RefuseIfBlocked()) {
+  if (this->ReadRequest() && !this->RefuseIfEarly() &&
+      !this->RefuseIfBlocked()) {
     this->ingress.RetryBudgetFor(this->dispatch.service).CountRequest();
     this->Send();
   }
 }
 
+bool
+IngressRequest::RefuseIfEarly()
+{
+  if (this->startedAt >= this->retryDueAt) {
+    return false;
+  }
+  this->RespondWithError(
+    503, kEarlyRetryReason, this->retryDueAt - this->startedAt);
+  return true;
+}
+
 bool
 IngressRequest::RefuseIfBlocked()
 {
@@ -142,10 +165,14 @@
 {
   auto& retries = this->ingress.clientRetries;
   if (!retries.IsEmpty()) {
-    this->firstSentAt = retries.TakeFirstSentAt(
+    auto attempt = retries.TakeAttempt(
       this->startedAt,
       FingerprintOf(this->exchange->request, this->ingress.settings.service),
       *this->clientDeadline);
+    if (attempt) {
+      this->firstSentAt = attempt->firstSentAt;
+      this->retryDueAt = attempt->retryDueAt;
+    }
   }
 }
 
@@ -157,7 +184,7 @@
       BootClock::now(),
       FingerprintOf(this->exchange->request, this->ingress.settings.service),
       *this->clientDeadline,
-      this->firstSentAt.value_or(this->startedAt));
+      { this->firstSentAt.value_or(this->startedAt), this->retryDueAt });
   }
 }
 
@@ -229,6 +256,10 @@
       aReason = "no-owner";
       return "";
     }
+    if (this->IsHeldBack(range->owner)) {
+      aReason = kHeldBackReason;
+      return "";
+    }
     if (!this->ingress.peers.AllowRequest(BootClock::now(), range->owner)) {
       aReason = "owner-unreachable";
       return "";
@@ -262,6 +293,25 @@
   return chosen;
 }
 
+bool
+IngressRequest::IsHeldBack(const std::string& aOwner)
+{
+  // Calls hold a slot elsewhere, and a request that was sent before may have
+  // cost a server's time.
+  if (this->dispatch.nested || this->hops > 0 || aOwner == this->ingress.self) {
+    return false;
+  }
+  auto wanted = this->ingress.peers.ShareToSend(
+    BootClock::now(), aOwner, this->dispatch.requestClass);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  if (wanted.share < 1 && fraction(this->ingress.random) >= wanted.share) {
+    this->heldBackFor = wanted.retryAfter;
+    return true;
+  }
+  this->dispatch.weight = 1 / wanted.share;
+  return false;
+}
+
 void
 IngressRequest::Send()
 {
@@ -280,7 +330,11 @@
     return;
   }
   if (this->key) {
-    this->OnAttemptFailed(FailedAttempt::NotSent(reason));
+    auto attempt = FailedAttempt::NotSent(reason);
+    if (this->heldBackFor > Duration(0)) {
+      attempt.retryAfter = this->heldBackFor;
+    }
+    this->OnAttemptFailed(attempt);
   } else {
     this->GiveUp(FailedAttempt::NotSent(
       this->lastFailure.empty() ? reason : this->lastFailure));
@@ -298,6 +352,9 @@
                                this->route.targetLatency - now -
                                kResponseTravelTime;
   this->dispatch.untilDeadline = this->deadline - now - kResponseTravelTime;
+  if (this->firstSentAt) {
+    this->dispatch.sinceFirstAttempt = now - *this->firstSentAt;
+  }
   HttpRequest forwarded = this->exchange->request;
   RemoveHopByHopFields(forwarded);
   forwarded.version(11);
@@ -386,6 +443,11 @@
                                    this->currentMember,
                                    this->dispatch.requestClass,
                                    now - this->sentAt - report->elapsed);
+    this->ingress.peers.OnSendShare(now,
+                                    this->currentMember,
+                                    this->dispatch.requestClass,
+                                    report->sendShare,
+                                    report->retryAfter);
     if (this->remoteCall != nullptr) {
       this->ingress.serverNotices.OnResponse(now, this->currentAddress, notice);
     }
@@ -636,6 +698,14 @@
 {
   this->ended = true;
   this->timer.cancel();
+  this->retryDueAt = Time();
+  if (aStatus == 503 && this->clientDeadline) {
+    auto now = BootClock::now();
+    auto wait = std::min(
+      aRetryAfter, Duration(*this->clientDeadline - now) / kMaxWaitDivisor);
+    this->retryDueAt =
+      now + std::chrono::duration_cast<Duration>(wait * (1 - kEarlyTolerance));
+  }
   this->ExpectRetry();
   std::string outcome = IsRefusalStatus(aStatus) ? "refused" : "failed";
   this->RecordOutcome(outcome, aReason);
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -54,6 +54,10 @@
   void RecognizeRetry();
   /** Keeps what is needed to recognize the next attempt of the client. */
   void ExpectRetry();
+  /** Refuses a retry that the client has sent without waiting as it was told.
+   * It would compete with the first attempts of others. @return Whether it did.
+   */
+  bool RefuseIfEarly();
   /** Refuses the request if servers ended under it. @return Whether it did. */
   bool RefuseIfBlocked();
   /** Sends the request to a member that it chooses. */
@@ -61,6 +65,9 @@
   /** @param aReason Set if no member can be chosen.
    * @return The member; empty if there is none. */
   std::string ChooseMember(std::string& aReason);
+  /** Decides whether the request is one of those that the owner of its key does
+   * not want to be sent, since it would refuse them. */
+  bool IsHeldBack(const std::string& aOwner);
   void SendTo(const std::string& aMember);
   void OnAttemptFailed(const FailedAttempt& aAttempt);
   /** @return Whether the request was sent again or will be. */
@@ -105,6 +112,10 @@
   Time startedAt;
   /** When the client's first attempt arrived, if this one is a retry. */
   std::optional<Time> firstSentAt;
+  /** When the client was told to send it again, in that case. */
+  Time retryDueAt;
+  /** When the owner of the key can be tried, if the request is held back. */
+  Duration heldBackFor = Duration(0);
   /** Until when the client waits, retries included; empty if it did not say. */
   std::optional<Time> clientDeadline;
   Time deadline;
--- a/src/routing/clientretries.cpp
+++ b/src/routing/clientretries.cpp
@@ -20,31 +20,39 @@
 
 } // namespace
 
+bool
+operator==(const ClientRetries::Attempt& aLeft,
+           const ClientRetries::Attempt& aRight)
+{
+  return aLeft.firstSentAt == aRight.firstSentAt &&
+         aLeft.retryDueAt == aRight.retryDueAt;
+}
+
 void
 ClientRetries::OnUnsuccessful(Time aNow,
                               RequestFingerprint aFingerprint,
                               Time aClientDeadline,
-                              Time aFirstSentAt)
+                              const Attempt& aAttempt)
 {
   this->RemoveExpired(aNow);
   if (aClientDeadline > aNow && aClientDeadline < aNow + kMaxWait &&
-      this->firstAttempts.size() < kMaxEntries) {
-    this->firstAttempts.emplace(
-      FingerprintAndDeadline(aFingerprint, aClientDeadline), aFirstSentAt);
+      this->attempts.size() < kMaxEntries) {
+    this->attempts.emplace(
+      FingerprintAndDeadline(aFingerprint, aClientDeadline), aAttempt);
   }
 }
 
-std::optional<Time>
-ClientRetries::TakeFirstSentAt(Time aNow,
-                               RequestFingerprint aFingerprint,
-                               Time aClientDeadline)
+std::optional<ClientRetries::Attempt>
+ClientRetries::TakeAttempt(Time aNow,
+                           RequestFingerprint aFingerprint,
+                           Time aClientDeadline)
 {
   this->RemoveExpired(aNow);
-  auto nearest = this->firstAttempts.end();
+  auto nearest = this->attempts.end();
   auto least = kDeadlineTolerance;
-  auto attempt = this->firstAttempts.lower_bound(
+  auto attempt = this->attempts.lower_bound(
     { aFingerprint, aClientDeadline - kDeadlineTolerance });
-  for (; attempt != this->firstAttempts.end(); ++attempt) {
+  for (; attempt != this->attempts.end(); ++attempt) {
     const auto& [fingerprint, deadline] = attempt->first;
     auto distance = std::chrono::abs(deadline - aClientDeadline);
     if (fingerprint != aFingerprint || distance > least) {
@@ -53,18 +61,18 @@
     nearest = attempt;
     least = distance;
   }
-  if (nearest == this->firstAttempts.end()) {
+  if (nearest == this->attempts.end()) {
     return std::nullopt;
   }
-  auto firstSentAt = nearest->second;
-  this->firstAttempts.erase(nearest);
-  return firstSentAt;
+  auto found = nearest->second;
+  this->attempts.erase(nearest);
+  return found;
 }
 
 bool
 ClientRetries::IsEmpty() const
 {
-  return this->firstAttempts.empty();
+  return this->attempts.empty();
 }
 
 void
@@ -74,11 +82,11 @@
     return;
   }
   this->nextRemoval = aNow + kRemovalInterval;
-  auto attempt = this->firstAttempts.begin();
-  while (attempt != this->firstAttempts.end()) {
+  auto attempt = this->attempts.begin();
+  while (attempt != this->attempts.end()) {
     auto deadline = attempt->first.second;
     attempt = deadline + kDeadlineTolerance < aNow
-                ? this->firstAttempts.erase(attempt)
+                ? this->attempts.erase(attempt)
                 : std::next(attempt);
   }
 }
--- a/src/routing/clientretries.h
+++ b/src/routing/clientretries.h
@@ -17,20 +17,30 @@
 class ClientRetries
 {
 public:
+  /** What is known of the earlier attempts of a request. */
+  struct Attempt
+  {
+    Time firstSentAt; ///< When the first one arrived.
+    /** When the client may send the next one; Time() if it may at once. */
+    Time retryDueAt;
+
+    friend bool operator==(const Attempt& aLeft, const Attempt& aRight);
+  };
+
   /** Records a request that ended without success.
    * @param aFingerprint Hash of the request, the same for each attempt.
    * @param aClientDeadline Until when the client waits, all retries included.
-   * @param aFirstSentAt When the first attempt arrived. */
+   */
   void OnUnsuccessful(Time aNow,
                       RequestFingerprint aFingerprint,
                       Time aClientDeadline,
-                      Time aFirstSentAt);
+                      const Attempt& aAttempt);
 
-  /** Returns when the first attempt of a request arrived that is sent again,
-   * and forgets it; empty if the request is not known as a retry. */
-  std::optional<Time> TakeFirstSentAt(Time aNow,
-                                      RequestFingerprint aFingerprint,
-                                      Time aClientDeadline);
+  /** Returns what is known of the earlier attempts of a request that is sent
+   * again, and forgets it; empty if the request is not known as a retry. */
+  std::optional<Attempt> TakeAttempt(Time aNow,
+                                     RequestFingerprint aFingerprint,
+                                     Time aClientDeadline);
 
   bool IsEmpty() const;
 
@@ -39,8 +49,7 @@
 
   void RemoveExpired(Time aNow);
 
-  /** When the first attempts arrived. */
-  std::multimap<FingerprintAndDeadline, Time> firstAttempts;
+  std::multimap<FingerprintAndDeadline, Attempt> attempts;
   Time nextRemoval;
 };
 
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -10,6 +10,9 @@
 
 /** Age at which a load report is outdated. */
 constexpr Duration kMaxReportAge = std::chrono::seconds(3);
+/** Age at which the share that a peer wants to be sent is outdated, so that
+ * room at its server is found again soon. */
+constexpr Duration kMaxShareAge = milliseconds(1500);
 /** Estimated delay that each request in flight to a peer adds to the next one;
  * a fraction of the usual service time. */
 constexpr Duration kInFlightTime = milliseconds(8);
@@ -65,6 +68,38 @@
   peer.avoidUntil = Time();
 }
 
+void
+PeerTable::OnSendShare(Time aNow,
+                       const std::string& aMember,
+                       const std::string& aClass,
+                       double aShare,
+                       Duration aRetryAfter)
+{
+  auto& times = this->peers[aMember].classes[aClass];
+  times.sendShare.share = aShare;
+  if (aRetryAfter > Duration(0)) {
+    times.sendShare.retryAfter = aRetryAfter;
+  }
+  times.sendShareAt = aNow;
+}
+
+PeerTable::SendShare
+PeerTable::ShareToSend(Time aNow,
+                       const std::string& aMember,
+                       const std::string& aClass) const
+{
+  auto peer = this->peers.find(aMember);
+  if (peer == this->peers.end()) {
+    return {};
+  }
+  auto times = peer->second.classes.find(aClass);
+  if (times == peer->second.classes.end() ||
+      aNow - times->second.sendShareAt >= kMaxShareAge) {
+    return {};
+  }
+  return times->second.sendShare;
+}
+
 void
 PeerTable::OnOverhead(Time aNow,
                       const std::string& aMember,
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -52,6 +52,26 @@
                 Duration aExpected,
                 Duration aUntilHeartbeat);
 
+  /** Handles the share of the requests of a class that a peer wants to be sent,
+   * as it says in the report of a response.
+   * @param aRetryAfter When the others should be tried again; 0: unknown. */
+  void OnSendShare(Time aNow,
+                   const std::string& aMember,
+                   const std::string& aClass,
+                   double aShare,
+                   Duration aRetryAfter);
+
+  /** What a peer wants to be sent of the requests of a class. */
+  struct SendShare
+  {
+    double share = 1;
+    Duration retryAfter = Duration(0);
+  };
+  /** @return The share that is in force; 1 if the last one is outdated. */
+  SendShare ShareToSend(Time aNow,
+                        const std::string& aMember,
+                        const std::string& aClass) const;
+
   /** Records by how much the time until a response exceeded the time measured
    * by the peer. The difference is spent on the network and in the daemons. */
   void OnOverhead(Time aNow,
@@ -106,6 +126,8 @@
     Time reportedAt;
     Duration overhead = Duration(0); ///< Moving mean; see OnOverhead.
     Time overheadAt;                 ///< When the overhead was last measured.
+    SendShare sendShare;
+    Time sendShareAt; ///< When the peer stated it.
   };
   struct Peer
   {
--- a/tests/daemon/nodetest.cpp
+++ b/tests/daemon/nodetest.cpp
@@ -103,6 +103,12 @@
     milliseconds(700)
   };
   CHECK(DecodeDispatch(Encode(dispatch)) == dispatch);
+  dispatch.sinceFirstAttempt = milliseconds(240);
+  dispatch.weight = 2.5;
+  CHECK(DecodeDispatch(Encode(dispatch)) == dispatch);
+  // A faulty sender must not count for any number of requests.
+  CHECK(DecodeDispatch("huvo r-a 1 0 0 1 1 w=4000000000")->weight == 100);
+  CHECK(DecodeDispatch("huvo r-a 1 0 0 1 1 w=0 f=-1 new")->weight == 1);
   CHECK_FALSE(DecodeDispatch(""));
   CHECK_FALSE(DecodeDispatch("huvo r-a x 0 0 1 1"));
   CHECK_FALSE(DecodeDispatch("huvo r-a 1 9 0 1 1"));
@@ -115,6 +121,8 @@
   CHECK(DecodeExecutionReport(Encode(report)) == report);
   report.owner.clear();
   CHECK(DecodeExecutionReport(Encode(report)) == report);
+  report.sendShare = 0.25;
+  CHECK(DecodeExecutionReport(Encode(report)) == report);
   CHECK_FALSE(DecodeExecutionReport("7 - 0 0 0 0"));
   CHECK_FALSE(DecodeExecutionReport("garbled"));
 
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -147,6 +147,38 @@
 
 // Guards against daemons that treat each other as unreachable since the servers
 // beside them break off responses.
+SCENARIO("The share of requests that a peer wants to be sent is followed",
+         "[peers]")
+{
+  PeerTable peers;
+
+  GIVEN("a peer that refuses most requests of a class")
+  {
+    peers.OnSendShare(kStart, "a", kClass, 0.2, milliseconds(400));
+    THEN("its share holds for this class only")
+    {
+      CHECK(peers.ShareToSend(kStart, "a", kClass).share == 0.2);
+      CHECK(peers.ShareToSend(kStart, "a", "other").share == 1);
+      CHECK(peers.ShareToSend(kStart, "b", kClass).share == 1);
+    }
+    THEN(
+      "it ends soon without further responses, since there may be room again")
+    {
+      CHECK(peers.ShareToSend(kStart + seconds(2), "a", kClass).share == 1);
+    }
+    AND_WHEN("it answers a request")
+    {
+      peers.OnSendShare(kStart, "a", kClass, 0.3, Duration(0));
+      THEN("refused clients are still told the last known delay")
+      {
+        auto wanted = peers.ShareToSend(kStart, "a", kClass);
+        CHECK(wanted.share == 0.3);
+        CHECK(wanted.retryAfter == milliseconds(400));
+      }
+    }
+  }
+}
+
 SCENARIO("A daemon is blamed for a request that got no response only if it has "
          "not reported since",
          "[peers]")
@@ -389,61 +421,64 @@
 
   GIVEN("a client whose first attempt was refused")
   {
+    const ClientRetries::Attempt kFirst{ kStart, kStart + milliseconds(250) };
     retries.OnUnsuccessful(
-      kStart + milliseconds(5), kLookup, kDeadline, kStart);
+      kStart + milliseconds(5), kLookup, kDeadline, kFirst);
     const Time kBack = kStart + milliseconds(300);
     THEN("its retry counts from the first attempt, although it arrives later "
          "than the client's time left tells")
     {
-      CHECK(retries.TakeFirstSentAt(
-              kBack, kLookup, kDeadline + milliseconds(9)) == kStart);
+      CHECK(retries.TakeAttempt(kBack, kLookup, kDeadline + milliseconds(9)) ==
+            kFirst);
       AND_THEN("another client's request does not")
       {
-        CHECK_FALSE(retries.TakeFirstSentAt(kBack, kLookup, kDeadline));
+        CHECK_FALSE(retries.TakeAttempt(kBack, kLookup, kDeadline));
       }
       AND_THEN("a third attempt counts from the first one, too")
       {
-        retries.OnUnsuccessful(kBack, kLookup, kDeadline, kStart);
-        CHECK(retries.TakeFirstSentAt(
-                kBack + milliseconds(200), kLookup, kDeadline) == kStart);
+        retries.OnUnsuccessful(kBack, kLookup, kDeadline, kFirst);
+        CHECK(retries.TakeAttempt(
+                kBack + milliseconds(200), kLookup, kDeadline) == kFirst);
       }
     }
     THEN("another request with the same deadline is not taken for it")
     {
-      CHECK_FALSE(retries.TakeFirstSentAt(kBack, kLookup + 1, kDeadline));
+      CHECK_FALSE(retries.TakeAttempt(kBack, kLookup + 1, kDeadline));
     }
     THEN("a client that requests the same later is not taken for it")
     {
       CHECK_FALSE(
-        retries.TakeFirstSentAt(kBack, kLookup, kDeadline + milliseconds(300)));
+        retries.TakeAttempt(kBack, kLookup, kDeadline + milliseconds(300)));
     }
     THEN("it is forgotten when the client no longer waits")
     {
       CHECK_FALSE(
-        retries.TakeFirstSentAt(kDeadline + seconds(2), kLookup, kDeadline));
+        retries.TakeAttempt(kDeadline + seconds(2), kLookup, kDeadline));
       CHECK(retries.IsEmpty());
     }
   }
   GIVEN("two clients that request the same and are refused")
   {
     const Time kSecond = kStart + milliseconds(30);
-    retries.OnUnsuccessful(kSecond, kLookup, kDeadline, kStart);
+    const ClientRetries::Attempt kOne{ kStart, Time() };
+    const ClientRetries::Attempt kOther{ kSecond, Time() };
+    retries.OnUnsuccessful(kSecond, kLookup, kDeadline, kOne);
     retries.OnUnsuccessful(
-      kSecond, kLookup, kDeadline + milliseconds(30), kSecond);
+      kSecond, kLookup, kDeadline + milliseconds(30), kOther);
     THEN("each of them is recognized by its own deadline")
     {
-      CHECK(retries.TakeFirstSentAt(kStart + milliseconds(250),
-                                    kLookup,
-                                    kDeadline + milliseconds(28)) == kSecond);
-      CHECK(retries.TakeFirstSentAt(kStart + milliseconds(260),
-                                    kLookup,
-                                    kDeadline + milliseconds(3)) == kStart);
+      CHECK(retries.TakeAttempt(kStart + milliseconds(250),
+                                kLookup,
+                                kDeadline + milliseconds(28)) == kOther);
+      CHECK(retries.TakeAttempt(kStart + milliseconds(260),
+                                kLookup,
+                                kDeadline + milliseconds(3)) == kOne);
     }
   }
   GIVEN("a client that waits for hours")
   {
     const Time kLater = kStart + std::chrono::hours(3);
-    retries.OnUnsuccessful(kStart, kLookup, kLater, kStart);
+    retries.OnUnsuccessful(kStart, kLookup, kLater, { kStart, Time() });
     THEN("its request is not kept")
     {
       CHECK(retries.IsEmpty());
@@ -453,12 +488,12 @@
   {
     constexpr uint64_t kClients = 20000;
     for (uint64_t client = 0; client < kClients; ++client) {
-      retries.OnUnsuccessful(kStart, client, kDeadline, kStart);
+      retries.OnUnsuccessful(kStart, client, kDeadline, { kStart, Time() });
     }
     THEN("the last ones are not recognized")
     {
-      CHECK(retries.TakeFirstSentAt(kStart, 0, kDeadline));
-      CHECK_FALSE(retries.TakeFirstSentAt(kStart, kClients - 1, kDeadline));
+      CHECK(retries.TakeAttempt(kStart, 0, kDeadline));
+      CHECK_FALSE(retries.TakeAttempt(kStart, kClients - 1, kDeadline));
     }
   }
 }
