--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -44,6 +44,8 @@
 constexpr Duration kReloadSpread = milliseconds(200);
 /** Time between calls because other daemons have seen a later era. */
 constexpr Duration kEraReadInterval = milliseconds(500);
+/** Interval between log lines on the calls to the store. */
+constexpr Duration kStoreCallsLogInterval = std::chrono::seconds(10);
 /** Where a configuration came from, in the log. */
 constexpr const char* kStoreSource = "store";
 constexpr const char* kPeerSource = "peer";
@@ -330,7 +332,9 @@
   this->counters.SetGauge("fescuetiller_log_lines_dropped",
                           static_cast<double>(this->log.DroppedLines()));
   this->counters.SetGauge("fescuetiller_store_calls",
-                          static_cast<double>(this->store.callCount));
+                          static_cast<double>(this->store.CallCount()));
+  this->counters.SetStoreCalls(this->store.callCounts);
+  this->LogStoreCalls();
   if (auto age = this->ConfigurationAge(BootClock::now())) {
     this->counters.SetGauge("fescuetiller_configuration_age_seconds",
                             std::chrono::duration<double>(*age).count());
@@ -340,6 +344,24 @@
                        std::move(aReport.peerLoads));
 }
 
+void
+ControlNode::LogStoreCalls()
+{
+  auto now = BootClock::now();
+  if (now < this->nextStoreCallsLog) {
+    return;
+  }
+  this->nextStoreCallsLog = now + kStoreCallsLogInterval;
+  this->log.Write(EventPriority::Summary, [this] {
+    Event event{ "store-calls", {} };
+    for (const auto& [kind, count] : this->store.callCounts) {
+      event.fields.emplace_back(kind.first + "_" + kind.second,
+                                std::to_string(count));
+    }
+    return event;
+  });
+}
+
 void
 ControlNode::OnServerConnectionRefused()
 {
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -100,6 +100,7 @@
   /** Passes on how requests are served, if that has changed. */
   void PublishServing(const ServingState& aServing);
   void WriteEvents();
+  void LogStoreCalls();
 
   asio::io_context& context;
   NodeSettings settings;
@@ -129,6 +130,7 @@
   uint64_t publishedChanges = 0; ///< Change count of the last published view.
   MemberId publishedSelf;
   ServingState publishedServing;
+  Time nextStoreCallsLog;
   Time nextEraReadAt; ///< Next call because of another daemon's era.
   Time refusedAt;     ///< First refused connection to the server; Time(): none.
   bool stopping = false;
--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -71,6 +71,14 @@
   this->slotTimes = aTimes;
 }
 
+void
+Counters::SetStoreCalls(
+  std::map<std::pair<std::string, std::string>, uint64_t> aCalls)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->storeCalls = std::move(aCalls);
+}
+
 void
 Counters::SetGauge(const std::string& aName, double aValue)
 {
@@ -152,6 +160,14 @@
                  { { "use", use } },
                  std::chrono::duration<double>(time).count());
   }
+  writer.Describe("fescuetiller_store_calls_total",
+                  "counter",
+                  "Calls to the store by what they do and table.");
+  for (const auto& [kind, count] : this->storeCalls) {
+    writer.Write("fescuetiller_store_calls_total",
+                 { { "call", kind.first }, { "table", kind.second } },
+                 static_cast<double>(count));
+  }
   for (const auto& [name, value] : this->gauges) {
     writer.Describe(name, "gauge", "State of this daemon.");
     writer.Write(name, {}, value);
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -50,6 +50,10 @@
   /** Sets the use of the backend server's slots since the start. */
   void SetSlotTimes(const SlotTimes& aTimes);
 
+  /** Sets the calls to the store since the start, by what they do and table. */
+  void SetStoreCalls(
+    std::map<std::pair<std::string, std::string>, uint64_t> aCalls);
+
   void SetGauge(const std::string& aName, double aValue);
 
   /** Formats all metrics for a Prometheus scrape. */
@@ -71,6 +75,8 @@
   std::map<std::string, uint64_t> events;
   std::map<std::string, double> gauges;
   SlotTimes slotTimes;
+  /** By what they do and table. */
+  std::map<std::pair<std::string, std::string>, uint64_t> storeCalls;
 };
 
 } // namespace fescuetiller
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -16,6 +16,16 @@
  * idle timeout is unknown. */
 constexpr Duration kIdleTimeout = std::chrono::seconds(5);
 
+/** Table of a change; changes of several tables are counted by the first. */
+std::string
+TableOf(const StoreTransaction& aTransaction)
+{
+  if (!aTransaction.sets.empty()) {
+    return aTransaction.sets.front().key.table;
+  }
+  return aTransaction.removes.empty() ? "" : aTransaction.removes.front().table;
+}
+
 } // namespace
 
 StoreClient::StoreClient(ConnectionPool& aPool,
@@ -34,11 +44,12 @@
 }
 
 void
-StoreClient::Call(const StoreRequest& aRequest,
+StoreClient::Call(const CallKind& aKind,
+                  const StoreRequest& aRequest,
                   Duration aTimeout,
                   FetchCallback aCallback)
 {
-  ++this->callCount;
+  ++this->callCounts[aKind];
   HttpRequest request(
     http::string_to_verb(aRequest.method), aRequest.target, 11);
   request.set(http::field::host, ToString(this->address));
@@ -71,6 +82,16 @@
         });
 }
 
+uint64_t
+StoreClient::CallCount() const
+{
+  uint64_t total = 0;
+  for (const auto& [kind, count] : this->callCounts) {
+    total += count;
+  }
+  return total;
+}
+
 StoreEra
 StoreClient::Era() const
 {
@@ -106,6 +127,7 @@
                       OutcomeCallback aCallback)
 {
   this->Call(
+    { "change", TableOf(aTransaction) },
     EncodeTransaction(aTransaction),
     this->timeout,
     [this, callback = std::move(aCallback)](Result<HttpResponse> aResponse) {
@@ -208,7 +230,8 @@
 void
 StoreClient::ReadFrom(const StoreKey& aFrom, RowsCallback aCallback)
 {
-  this->Call(EncodeReadRequest(aFrom.table, aFrom.part, aFrom.key),
+  this->Call({ "read", aFrom.table },
+             EncodeReadRequest(aFrom.table, aFrom.part, aFrom.key),
              this->timeout,
              this->ParsingRows(std::move(aCallback)));
 }
@@ -219,7 +242,8 @@
                    Duration aWait,
                    RowsCallback aCallback)
 {
-  this->Call(EncodeWatchRequest(aTable, aAfter, aWait),
+  this->Call({ aWait > Duration(0) ? "watch" : "check", aTable },
+             EncodeWatchRequest(aTable, aAfter, aWait),
              aWait + kWatchTimeoutMargin,
              this->ParsingRows(std::move(aCallback)));
 }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/http.h"
@@ -70,7 +72,11 @@
   /** Era of the store as far as its responses have shown it. */
   StoreEra Era() const;
 
-  uint64_t callCount = 0; ///< Calls made so far.
+  /** What a call does ("read", "watch", "check" or "change") and the table. */
+  using CallKind = std::pair<std::string, std::string>;
+  /** Calls made so far. */
+  std::map<CallKind, uint64_t> callCounts;
+  uint64_t CallCount() const;
   /** Called before the callback of the response that shows a later era. */
   std::function<void(StoreEra)> onEra;
 
@@ -91,7 +97,8 @@
   /** Returns a callback that parses rows and passes them on. */
   FetchCallback ParsingRows(RowsCallback aCallback) const;
   void ReadNextPart(const std::shared_ptr<PartsRead>& aParts);
-  void Call(const StoreRequest& aRequest,
+  void Call(const CallKind& aKind,
+            const StoreRequest& aRequest,
             Duration aTimeout,
             FetchCallback aCallback);
   void ReadNextPage(const StoreKey& aFrom,
--- a/tests/admission/serverload.cpp
+++ b/tests/admission/serverload.cpp
@@ -222,9 +222,9 @@
       case RetryTarget::Recognized:
         break;
     }
-    return this->retries
-      .TakeFirstSentAt(aNow, aClient.fingerprint, this->StatedDeadline(aClient))
-      .value_or(aNow);
+    auto attempt = this->retries.TakeAttempt(
+      aNow, aClient.fingerprint, this->StatedDeadline(aClient));
+    return attempt ? attempt->firstSentAt : aNow;
   }
 
   void SendRequest(Time aNow, Client aClient)
@@ -235,6 +235,7 @@
     request.requestClass = aClient.loadClass->name;
     request.priority = aClient.loadClass->priority;
     request.arrivedAt = aNow;
+    request.sinceFirstAttempt = aNow - countedFrom;
     request.targetTime = countedFrom + aClient.loadClass->target;
     request.deadline = aClient.firstAt + aClient.loadClass->deadline;
     request.notBefore = aNow;
@@ -260,11 +261,11 @@
       auto& result = this->results[client.loadClass->name];
       result.longestRefusedWait = std::max(
         result.longestRefusedWait, Duration(aNow - client.request.arrivedAt));
-      this->retries.OnUnsuccessful(aNow,
-                                   client.fingerprint,
-                                   this->StatedDeadline(client),
-                                   client.request.targetTime -
-                                     client.loadClass->target);
+      this->retries.OnUnsuccessful(
+        aNow,
+        client.fingerprint,
+        this->StatedDeadline(client),
+        { client.request.targetTime - client.loadClass->target, Time() });
       auto retryAt = aNow + refusal.retryAfter;
       if (!client.retried &&
           retryAt < client.firstAt + client.loadClass->deadline / 2) {
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1146,6 +1146,112 @@
   }
 }
 
+// Guards against clients that repeat at once and so take the places of those
+// that wait as they were told.
+SCENARIO("A retry is refused without being sent until its time has come",
+         "[path][clientretries]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure("other");
+  ExecutionReport report;
+  report.outcome = ExecutionOutcome::Refused;
+  report.reason = "no-time";
+  report.retryAfter = milliseconds(300);
+  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  auto deadline = BootClock::now() + seconds(3);
+  REQUIRE(fixture.PostUntil("r1", deadline).result_int() == 503);
+  REQUIRE(fixture.serverRequests.size() == 1);
+
+  GIVEN("the client, which repeats the request at once")
+  {
+    auto response = fixture.PostUntil("r2", deadline);
+    CHECK(response.result_int() == 503);
+    CHECK(response.body() == "early-retry\n");
+    CHECK(response.find(headers::kRetryAfter) != response.end());
+    CHECK(fixture.serverRequests.size() == 1);
+    AND_WHEN("it waits for that time")
+    {
+      fixture.context.run_for(milliseconds(310));
+      fixture.PostUntil("r3", deadline);
+      THEN("the request is sent, and still counts from the first attempt")
+      {
+        REQUIRE(fixture.serverRequests.size() == 2);
+        auto dispatch = DecodeDispatch(
+          std::string(fixture.serverRequests[1][kDispatchField]));
+        REQUIRE(dispatch);
+        CHECK(dispatch->sinceFirstAttempt >= milliseconds(300));
+      }
+    }
+  }
+  GIVEN("another client that requests the same")
+  {
+    fixture.PostUntil("r4", deadline + milliseconds(500));
+    CHECK(fixture.serverRequests.size() == 2);
+  }
+}
+
+SCENARIO("A client that may not wait for as long as it was told is not early",
+         "[path][clientretries]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure("other");
+  ExecutionReport report;
+  report.outcome = ExecutionOutcome::Refused;
+  report.reason = "no-time";
+  report.retryAfter = seconds(5);
+  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  auto deadline = BootClock::now() + milliseconds(600);
+  REQUIRE(fixture.PostUntil("r1", deadline).result_int() == 503);
+  // A third of the time that it had left.
+  fixture.context.run_for(milliseconds(200));
+  fixture.PostUntil("r2", deadline);
+  CHECK(fixture.serverRequests.size() == 2);
+}
+
+// Guards against requests that cross the network to an owner that refuses
+// nearly all of them.
+SCENARIO(
+  "Requests that the owner of a key does not want to be sent are refused "
+  "by the daemon of the client",
+  "[path][sendshare]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure("other");
+  ExecutionReport report;
+  report.outcome = ExecutionOutcome::Refused;
+  report.reason = "no-time";
+  report.retryAfter = milliseconds(120);
+  report.sendShare = 0.001;
+  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  fixture.Post("/look/1");
+  REQUIRE(fixture.serverRequests.size() == 1);
+
+  THEN("further ones are refused as not run, with the owner's retry delay")
+  {
+    for (const auto* path : { "/look/2", "/look/3", "/look/4" }) {
+      auto response = fixture.Post(path);
+      CHECK(response.result_int() == 503);
+      CHECK(response.body() == "owner-overloaded\n");
+      CHECK(response[headers::kRetryAfter] == "0.120");
+    }
+    CHECK(fixture.serverRequests.size() == 1);
+  }
+  THEN("those of other classes are sent")
+  {
+    fixture.Post("/book/1");
+    CHECK(fixture.serverRequests.size() == 2);
+  }
+  AND_WHEN("the owner has said nothing for a while")
+  {
+    fixture.context.run_for(milliseconds(1600));
+    THEN("requests are sent again")
+    {
+      fixture.Post("/look/2");
+      CHECK(fixture.serverRequests.size() == 2);
+    }
+  }
+}
+
 SCENARIO("A daemon tells another one what that one's server announced",
          "[path][leaving][limit]")
 {
