--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -117,6 +117,8 @@
                     aState.draining,
                     aState.sendUntil,
                     aState.coldUntil,
+                    aState.evacuatedFrom,
+                    aState.knowsEvacuations,
                     aState.drainTime,
                     aState.nextHeartbeat,
                     aState.leaseUntil,
@@ -128,12 +130,15 @@
 }
 
 ServingState
-WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer)
+WithSendLimits(ServingState aState, const ServingState& aNewer)
 {
+  aState.evacuatedFrom = aNewer.evacuatedFrom;
+  aState.knowsEvacuations = aNewer.knowsEvacuations;
   if (aState.server == aNewer.server) {
     aState.draining = aNewer.draining;
     aState.sendUntil = aNewer.sendUntil;
     aState.drainTime = aNewer.drainTime;
+    aState.coldUntil = aNewer.coldUntil;
   }
   return aState;
 }
@@ -150,6 +155,7 @@
   , monitor(aSettings.times)
   , server(aSettings.heartbeat,
            WithDrift(aSettings.times.promise, aSettings.times))
+  , evacuations(identity.zone, aSettings.evacuationTime)
 {
   this->self = this->newId();
 }
@@ -164,8 +170,11 @@
 }
 
 void
-OwnershipAgent::SetBounds(Duration aMaxGrantTime, Duration aDrainTime)
+OwnershipAgent::SetBounds(Duration aMaxGrantTime,
+                          Duration aDrainTime,
+                          Duration aEvacuationTime)
 {
+  this->evacuations.SetBound(aEvacuationTime);
   this->settings.maxGrantTime = aMaxGrantTime;
   this->settings.drainTime = aDrainTime;
 }
@@ -455,6 +464,7 @@
 OwnershipAgent::OnPeerMessage(Time aNow, const PeerMessage& aMessage)
 {
   using Kind = PeerMessage::Kind;
+  this->evacuations.OnAnnounced(aNow, aMessage.evacuations);
   bool isProbe =
     aMessage.kind == Kind::Probe || aMessage.kind == Kind::ProbeReply;
   if (aMessage.to != this->self) {
@@ -552,6 +562,7 @@
 OwnershipAgent::Tick(Time aNow)
 {
   Output output;
+  this->evacuations.Tick(aNow);
   output.messages = std::exchange(this->pendingMessages, {});
   if (aNow > this->eraSeenAt + kReturnTime) {
     this->earlierMembers.clear();
@@ -710,7 +721,8 @@
 bool
 OwnershipAgent::CanOwnKeys(Time aNow) const
 {
-  return this->server.IsAvailable(aNow) && !this->IsDrained();
+  return this->server.IsAvailable(aNow) && !this->IsDrained() &&
+         this->evacuations.IsOwnServerUsable(this->lastHeartbeat);
 }
 
 /** Queues a change whose result nothing else depends on; it is dropped if the
@@ -729,7 +741,8 @@
 MemberState
 OwnershipAgent::DesiredState(Time aNow) const
 {
-  if (this->server.IsDraining() || this->IsDrained()) {
+  if (this->server.IsDraining() || this->IsDrained() ||
+      !this->evacuations.IsOwnServerUsable(this->lastHeartbeat)) {
     return MemberState::Draining;
   }
   return this->server.IsLost(aNow) ? MemberState::Down : MemberState::Ready;
@@ -1028,13 +1041,15 @@
     bool unknown = !load && counts[member->id] > 0;
     if (member->id == this->self || member->state != MemberState::Ready ||
         !this->probe.IsAlive(aNow, member->id) ||
+        this->evacuations.IsEvacuated(member->zone) ||
         counts[member->id] >= this->settings.rebalancing.maxRanges ||
         (unknown && !aIncludeUnknown)) {
       continue;
     }
     targets.push_back(
       { member->id,
-        load ? load->load : 0,
+        std::max(load ? load->load : 0,
+                 this->evacuations.LeastLoad(aNow, member->zone)),
         counts[member->id] > 0,
         load ? this->TimeUntilGrant(aNow, *load) : Duration(0) });
   }
@@ -1069,7 +1084,8 @@
   for (const auto* member : this->view.MembersOf(service)) {
     bool isAlive =
       member->id == this->self || this->probe.IsAlive(aNow, member->id);
-    if (member->state == MemberState::Ready && isAlive) {
+    if (member->state == MemberState::Ready && isAlive &&
+        !this->evacuations.IsEvacuated(member->zone)) {
       ready.push_back(member->id);
     }
   }
@@ -1248,7 +1264,8 @@
       });
     return !aMove.writing &&
            (target == nullptr || target->record.state != MemberState::Ready ||
-            !ours || (aMove.forced && canOwnKeys));
+            this->evacuations.IsEvacuated(target->record.zone) || !ours ||
+            (aMove.forced && canOwnKeys));
   };
   this->moves.erase(
     std::remove_if(this->moves.begin(), this->moves.end(), stale),
@@ -1678,6 +1695,18 @@
   this->queue.Add(change, [](Time, const TransactionResult&) {});
 }
 
+Evacuations&
+OwnershipAgent::ZoneEvacuations()
+{
+  return this->evacuations;
+}
+
+const Evacuations&
+OwnershipAgent::ZoneEvacuations() const
+{
+  return this->evacuations;
+}
+
 TransactionQueue&
 OwnershipAgent::Transactions()
 {
@@ -1690,6 +1719,12 @@
   return this->queue.IsEmpty();
 }
 
+bool
+OwnershipAgent::HasRanges() const
+{
+  return !this->OwnedRanges().empty();
+}
+
 const ClusterView&
 OwnershipAgent::View() const
 {
@@ -1720,6 +1755,11 @@
       state.coldUntil = this->lastHeartbeat + report.remainingWarmUp;
     }
   }
+  if (this->evacuations.IsColdUntilHeartbeat(this->lastHeartbeat)) {
+    state.coldUntil = Time::max();
+  }
+  state.evacuatedFrom = this->evacuations.SendUntil(this->ownsKeys);
+  state.knowsEvacuations = this->evacuations.IsKnown();
   state.drainTime = this->settings.drainTime;
   if (state.draining) {
     state.sendUntil = this->server.DrainingSince() + this->settings.drainTime;
@@ -1748,6 +1788,9 @@
 std::vector<Event>
 OwnershipAgent::TakeEvents()
 {
+  for (auto& event : this->evacuations.TakeEvents()) {
+    this->LogEvent(std::move(event.name), std::move(event.fields));
+  }
   return std::exchange(this->events, {});
 }
 
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -10,6 +10,7 @@
 
 #include "cluster/changes.h"
 #include "cluster/clusterview.h"
+#include "cluster/evacuations.h"
 #include "cluster/keyload.h"
 #include "cluster/leasetimes.h"
 #include "cluster/membermonitor.h"
@@ -44,6 +45,9 @@
   /** How long a backend server may still be sent requests after it has
    * announced its shutdown. */
   Duration drainTime = std::chrono::seconds(2);
+  /** Time from the order to evacuate a zone until its servers get no more
+   * requests. */
+  Duration evacuationTime = std::chrono::seconds(5);
 };
 
 /** Load that another member reported recently. */
@@ -72,8 +76,13 @@
   bool available = false;       ///< Whether the server is known and not lost.
   bool draining = false;        ///< Whether the server announced its shutdown.
   Time sendUntil = Time::max(); ///< It must get no requests afterwards.
-  /** Until when the server is cold by its last heartbeat; Time(): it is not. */
+  /** Until when the server is cold by its last heartbeat; Time(): it is not;
+   * Time::max(): until a heartbeat arrives after the evacuation of its zone. */
   Time coldUntil;
+  /** It must get no requests afterwards, since its zone is evacuated. */
+  Time evacuatedFrom = Time::max();
+  /** Whether the daemon knows which zones are evacuated. */
+  bool knowsEvacuations = true;
   /** Time from an announced shutdown until no more requests are sent. */
   Duration drainTime = std::chrono::seconds(2);
   Time nextHeartbeat; ///< When the next grants are expected.
@@ -85,10 +94,11 @@
   friend bool operator==(const ServingState& aLeft, const ServingState& aRight);
 };
 
-/** Returns a state with the shutdown that its server has announced since.
+/** Returns a state with the shutdown that its server has announced since, and
+ * with the evacuation of its zone.
  * @param aNewer A newer state. */
 ServingState
-WithAnnouncedShutdown(ServingState aState, const ServingState& aNewer);
+WithSendLimits(ServingState aState, const ServingState& aNewer);
 
 /**
  * Makes all decisions of a daemon about membership and key ownership: joining,
@@ -108,7 +118,9 @@
                  RandomFunction aRandom);
 
   /** Sets limits of the platform, which may change while the daemon runs. */
-  void SetBounds(Duration aMaxGrantTime, Duration aDrainTime);
+  void SetBounds(Duration aMaxGrantTime,
+                 Duration aDrainTime,
+                 Duration aEvacuationTime);
 
   /** Sets whether members of the own service own keys by its configuration. */
   void SetOwnsKeys(bool aOwnsKeys);
@@ -151,6 +163,11 @@
    * name an owner for all keys yet. */
   bool IsReturning(Time aNow) const;
 
+  /** Zones under evacuation. Its caller passes the operators' orders, and
+   * announces those that are known with each datagram. */
+  Evacuations& ZoneEvacuations();
+  const Evacuations& ZoneEvacuations() const;
+
   /** Sets whether changes in the store are currently received. */
   void SetStoreReachable(bool aReachable);
 
@@ -177,6 +194,8 @@
   /** Whether no transaction is pending. */
   bool IsIdle() const;
   const ClusterView& View() const;
+  /** Whether this member owns keys now. */
+  bool HasRanges() const;
   ServingState ServingStateAt(Time aNow) const;
   /** Latest time at which grants may expire; Time() if the daemon is not a
    * member. */
@@ -300,6 +319,7 @@
   MemberMonitor monitor;
   MemberProbe probe;
   ServerState server;
+  Evacuations evacuations;
   TransactionQueue queue;
   std::vector<Move> moves;
   std::deque<FinishedMove> finishedMoves;
--- a/src/cluster/peermessage.cpp
+++ b/src/cluster/peermessage.cpp
@@ -96,6 +96,42 @@
   return rows;
 }
 
+/** Throws if they are malformed. */
+EvacuationOrders
+ReadEvacuations(const json& aValue)
+{
+  EvacuationOrders orders;
+  orders.version = ReadVersion(aValue.at(0));
+  for (const auto& zone : aValue.at(1)) {
+    orders.zones.insert(zone.get<std::string>());
+  }
+  orders.truncated = aValue.at(2).get<bool>();
+  return orders;
+}
+
+/** Returns the orders with as many zones as there is room for. */
+json
+ToJson(const EvacuationOrders& aOrders, size_t aMaxZoneBytes)
+{
+  constexpr size_t kOverheadBytes = 3; // Of a text of up to 65535 bytes.
+  std::vector<std::string> zones(aOrders.zones.begin(), aOrders.zones.end());
+  std::stable_sort(
+    zones.begin(), zones.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.size() < aRight.size();
+    });
+  json listed = json::array();
+  size_t bytes = 0;
+  for (const auto& zone : zones) {
+    bytes += zone.size() + kOverheadBytes;
+    if (bytes > aMaxZoneBytes) {
+      break;
+    }
+    listed.push_back(zone);
+  }
+  bool truncated = aOrders.truncated || listed.size() < zones.size();
+  return { aOrders.version, listed, truncated };
+}
+
 /** Parses crash records. Throws if they are malformed. */
 std::vector<CrashRecord>
 ParseCrashes(const json& aValue)
@@ -138,7 +174,8 @@
                     aMessage.configuration,
                     aMessage.configurationAge,
                     aMessage.crashes,
-                    aMessage.era);
+                    aMessage.era,
+                    aMessage.evacuations);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -179,6 +216,11 @@
                         crash.trials });
   }
   value.push_back(crashes);
+  constexpr size_t kOverheadBytes = 16; // Of the orders without their zones.
+  auto used = json::to_msgpack(value).size() + kOverheadBytes;
+  if (aMessage.evacuations.version != 0 && used <= kMaxDatagramBytes) {
+    value.push_back(ToJson(aMessage.evacuations, kMaxDatagramBytes - used));
+  }
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
 }
@@ -207,12 +249,13 @@
       ReadLoad(value.at(7)),
       std::chrono::milliseconds(
         ReadInteger(value.at(8), -kMaxMilliseconds, kMaxMilliseconds)),
-      // Earlier releases do not send the last four.
+      // Earlier releases do not send the last five.
       value.size() > 9 ? ReadVersion(value.at(9)) : 0,
       value.size() > 11 ? ParseAge(value.at(11)) : std::nullopt,
       value.size() > 12 ? ParseCrashes(value.at(12))
                         : std::vector<CrashRecord>(),
-      value.size() > 10 ? ToUnsigned(value.at(10), "era", kMaxStoreEra) : 0
+      value.size() > 10 ? ToUnsigned(value.at(10), "era", kMaxStoreEra) : 0,
+      value.size() > 13 ? ReadEvacuations(value.at(13)) : EvacuationOrders()
     };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/cluster/peermessage.h
+++ b/src/cluster/peermessage.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/evacuations.h"
 #include "cluster/records.h"
 
 namespace fescuetiller {
@@ -43,10 +44,17 @@
   std::vector<CrashRecord> crashes; ///< For Crashes only.
   /** Era of the store as the sender knows it. */
   StoreEra era = 0;
+  /** Zones under evacuation as the sender knows them. */
+  EvacuationOrders evacuations;
 
   friend bool operator==(const PeerMessage& aLeft, const PeerMessage& aRight);
 };
 
+/** Most bytes of a datagram that receivers read. */
+constexpr size_t kMaxDatagramBytes = 2048;
+
+/** Encodes a message. If it would exceed a datagram with all zones under
+ * evacuation, only those are included that have room, shortest names first. */
 std::string
 Encode(const PeerMessage& aMessage);
 
--- a/src/fescuetillerctl/statuscommand.cpp
+++ b/src/fescuetillerctl/statuscommand.cpp
@@ -1,9 +1,11 @@
+#include <map>
 #include <set>
 
 #include <nlohmann/json.hpp>
 
 #include "fescuetillerctl/deployment.h"
 #include "fescuetillerctl/texttable.h"
+#include "platform/platform.h"
 
 namespace fescuetiller {
 
@@ -42,12 +44,24 @@
   double ownedShare = 0; ///< Share of the keys whose owner is a member.
 };
 
+/** A zone that operators evacuate. */
+struct EvacuationStatus
+{
+  std::string zone;
+  StoreKey row;                     ///< By which the evacuation is ordered.
+  std::vector<std::string> members; ///< Addresses of the members there.
+  /** Share of its keys that members there still own, by service. */
+  std::map<std::string, double> keyShares;
+  std::vector<std::string> drained; ///< Addresses that operators drained.
+};
+
 /** Summary of a deployment, as the status command prints it. */
 struct Status
 {
   uint64_t configuration = 0; ///< Version of the configuration.
   std::vector<ServiceStatus> services;
   std::vector<MemberStatus> members;
+  std::vector<EvacuationStatus> evacuations;
   std::vector<std::string> degraded; ///< One line for each problem.
 };
 
@@ -101,8 +115,35 @@
   }
 }
 
+/** Adds the zones under evacuation. The members must have been added. */
+void
+AddEvacuations(const std::vector<EvacuationStatus>& aOrdered, Status& aStatus)
+{
+  for (auto evacuation : aOrdered) {
+    double keys = 0;
+    for (const auto& member : aStatus.members) {
+      if (member.record.zone != evacuation.zone) {
+        continue;
+      }
+      evacuation.members.push_back(member.record.address);
+      evacuation.keyShares[member.record.service] += member.keyShare;
+      keys += member.keyShare;
+      if (member.drained) {
+        evacuation.drained.push_back(member.record.address);
+      }
+    }
+    auto line = "zone " + evacuation.zone + " is evacuated by row " +
+                ToString(evacuation.row);
+    aStatus.degraded.push_back(keys > 0 ? line + "; its members still own keys"
+                                        : line);
+    aStatus.evacuations.push_back(std::move(evacuation));
+  }
+}
+
 Status
-Summarize(const Deployment& aDeployment, const LeaseHolders& aLeases)
+Summarize(const Deployment& aDeployment,
+          const LeaseHolders& aLeases,
+          const std::vector<EvacuationStatus>& aEvacuations)
 {
   Status status;
   status.configuration = aDeployment.configuration.version;
@@ -131,10 +172,29 @@
     AddDegraded(summary, status);
     status.services.push_back(std::move(summary));
   }
+  AddEvacuations(aEvacuations, status);
   AddOddRows(aDeployment, status);
   return status;
 }
 
+/** Reads which zones operators have ordered to evacuate. */
+Result<std::vector<EvacuationStatus>>
+ReadEvacuations(const StoreCalls& aStore)
+{
+  auto rows = aStore.read(ConfigurationKey().table, ConfigurationKey().part);
+  if (!rows) {
+    return tl::unexpected(rows.error());
+  }
+  std::vector<EvacuationStatus> evacuations;
+  for (const auto& row : rows->rows) {
+    auto zone = ParseEvacuationKey(row.key);
+    if (zone && !zone->empty()) {
+      evacuations.push_back({ *zone, row.key, {}, {}, {} });
+    }
+  }
+  return evacuations;
+}
+
 Result<LeaseHolders>
 ReadLeases(const StoreCalls& aStore, const Deployment& aDeployment)
 {
@@ -185,12 +245,57 @@
                         { "key_share", member.keyShare },
                         { "guardians", member.record.guardians } });
   }
+  json evacuations = json::array();
+  for (const auto& evacuation : aStatus.evacuations) {
+    evacuations.push_back({ { "zone", evacuation.zone },
+                            { "row", ToString(evacuation.row) },
+                            { "members", evacuation.members },
+                            { "key_shares", evacuation.keyShares },
+                            { "drained", evacuation.drained } });
+  }
   return { { "configuration", aStatus.configuration },
            { "services", services },
            { "members", members },
+           { "evacuated_zones", evacuations },
            { "degraded", aStatus.degraded } };
 }
 
+void
+PrintEvacuations(std::ostream& aOut, const Status& aStatus)
+{
+  if (aStatus.evacuations.empty()) {
+    return;
+  }
+  TextTable table(
+    { "EVACUATED ZONE", "ROW", "SERVICE", "MEMBERS", "KEYS LEFT", "DRAINED" });
+  for (const auto& evacuation : aStatus.evacuations) {
+    for (const auto& service : aStatus.services) {
+      std::string addresses;
+      size_t members = 0;
+      for (const auto& member : aStatus.members) {
+        if (member.record.zone != evacuation.zone ||
+            member.record.service != service.name) {
+          continue;
+        }
+        ++members;
+        if (member.drained) {
+          addresses += (addresses.empty() ? "" : " ") + member.record.address;
+        }
+      }
+      auto share = evacuation.keyShares.find(service.name);
+      auto left = share == evacuation.keyShares.end() ? 0 : share->second;
+      table.Add({ evacuation.zone,
+                  ToString(evacuation.row),
+                  service.name,
+                  std::to_string(members),
+                  service.ownsKeys ? FormatNumber(left * kPercent) + "%" : "-",
+                  addresses.empty() ? "-" : addresses });
+    }
+  }
+  aOut << "\n";
+  table.Print(aOut);
+}
+
 void
 Print(std::ostream& aOut, const Status& aStatus)
 {
@@ -225,6 +330,7 @@
                   std::to_string(member.record.guardians.size()) });
   }
   members.Print(aOut);
+  PrintEvacuations(aOut, aStatus);
   aOut << "\n"
        << (aStatus.degraded.empty() ? "nothing is degraded\n" : "degraded:\n");
   for (const auto& degraded : aStatus.degraded) {
@@ -249,7 +355,11 @@
   if (!leases) {
     return ReportError(aSession, leases.error());
   }
-  auto status = Summarize(*deployment, *leases);
+  auto evacuations = ReadEvacuations(*store);
+  if (!evacuations) {
+    return ReportError(aSession, evacuations.error());
+  }
+  auto status = Summarize(*deployment, *leases, *evacuations);
   if (aOptions.json) {
     aSession.out << ToJson(status).dump() << "\n";
   } else {
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -77,6 +77,7 @@
                          aSettings.heartbeat * kMinHeartbeatsPerPromise));
   settings.maxGrantTime = aSettings.maxGrantTime;
   settings.drainTime = aSettings.drainTime;
+  settings.evacuationTime = aSettings.evacuationTime;
   return settings;
 }
 
@@ -129,6 +130,7 @@
                           this->LoadConfiguration(std::move(aCallback));
                         },
                          [this](const StoreRows& aRows) {
+                           this->OnOrderChanges(aRows);
                            this->OnConfigurationRows(aRows, kStoreSource);
                          },
                          [](bool) {},
@@ -217,7 +219,8 @@
 ControlNode::SetSettings(const NodeSettings& aSettings)
 {
   this->settings = aSettings;
-  this->agent.SetBounds(aSettings.maxGrantTime, aSettings.drainTime);
+  this->agent.SetBounds(
+    aSettings.maxGrantTime, aSettings.drainTime, aSettings.evacuationTime);
   this->store.SetAddress(
     ParseEndpoint(aSettings.storeAddress).value_or(Tcp::endpoint()));
 }
@@ -249,7 +252,12 @@
 ControlNode::RunAgent()
 {
   auto now = BootClock::now();
+  auto& evacuations = this->agent.ZoneEvacuations();
+  if (auto age = this->ConfigurationAge(now)) {
+    evacuations.OnConfirmed(now - *age); // The check covers the whole table.
+  }
   auto output = this->agent.Tick(now);
+  evacuations.OnProgress(this->agent.HasRanges(), this->runningRequests);
   for (const auto& message : output.messages) {
     this->SendPeerMessage(message.address, message.message);
   }
@@ -288,12 +296,13 @@
 ControlNode::Publish()
 {
   auto now = BootClock::now();
+  this->PublishEvacuations();
   auto serving = this->agent.ServingStateAt(now);
   if (this->agent.IsReturning(now)) {
     // Requests are routed and served as before, but a server that has announced
-    // its shutdown gets none after its drain time.
-    this->PublishServing(
-      WithAnnouncedShutdown(this->publishedServing, serving));
+    // its shutdown gets none after its drain time, and one whose zone is
+    // evacuated gets none, either.
+    this->PublishServing(WithSendLimits(this->publishedServing, serving));
     return;
   }
   const auto& view = this->agent.View();
@@ -306,6 +315,25 @@
   this->PublishServing(serving);
 }
 
+void
+ControlNode::PublishEvacuations()
+{
+  const auto& evacuations = this->agent.ZoneEvacuations();
+  auto zones = evacuations.Zones();
+  if (zones == this->publishedZones) {
+    return;
+  }
+  this->publishedZones = zones;
+  this->counters.SetGauge("fescuetiller_evacuated_zones",
+                          static_cast<double>(zones.size()));
+  this->counters.SetGauge("fescuetiller_own_zone_evacuated",
+                          evacuations.IsOwnZoneEvacuated() ? 1 : 0);
+  if (this->onEvacuatedZones) {
+    this->onEvacuatedZones(std::move(zones));
+  }
+  this->SendConfirmations(); // Each datagram announces the zones.
+}
+
 void
 ControlNode::PublishServing(const ServingState& aServing)
 {
@@ -327,6 +355,9 @@
     aReport.requestLimit.value_or(std::numeric_limits<double>::infinity()));
   this->counters.SetGauge("fescuetiller_blocked_requests",
                           static_cast<double>(aReport.blockedRequests));
+  this->counters.SetGauge("fescuetiller_evacuation_refusals",
+                          static_cast<double>(aReport.evacuationRefusals));
+  this->runningRequests = aReport.runningRequests;
   this->counters.SetGauge("fescuetiller_log_lines_dropped",
                           static_cast<double>(this->log.DroppedLines()));
   this->counters.SetGauge("fescuetiller_store_calls",
@@ -448,18 +479,59 @@
 void
 ControlNode::LoadConfiguration(TableWatch::LoadCallback aCallback)
 {
-  this->store.ReadFrom(
+  this->store.ReadAllFrom(
     ConfigurationKey(),
     [this, callback = std::move(aCallback)](Result<StoreRows> aRows) {
       if (!aRows) {
         callback(tl::unexpected(aRows.error()));
         return;
       }
+      this->OnOrdersRead(*aRows);
       this->OnConfigurationRows(*aRows, kStoreSource);
       callback(aRows->version);
     });
 }
 
+void
+ControlNode::OnOrdersRead(const StoreRows& aRows)
+{
+  std::set<std::string> zones;
+  for (const auto& row : aRows.rows) {
+    auto zone = ParseEvacuationKey(row.key);
+    if (zone && !row.removed) {
+      zones.insert(*zone);
+    }
+  }
+  this->agent.ZoneEvacuations().OnRead(
+    BootClock::now(), aRows.version, std::move(zones));
+  this->RunAgent();
+}
+
+void
+ControlNode::OnOrderChanges(const StoreRows& aRows)
+{
+  std::vector<EvacuationChange> changes;
+  for (const auto& row : aRows.rows) {
+    if (auto zone = ParseEvacuationKey(row.key)) {
+      changes.push_back({ *zone, row.version, row.removed });
+    }
+  }
+  this->agent.ZoneEvacuations().OnChanges(
+    BootClock::now(), aRows.version, changes);
+  if (!changes.empty()) {
+    this->RunAgent();
+  }
+}
+
+/** A configuration of another daemon may be newer than the orders that are
+ * known; a watch that began after it would not return the orders before it. */
+void
+ControlNode::SkipKnownChanges()
+{
+  this->configurationWatch.SkipTo(std::min(
+    this->configurationSeen, this->agent.ZoneEvacuations().Orders().version));
+}
+
 /** Applies the newest valid configuration among the rows, which are in the
  * order of their versions. */
 void
@@ -483,7 +555,7 @@
     return true;
   }
   this->configurationSeen = aRow.version;
-  this->configurationWatch.SkipTo(aRow.version);
+  this->SkipKnownChanges();
   auto parsed = ParseConfiguration(aRow.value);
   if (!parsed) {
     this->log.Write({ "configuration-refused",
@@ -749,13 +821,18 @@
   this->OnPeerEra(now, message->era);
   this->configurationSharing.OnAnnouncement(
     now, message->configuration, sender);
-  this->OnPeerConfirmation(now, *message);
   if (!message->crashes.empty() && this->onCrashRecords) {
     this->onCrashRecords(message->crashes);
   }
   for (const auto& reply : this->agent.OnPeerMessage(now, *message)) {
     this->SendPeerMessage(ToString(sender), reply.message);
   }
+  // After the orders that the message announces: it confirms these as well.
+  this->OnPeerConfirmation(now, *message);
+  this->SkipKnownChanges();
+  if (this->agent.ZoneEvacuations().Zones() != this->publishedZones) {
+    this->RunAgent();
+  }
 }
 
 void
@@ -768,6 +845,7 @@
   }
   aMessage.configuration = this->configurationRow.version;
   aMessage.configurationAge = this->ConfigurationAge(BootClock::now());
+  aMessage.evacuations = this->agent.ZoneEvacuations().Orders();
   boost::system::error_code ignored; // Lost datagrams are sent again.
   this->peerSocket.send_to(asio::buffer(Encode(aMessage)),
                            { address->address(), address->port() },
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "cluster/cluster.h"
 #include "fescuetillerd/configurationcheck.h"
@@ -37,6 +38,8 @@
   std::function<void(std::shared_ptr<const Configuration>)> onConfiguration;
   std::function<void(std::shared_ptr<const ClusterView>, MemberId)> onView;
   std::function<void(ServingState)> onServing;
+  /** Called with the zones under evacuation. */
+  std::function<void(std::set<std::string>)> onEvacuatedZones;
   /** Called with crash records of another daemon. */
   std::function<void(CrashRecords::Records)> onCrashRecords;
 
@@ -72,6 +75,12 @@
   void OnPeerRead(const std::shared_ptr<Exchange>& aExchange);
   void OnReadinessCheck(const std::shared_ptr<Exchange>& aExchange);
   void OnConfigurationRows(const StoreRows& aRows, const std::string& aSource);
+  /** Handles all rows that may be orders to evacuate zones. */
+  void OnOrdersRead(const StoreRows& aRows);
+  /** Handles changes of rows that may be such orders. */
+  void OnOrderChanges(const StoreRows& aRows);
+  /** Watches the operators' table after what is known from other daemons. */
+  void SkipKnownChanges();
   void OnClusterRows(const StoreRows& aRows);
   bool ApplyConfiguration(const StoreRow& aRow, const std::string& aSource);
   /** Asks the store for a newer configuration if that is due. */
@@ -97,6 +106,8 @@
   void SendPeerMessage(const std::string& aAddress, PeerMessage aMessage);
   std::vector<std::string> Services() const;
   void Publish();
+  /** Passes on the zones under evacuation, also to other daemons. */
+  void PublishEvacuations();
   /** Passes on how requests are served, if that has changed. */
   void PublishServing(const ServingState& aServing);
   void WriteEvents();
@@ -115,7 +126,7 @@
   HttpServer peerReadListener; ///< For daemons that cannot reach the store.
   asio::ip::udp::socket peerSocket;
   asio::ip::udp::endpoint peerSender; ///< Sender of the last datagram.
-  std::array<char, 2048> peerBuffer{};
+  std::array<char, kMaxDatagramBytes> peerBuffer{};
   asio::steady_timer timer;
   TableWatch configurationWatch;
   TableWatch clusterWatch;
@@ -129,6 +140,9 @@
   uint64_t publishedChanges = 0; ///< Change count of the last published view.
   MemberId publishedSelf;
   ServingState publishedServing;
+  std::set<std::string> publishedZones; ///< Under evacuation.
+  /** Requests that run on the own server; nothing: unknown. */
+  std::optional<size_t> runningRequests;
   Time nextEraReadAt; ///< Next call because of another daemon's era.
   Time refusedAt;     ///< First refused connection to the server; Time(): none.
   bool stopping = false;
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -195,6 +195,9 @@
 Execution::Refuse(const std::string& aReason, Duration aRetryAfter)
 {
   this->LogOutcome("refused", aReason);
+  if (aReason == kEvacuatedReason) {
+    ++this->executor.evacuationRefusals;
+  }
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(503, aReason + "\n");
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -89,6 +89,7 @@
   this->UpdateSlotCapacity();
   this->RecordCrashes();
   this->RefuseMovedRequests();
+  this->RefuseIfStopped(BootClock::now());
   this->StartEligibleRequests();
 }
 
@@ -341,6 +342,10 @@
   if (aNow > this->SendUntil()) {
     return "draining";
   }
+  if (aNow > this->serving.evacuatedFrom - kDrainMargin) {
+    return this->serving.knowsEvacuations ? kEvacuatedReason
+                                          : kOrdersUnknownReason;
+  }
   if (!aKey) {
     return "";
   }
@@ -511,19 +516,26 @@
       return;
     }
     auto now = BootClock::now();
-    auto refused = this->queue.Expire(now);
-    auto stopped = this->ReasonNotToSend(now, std::nullopt);
-    if (!stopped.empty()) {
-      auto waiting = this->queue.RefuseAll(now, stopped);
-      refused.insert(refused.end(), waiting.begin(), waiting.end());
-    }
-    for (const auto& refusal : refused) {
+    for (const auto& refusal : this->queue.Expire(now)) {
       this->Refuse(refusal);
     }
+    this->RefuseIfStopped(now);
     this->StartEligibleRequests();
   });
 }
 
+void
+Executor::RefuseIfStopped(Time aNow)
+{
+  auto stopped = this->ReasonNotToSend(aNow, std::nullopt);
+  if (stopped.empty()) {
+    return;
+  }
+  for (const auto& refusal : this->queue.RefuseAll(aNow, stopped)) {
+    this->Refuse(refusal);
+  }
+}
+
 ExecutionReport
 Executor::MakeStateReport(ExecutionOutcome aOutcome,
                           const std::string& aReason,
@@ -629,6 +641,18 @@
   return this->slotUsage.Totals(BootClock::now());
 }
 
+uint64_t
+Executor::EvacuationRefusals() const
+{
+  return this->evacuationRefusals;
+}
+
+size_t
+Executor::RunningCount() const
+{
+  return this->runningIds.size();
+}
+
 bool
 Executor::IsIdle() const
 {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -88,6 +88,10 @@
   std::optional<double> RequestsPerSecond();
   /** What the backend server's slots were used for so far. */
   SlotTimes SlotTotals() const;
+  /** Requests refused so far since the server's zone was evacuated. */
+  uint64_t EvacuationRefusals() const;
+  /** Requests that run on the backend server now. */
+  size_t RunningCount() const;
   bool IsIdle() const;
   /** Makes the final response to another daemon before this process exits: its
    * next request over the connection is refused and does not run. */
@@ -153,6 +157,8 @@
                       std::optional<double> aLimit);
   /** Refuses waiting requests whose keys are no longer served here. */
   void RefuseMovedRequests();
+  /** Refuses all waiting requests if the server must get none now. */
+  void RefuseIfStopped(Time aNow);
   void StartEligibleRequests();
   /** Checks the waiting requests again after a short time, if there are any. */
   void ArmExpiryTimer();
@@ -188,6 +194,7 @@
   asio::steady_timer expiryTimer;
   bool expiryTimerArmed = false;
   uint64_t nextId = 1;
+  uint64_t evacuationRefusals = 0;
   std::map<uint64_t, std::shared_ptr<Execution>> executions;
   std::set<std::string> runningIds; ///< Request ids that hold a slot.
 };
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -64,6 +64,12 @@
   this->self = std::move(aSelf);
 }
 
+void
+Ingress::SetEvacuatedZones(std::set<std::string> aZones)
+{
+  this->evacuatedZones = std::move(aZones);
+}
+
 bool
 Ingress::MayRunConcurrently(const HttpRequest& aRequest) const
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 #include "cluster/cluster.h"
 #include "fescuetillerd/counters.h"
@@ -43,6 +44,8 @@
   void SetRetryRatio(double aRatio);
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
+  /** Sets the zones whose members get no requests without a key. */
+  void SetEvacuatedZones(std::set<std::string> aZones);
 
   /** Whether a request may run at the same time as others that its client sent
    * over the same connection: only if it is idempotent. */
@@ -71,6 +74,7 @@
   std::shared_ptr<const RouteTable> routes;
   std::shared_ptr<const ClusterView> view;
   MemberId self;
+  std::set<std::string> evacuatedZones;
   DestinationPicker destinations;
   PeerTable peers;
   ServerNotices serverNotices;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -267,8 +267,11 @@
     return range->owner;
   }
   std::vector<PeerCandidate> candidates;
+  bool anyEvacuated = false;
   for (const auto* other : view.MembersOf(this->dispatch.service)) {
-    if (other->state == MemberState::Ready) {
+    if (this->ingress.evacuatedZones.count(other->zone) > 0) {
+      anyEvacuated = true;
+    } else if (other->state == MemberState::Ready) {
       candidates.push_back({ other->id, other->zone });
     }
   }
@@ -288,7 +291,8 @@
     return "";
   }
   if (chosen.empty()) {
-    aReason = candidates.empty() ? "no-server" : "all-tried";
+    auto missing = anyEvacuated ? kEvacuatedReason : "no-server";
+    aReason = candidates.empty() ? missing : "all-tried";
   }
   return chosen;
 }
--- a/src/fescuetillerd/nodeprocess.cpp
+++ b/src/fescuetillerd/nodeprocess.cpp
@@ -68,6 +68,10 @@
     asio::post(this->traffic,
                [this, aServing] { this->trafficNode.SetServing(aServing); });
   };
+  this->controlNode.onEvacuatedZones = [this](auto aZones) {
+    asio::post(this->traffic,
+               [this, aZones] { this->trafficNode.SetEvacuatedZones(aZones); });
+  };
   this->controlNode.onCrashRecords = [this](auto aRecords) {
     asio::post(this->traffic, [this, aRecords] {
       this->trafficNode.OnCrashRecords(aRecords);
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -148,6 +148,12 @@
   this->executor.SetServing(aServing);
 }
 
+void
+TrafficNode::SetEvacuatedZones(std::set<std::string> aZones)
+{
+  this->ingress.SetEvacuatedZones(std::move(aZones));
+}
+
 void
 TrafficNode::OnCrashRecords(const CrashRecords::Records& aRecords)
 {
@@ -285,6 +291,8 @@
                      this->executor.RequestsPerSecond(),
                      this->executor.UnusableShare(),
                      this->executor.Crashes().BlockedCount(now),
+                     this->executor.EvacuationRefusals(),
+                     this->executor.RunningCount(),
                      this->executor.SlotTotals(),
                      this->executor.KeyWeights(),
                      this->ingress.PeerLoads() });
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "fescuetillerd/ingress.h"
 #include "fescuetillerd/nodesettings.h"
@@ -24,6 +25,9 @@
    * unused. */
   double unusableShare = 0;
   size_t blockedRequests = 0; ///< Requests that must not run again.
+  /** Requests refused so far since the own zone was evacuated. */
+  uint64_t evacuationRefusals = 0;
+  size_t runningRequests = 0; ///< On the backend server now.
   SlotTimes slotTotals;       ///< Use of the backend server's slots so far.
   std::vector<KeyWeight> keyWeights;
   std::map<MemberId, PeerLoad> peerLoads;
@@ -60,6 +64,7 @@
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
   void SetServing(const ServingState& aServing);
+  void SetEvacuatedZones(std::set<std::string> aZones);
   /** Handles crash records of another daemon. */
   void OnCrashRecords(const CrashRecords::Records& aRecords);
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -6,6 +6,7 @@
 #include "platform/base64.h"
 #include "platform/blockingstore.h"
 #include "platform/configurationcodec.h"
+#include "platform/evacuationkeys.h"
 #include "platform/headers.h"
 #include "platform/heartbeatcodec.h"
 #include "platform/jsonvalue.h"
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -122,9 +122,15 @@
 StoreClient::Read(const std::string& aTable,
                   const std::string& aPart,
                   RowsCallback aCallback)
+{
+  this->ReadAllFrom({ aTable, aPart, "" }, std::move(aCallback));
+}
+
+void
+StoreClient::ReadAllFrom(const StoreKey& aFrom, RowsCallback aCallback)
 {
   this->ReadNextPage(
-    { aTable, aPart, "" }, std::make_shared<StoreRows>(), std::move(aCallback));
+    aFrom, std::make_shared<StoreRows>(), std::move(aCallback));
 }
 
 void
@@ -143,6 +149,13 @@
       if (rows->version == 0) {
         rows->version = aPage->version;
       }
+      if (EraOf(rows->version) != EraOf(aPage->version)) {
+        callback(tl::unexpected(Error{ ErrorCode::Unavailable,
+                                       "read rows",
+                                       ToString(this->address),
+                                       "the era has changed meanwhile" }));
+        return;
+      }
       rows->rows.insert(
         rows->rows.end(), aPage->rows.begin(), aPage->rows.end());
       if (!aPage->hasMore || aPage->rows.empty()) {
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -45,6 +45,9 @@
             const std::string& aPart,
             RowsCallback aCallback);
 
+  /** Reads all rows of a partition from a key on, as Read does. */
+  void ReadAllFrom(const StoreKey& aFrom, RowsCallback aCallback);
+
   using PartCallback =
     std::function<void(const std::string& aPart, const StoreRows& aRows)>;
   /** Gets the version at which the first partition was read; 0 without any. */
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <deque>
 
+#include "platform/evacuationkeys.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -112,6 +114,8 @@
       return "odd member row";
     case ClusterFault::OddRangeRow:
       return "odd range row";
+    case ClusterFault::ZoneEvacuated:
+      return "zone evacuated";
   }
   return "unknown";
 }
@@ -318,7 +322,7 @@
   node.frozenUntil = Time();
   node.agent = std::make_unique<OwnershipAgent>(
     AgentIdentity{ kService,
-                   "zone-" + std::to_string(aNode % 3),
+                   ZoneOf(aNode),
                    node.address + ":2",
                    node.address + ":3",
                    node.address + ":1" },
@@ -436,7 +440,9 @@
         this->now < node.peersUnreachableUntil) {
       continue;
     }
-    auto encoded = Encode(aMessage.message);
+    auto message = aMessage.message;
+    message.evacuations = from.agent->ZoneEvacuations().Orders();
+    auto encoded = Encode(message);
     auto deliver = std::make_shared<Action>();
     *deliver = [this, index, aFrom, encoded, deliver] {
       auto& target = *this->nodes[index];
@@ -480,6 +486,7 @@
   }
   if (reachable && this->now >= node.frozenUntil) {
     this->UpdateEra(aNode);
+    this->ReadOrders(node, this->store.ChangesAfter(node.seenVersion));
     if (!node.loaded) {
       auto stored = this->store.Read({ kClusterTable, kService, "" });
       auto read = this->ReadRows(aNode, stored.rows);
@@ -491,7 +498,9 @@
     } else {
       auto changes = this->store.ChangesAfter(node.seenVersion);
       for (const auto& row : this->ReadRows(aNode, changes).rows) {
-        node.agent->OnRow(this->now, row);
+        if (!ParseEvacuationKey(row.key)) {
+          node.agent->OnRow(this->now, row);
+        }
       }
     }
     node.seenVersion = this->store.Version();
@@ -501,6 +510,34 @@
                  [this, aNode, aRun] { this->PollStore(aNode, aRun); });
 }
 
+/** Reads the operators' orders, or their changes once they are loaded. */
+void
+ClusterSimulation::ReadOrders(Node& aNode,
+                              const std::vector<StoreRow>& aChanges)
+{
+  auto era = aNode.agent->Era();
+  auto version = WithEra(this->store.Version(), era);
+  auto& evacuations = aNode.agent->ZoneEvacuations();
+  if (!aNode.loaded) {
+    std::set<std::string> zones;
+    for (const auto& row : this->store.Read(EvacuationKey("")).rows) {
+      if (auto zone = ParseEvacuationKey(row.key)) {
+        zones.insert(*zone);
+      }
+    }
+    evacuations.OnRead(this->now, version, std::move(zones));
+  } else {
+    std::vector<EvacuationChange> changes;
+    for (const auto& row : aChanges) {
+      if (auto zone = ParseEvacuationKey(row.key)) {
+        changes.push_back({ *zone, WithEra(row.version, era), row.removed });
+      }
+    }
+    evacuations.OnChanges(this->now, version, changes);
+  }
+  evacuations.OnConfirmed(this->now);
+}
+
 void
 ClusterSimulation::SendTransaction(size_t aNode)
 {
@@ -874,7 +911,115 @@
     case ClusterFault::OddRangeRow:
       this->WriteOddRange(aNode);
       break;
+    case ClusterFault::ZoneEvacuated:
+      this->SetEvacuated(ZoneOf(aNode), true);
+      this->Schedule(seconds(12), [this, aNode] {
+        this->SetEvacuated(ZoneOf(aNode), false);
+      });
+      break;
+  }
+}
+
+void
+ClusterSimulation::SetEvacuated(const std::string& aZone, bool aEvacuated)
+{
+  auto key = EvacuationKey(aZone);
+  if (aEvacuated) {
+    this->store.Apply({ {}, { { key, "{}", 0, false } }, {} });
+  } else {
+    this->store.Apply({ {}, {}, { key } });
+  }
+}
+
+std::string
+ClusterSimulation::ZoneOf(size_t aNode)
+{
+  constexpr size_t kZones = 3;
+  return "zone-" + std::to_string(aNode % kZones);
+}
+
+ServingState
+ClusterSimulation::Serving(size_t aNode) const
+{
+  return this->nodes[aNode]->agent->ServingStateAt(this->now);
+}
+
+bool
+ClusterSimulation::MaySend(size_t aNode) const
+{
+  const auto& node = *this->nodes[aNode];
+  if (!node.daemonUp || !node.serverUp || this->now < node.frozenUntil) {
+    return false;
   }
+  auto serving = this->Serving(aNode);
+  bool granted = std::any_of(
+    serving.ranges.begin(), serving.ranges.end(), [&](const auto& aRange) {
+      return aRange.grantedUntil > this->now;
+    });
+  return serving.available && granted && this->now <= serving.sendUntil &&
+         this->now <= serving.evacuatedFrom;
+}
+
+double
+ClusterSimulation::OwnedIn(const std::string& aZone) const
+{
+  auto era = this->store.Era();
+  auto rows =
+    FromStored(this->store.Read({ kClusterTable, kService, "" }).rows, era);
+  std::set<MemberId> members;
+  for (const auto& row : rows) {
+    auto member = ParseMember(row);
+    if (member && member->zone == aZone) {
+      members.insert(member->id);
+    }
+  }
+  double keys = 0;
+  for (const auto& row : rows) {
+    auto range = ParseRange(row);
+    if (range && members.count(range->owner) > 0) {
+      keys += range->range.Size();
+    }
+  }
+  return keys / (kLastKey + 1);
+}
+
+void
+ClusterSimulation::SetBusy(bool aBusy)
+{
+  for (auto& node : this->nodes) {
+    node->hotKeys = aBusy;
+  }
+}
+
+void
+ClusterSimulation::CutFromStore(size_t aNode, Duration aTime)
+{
+  this->nodes[aNode]->storeUnreachableUntil = this->now + aTime;
+}
+
+void
+ClusterSimulation::CutStore(Duration aTime)
+{
+  this->storeUnavailableUntil = this->now + aTime;
+}
+
+void
+ClusterSimulation::RestoreStore(size_t aAge)
+{
+  this->store.Restore(this->copies[std::min(aAge, this->copies.size() - 1)]);
+  this->copies.clear();
+  this->copies.push_front(this->store);
+}
+
+void
+ClusterSimulation::Restart(size_t aNode, Duration aTime)
+{
+  this->nodes[aNode]->daemonUp = false;
+  this->nodes[aNode]->serverUp = false;
+  this->Schedule(aTime, [this, aNode] {
+    this->StartDaemon(aNode);
+    this->StartServer(aNode, false);
+  });
 }
 
 const std::vector<std::string>&
--- a/tests/cluster/clustersimulation.h
+++ b/tests/cluster/clustersimulation.h
@@ -43,9 +43,10 @@
   StoreRestored, ///< The store is away, then comes back from an older copy.
   OddMemberRow,  ///< Another writer adds a member that has no process.
   OddRangeRow,   ///< Another writer adds a range over those of others.
+  ZoneEvacuated, ///< Operators evacuate a node's zone for a while.
 };
 
-constexpr ClusterFault kLastClusterFault = ClusterFault::OddRangeRow;
+constexpr ClusterFault kLastClusterFault = ClusterFault::ZoneEvacuated;
 
 const char*
 ToString(ClusterFault aFault);
@@ -77,6 +78,27 @@
   /** Descriptions of the violations found so far. */
   const std::vector<std::string>& Violations() const;
 
+  /** Orders or withdraws the evacuation of a zone as operators do. */
+  void SetEvacuated(const std::string& aZone, bool aEvacuated);
+  /** Zone of a node. */
+  static std::string ZoneOf(size_t aNode);
+  /** Whether a node's daemon may send requests to its server now. */
+  bool MaySend(size_t aNode) const;
+  /** What a node's request path knows about its server. */
+  ServingState Serving(size_t aNode) const;
+  /** Share of the keys that members of a zone own by the store's rows. */
+  double OwnedIn(const std::string& aZone) const;
+  /** Sets whether some keys of all nodes cause load. */
+  void SetBusy(bool aBusy);
+  /** Keeps a node from the store for a time. */
+  void CutFromStore(size_t aNode, Duration aTime);
+  /** Keeps the store from all daemons for a time; operators reach it. */
+  void CutStore(Duration aTime);
+  /** Lets the store come back from a copy of a number of half seconds ago. */
+  void RestoreStore(size_t aAge);
+  /** Restarts the daemon and the server of a node after a time. */
+  void Restart(size_t aNode, Duration aTime);
+
   /** Drains or undrains a node as operators do. */
   void SetDrain(size_t aNode, bool aDrain);
 
@@ -118,6 +140,7 @@
   void StartServer(size_t aNode, bool aSameId);
   void TickDaemon(size_t aNode, uint64_t aRun);
   void PollStore(size_t aNode, uint64_t aRun);
+  void ReadOrders(Node& aNode, const std::vector<StoreRow>& aChanges);
   void RecordEvents(Node& aNode);
   void DeliverOutput(size_t aNode, const OwnershipAgent::Output& aOutput);
   void SendPeerMessage(size_t aFrom, const OutgoingMessage& aMessage);
--- a/tests/cluster/unownedrangestest.cpp
+++ b/tests/cluster/unownedrangestest.cpp
@@ -23,6 +23,7 @@
         [] { return 0.5; })
   {
     this->agent.SetOwnsKeys(true);
+    this->agent.ZoneEvacuations().OnRead(this->now, 1, {}); // No orders.
   }
 
   /** Runs the agent with a heartbeat every second. It learns no rows except
--- a/tests/daemon/drainingtest.cpp
+++ b/tests/daemon/drainingtest.cpp
@@ -252,3 +252,97 @@
   CHECK(stated > milliseconds(0));
   CHECK(stated <= deadline - fixture.receivedAt[0] + milliseconds(100));
 }
+
+// Guards against requests that reach a server of an evacuated zone, which may
+// be cold or go away, after they have waited for a slot, for a connection or
+// for the processor.
+SCENARIO("A server whose zone is evacuated gets no requests",
+         "[executor][evacuations]")
+{
+  ExecutorFixture fixture;
+  auto evacuate = [&](Time aFrom) {
+    fixture.serving.evacuatedFrom = aFrom;
+    fixture.executor->SetServing(fixture.serving);
+  };
+  auto checkRefused = [&](const ResponseRecorder& aRecorder) {
+    fixture.RunUntilAnswered(aRecorder);
+    CHECK(fixture.received.empty());
+    CHECK(ExecutorFixture::RefusalOf(aRecorder) == "evacuated");
+    CHECK(fixture.executor->EvacuationRefusals() == 1);
+  };
+
+  GIVEN("a new request")
+  {
+    evacuate(Time());
+    checkRefused(*fixture.Start());
+  }
+  GIVEN("a request that waits")
+  {
+    // It waits until its key is granted.
+    fixture.serving.ranges = { { { 0, 999 }, Time() } };
+    fixture.serving.nextHeartbeat = BootClock::now() + seconds(1);
+    fixture.executor->SetServing(fixture.serving);
+    auto recorder = fixture.Start();
+    fixture.context.run_for(milliseconds(30));
+    REQUIRE_FALSE(recorder->response);
+    evacuate(BootClock::now() + milliseconds(200));
+    fixture.context.run_for(milliseconds(30));
+    REQUIRE_FALSE(recorder->response); // Its key may still be served.
+    std::this_thread::sleep_for(milliseconds(70));
+    checkRefused(*recorder);
+  }
+  GIVEN("a request that has a slot")
+  {
+    auto recorder = fixture.Start();
+    fixture.RunUntilStarted();
+    evacuate(Time());
+    checkRefused(*recorder);
+  }
+  GIVEN("a process that stalls before it opens the connection")
+  {
+    evacuate(BootClock::now() + kStall);
+    auto recorder = fixture.Start();
+    fixture.RunUntilStarted();
+    std::this_thread::sleep_for(kStall);
+    checkRefused(*recorder);
+  }
+  GIVEN("a request that waits for its connection")
+  {
+    auto recorder = fixture.Start();
+    fixture.StepUntil(
+      [&] { return fixture.executor->ConnectionsOpened() > 0; });
+    evacuate(Time());
+    checkRefused(*recorder);
+  }
+  GIVEN("time left until the keys must have moved")
+  {
+    evacuate(BootClock::now() + seconds(10));
+    auto recorder = fixture.Start();
+    fixture.RunUntilAnswered(*recorder);
+    CHECK(fixture.received.size() == 1);
+  }
+  GIVEN("a service without keys")
+  {
+    fixture.serving.ownsKeys = false;
+    evacuate(Time());
+    checkRefused(*fixture.Start());
+  }
+  GIVEN("a daemon that does not know which zones are evacuated")
+  {
+    fixture.serving.evacuatedFrom = Time();
+    fixture.serving.knowsEvacuations = false;
+    fixture.executor->SetServing(fixture.serving);
+    auto recorder = fixture.Start();
+    fixture.RunUntilAnswered(*recorder);
+    CHECK(fixture.received.empty());
+    CHECK(ExecutorFixture::RefusalOf(*recorder) == "evacuations-unknown");
+  }
+  GIVEN("an evacuation that has ended")
+  {
+    evacuate(Time());
+    evacuate(Time::max());
+    auto recorder = fixture.Start();
+    fixture.RunUntilAnswered(*recorder);
+    CHECK(fixture.received.size() == 1);
+  }
+}
--- /dev/null
+++ b/tests/daemon/evacuation.sh
@@ -0,0 +1,96 @@
+#!/usr/bin/env bash
+# Runs daemons, backend servers and a store as processes under load. Operators
+# evacuate a zone, while a daemon and a server there are restarted; a second time
+# the store is lost 100 ms after the order, and a daemon is restarted during the
+# outage. The servers' run logs must show that no request reached them later than
+# 5 s after the order, and that requests come back after its withdrawal.
+# Usage: evacuation.sh BUILD-FOLDER
+set -u
+build=$1
+here=$(cd "$(dirname "$0")" && pwd)
+network=127.0.46
+. "$here/deployment.sh"
+start_deployment
+
+now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
+# runs NUMBER FROM-MS UNTIL-MS: the number of runs of a server in that time.
+runs() {
+  awk -v from="$2" -v until="$3" \
+    '{ at = $1 / 1000000 } at >= from && at < until { ++count }
+     END { print count + 0 }' "$folder/server-$1.runs"
+}
+# check TEXT LEFT OPERATOR RIGHT
+check() {
+  if ! [ "$2" "$3" "$4" ]; then
+    echo "BROKEN $1: $2, not $3 $4"
+    grep -h -E 'evacuat' "$folder"/node-*.log | tail -n 20
+    exit 1
+  fi
+  echo "$1: $2"
+}
+# change JSON-MEMBERS: an unconditional change of the store.
+change() {
+  curl -sf -o /dev/null --data-binary "{\"expected-rev\":[],$1}" \
+    "http://$store/v1/rows-tx" || exit 1
+}
+row='"table":"op","part":"","key":"evacuate/zone-1"'
+order() {
+  change "\"set-keys\":[{$row,\"value\":\"e30=\"}],\"remove\":[]"
+  ordered=$(now_ms)
+}
+withdraw() {
+  withdrawn=$(now_ms)
+  change "\"set-keys\":[],\"remove\":[{$row}]"
+}
+status() { FESCUETILLER_STORE=$store "$build/src/fescuetillerctl" status; }
+
+# Pairs 1 and 4 are in zone-1.
+start_load 33 0.4
+sleep 2
+order
+sleep 2.5
+status | grep -F 'zone zone-1 is evacuated by row op  evacuate/zone-1' || exit 1
+end daemon 4 KILL
+start_daemon 4
+end server 1 TERM
+start_server 1
+sleep 5
+check "members that still own keys" "$(status | grep -c 'still own keys')" -eq 0
+withdraw
+for number in 1 4; do
+  check "runs before the order" "$(runs $number 0 "$ordered")" -gt 0
+  check "runs after the bound" \
+    "$(runs $number $((ordered + 5000)) "$withdrawn")" -eq 0
+done
+sleep 9
+for number in 1 4; do
+  check "runs after the withdrawal" \
+    "$(runs $number "$withdrawn" $((withdrawn + 60000)))" -gt 0
+done
+
+order
+sleep 0.1
+curl -sf -o /dev/null --data-binary down "http://$store/standin/faults"
+sleep 2
+end daemon 1 KILL
+start_daemon 1
+sleep 6
+returned=$(now_ms)
+curl -sf -o /dev/null --data-binary none "http://$store/standin/faults"
+for number in 1 4; do
+  check "runs after the bound without the store" \
+    "$(runs $number $((ordered + 5000)) "$returned")" -eq 0
+done
+sleep 2
+withdraw
+for number in 1 4; do
+  check "runs when the store is back" \
+    "$(runs $number "$returned" "$withdrawn")" -eq 0
+done
+wait "$load" || exit 1
+until_true 30 ready || exit 1
+check "orders that a daemon has seen" \
+  "$(grep -c '"event":"evacuation-ordered"' "$folder/node-2.log")" -eq 2
+check "daemons whose keys have moved" \
+  "$(grep -l '"event":"evacuation-keys-moved"' "$folder"/node-*.log | wc -l)" \
+  -eq 2
--- a/tests/fescuetillerctl/ctltest.cpp
+++ b/tests/fescuetillerctl/ctltest.cpp
@@ -260,6 +260,26 @@
     auto status = ana.RunJson("status");
     CHECK(status["services"][0]["ready"] == 2);
   }
+  SECTION("zones under evacuation are listed with what is left there")
+  {
+    CHECK(ana.RunJson("status")["evacuated_zones"].empty());
+    deployed.SetRow({ EvacuationKey("qc-east-a"), "odd", 0, false });
+    deployed.SetRow({ EvacuationKey("empty"), "{}", 0, false });
+    deployed.SetRow({ EvacuationKey(""), "{}", 0, false }); // Ignored.
+    ana.Run(kDrain);
+    CHECK(ana.Run("status") == 0);
+    CHECK(ana.Printed("zone qc-east-a is evacuated by row op  "
+                      "evacuate/qc-east-a; its members still own keys"));
+    CHECK(ana.Printed("EVACUATED ZONE"));
+    auto zones = ana.RunJson("status")["evacuated_zones"];
+    REQUIRE(zones.size() == 2);
+    CHECK(zones[0]["zone"] == "empty");
+    CHECK(zones[0]["members"].empty());
+    CHECK(zones[1]["row"] == "op  evacuate/qc-east-a");
+    CHECK(zones[1]["members"].size() == 2);
+    CHECK(zones[1]["key_shares"][kService] == 1.0);
+    CHECK(zones[1]["drained"] == nlohmann::json::array({ kAddress }));
+  }
   SECTION("keys are located and classes are listed")
   {
     CHECK(ana.Run("key locate agenda 12") == 0);
