Send a cold server no more requests than it tolerates

A cold server got the usual rate and crashed. Requests are counted where their bytes leave, and not if the server answers 421.

SlotQueue waits, refuses (server-cold) and reports unusable capacity accordingly. A daemon that starts assumes that the one before it sent what is allowed, and a refused connection means that another process may come, which counts as cold until its first heartbeat.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -3,6 +3,7 @@
 /** Public header of the admission library, which decides which request gets the
  * next slot of a backend server and which is refused at once. */
 
+#include "admission/coldlimit.h"
 #include "admission/crashrecords.h"
 #include "admission/linkload.h"
 #include "admission/requestlimit.h"
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -53,6 +53,9 @@
 constexpr double kFullLoad = 0.95;
 /** Lower bound of the slots that count as usable under a request limit. */
 constexpr double kMinUsableSlots = 0.01;
+/** Assumed slot time of a request, in seconds, before any has been offered. A
+ * cold server without requests would count as one with its full capacity. */
+constexpr double kUnknownMeanWork = 0.05;
 
 constexpr uint32_t kNestedRank = 0;
 constexpr uint32_t kStarvedRank = 1;
@@ -169,6 +172,13 @@
   return shortest / static_cast<int>(this->slots);
 }
 
+Duration
+SlotQueue::TimeUntilAccepted(Time aNow, size_t aRequests) const
+{
+  return std::max(this->limit.TimeUntil(aNow, aRequests),
+                  this->cold.TimeUntil(aNow, aRequests));
+}
+
 /** Expected wait for a slot of a request; if nullptr, of a request that starts
  * after all waiting ones. */
 Duration
@@ -190,7 +200,7 @@
   auto untilSlot = slotIsFree ? Duration(0)
                               : work / static_cast<int>(this->slots) +
                                   this->EstimateTimeToFreeSlot(aNow);
-  auto wait = std::max(untilSlot, this->limit.TimeUntil(aNow, ahead + 1));
+  auto wait = std::max(untilSlot, this->TimeUntilAccepted(aNow, ahead + 1));
   if (aRequest == nullptr || wait == Duration(0)) {
     return wait;
   }
@@ -241,7 +251,7 @@
     urgent += rank < own ? sum : 0;
   }
   double load = urgent * this->OfferedDecay(aNow) / DecaySpanSeconds() /
-                this->UsableSlots();
+                this->UsableSlots(aNow);
   return std::max(kMinAvailableShare, 1 - load);
 }
 
@@ -323,13 +333,15 @@
   // A free slot is used even if the class is expected to take too long.
   // Otherwise no request of the class would run, and a shorter time would never
   // be learned.
-  bool limited =
-    this->limit.TimeUntil(aNow, this->waiting.size() + 1) > Duration(0);
+  auto ahead = this->waiting.size();
+  bool cooled = this->cold.TimeUntil(aNow, ahead + 1) > Duration(0);
+  bool limited = cooled || this->limit.TimeUntil(aNow, ahead + 1) > Duration(0);
   bool free = aRequest.notBefore <= aNow && aRequest.deadline > aNow &&
               this->running.size() + this->waiting.size() < this->slots &&
               !limited && !linkFull;
   if (hopeless && !free) {
-    std::string reason = limited    ? "server-limit"
+    std::string reason = cooled     ? kServerColdReason
+                         : limited  ? "server-limit"
                          : linkFull ? "link-full"
                                     : "no-time";
     return { { aRequest.id,
@@ -349,7 +361,7 @@
 {
   std::vector<uint64_t> started;
   while (this->running.size() < this->slots &&
-         this->limit.TimeUntil(aNow, 1) == Duration(0)) {
+         this->TimeUntilAccepted(aNow, 1) == Duration(0)) {
     auto best = this->waiting.end();
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();
          ++entry) {
@@ -367,6 +379,7 @@
     this->sendShare.OnStarted(aNow, best->requestClass);
     this->running[best->id] = { *best, aNow };
     this->limit.OnSent(aNow);
+    this->cold.Reserve(best->id);
     this->waiting.erase(best);
   }
   return started;
@@ -375,6 +388,7 @@
 void
 SlotQueue::OnFinished(Time aNow, uint64_t aId, bool aLearn)
 {
+  this->cold.Release(aId);
   auto found = this->running.find(aId);
   if (found == this->running.end()) {
     return;
@@ -404,7 +418,8 @@
 SlotQueue::Expire(Time aNow)
 {
   std::vector<SlotRefusal> refused;
-  auto untilAllowed = this->limit.TimeUntil(aNow, 1);
+  auto untilAllowed = this->TimeUntilAccepted(aNow, 1);
+  bool cooled = this->cold.TimeUntil(aNow, 1) > Duration(0);
   bool blocked =
     this->running.size() >= this->slots || untilAllowed > Duration(0);
   bool full = this->OfferedLoad(aNow) > kFullLoad && blocked;
@@ -420,7 +435,9 @@
                                   kMaxWaitShare));
     if (expired || displaced) {
       refused.push_back({ entry->id,
-                          expired ? "expired" : "displaced",
+                          cooled    ? kServerColdReason
+                          : expired ? "expired"
+                                    : "displaced",
                           this->RetryDelay(aNow, entry->id) });
       entry = this->waiting.erase(entry);
     } else {
@@ -446,25 +463,31 @@
 SlotQueue::OfferedLoad(Time aNow) const
 {
   return this->offeredWork * this->OfferedDecay(aNow) / DecaySpanSeconds() /
-         this->UsableSlots();
+         this->UsableSlots(aNow);
 }
 
 double
-SlotQueue::UsableSlots() const
+SlotQueue::UsableSlots(Time aNow) const
 {
-  auto perSecond = this->limit.PerSecond();
   auto all = static_cast<double>(this->slots);
-  if (!perSecond || this->offeredCount <= 0) {
-    return all;
+  bool isKnown = this->offeredCount > 0;
+  double meanWork =
+    isKnown ? this->offeredWork / this->offeredCount : kUnknownMeanWork;
+  double usable = all;
+  auto stated = this->limit.PerSecond();
+  if (stated && isKnown) {
+    usable = std::min(usable, *stated * meanWork);
   }
-  double meanWork = this->offeredWork / this->offeredCount;
-  return std::clamp(*perSecond * meanWork, kMinUsableSlots, all);
+  if (auto whileCold = this->cold.PerSecond(aNow)) {
+    usable = std::min(usable, *whileCold * meanWork);
+  }
+  return std::clamp(usable, kMinUsableSlots, all);
 }
 
 double
-SlotQueue::UnusableShare() const
+SlotQueue::UnusableShare(Time aNow) const
 {
-  return 1 - this->UsableSlots() / static_cast<double>(this->slots);
+  return 1 - this->UsableSlots(aNow) / static_cast<double>(this->slots);
 }
 
 Duration
@@ -477,7 +500,9 @@
 double
 SlotQueue::ShareToSend(Time aNow, const std::string& aClass) const
 {
-  bool slotIsFree = this->running.size() + this->waiting.size() < this->slots;
+  bool slotIsFree =
+    this->running.size() + this->waiting.size() < this->slots &&
+    this->cold.TimeUntil(aNow, this->waiting.size() + 1) == Duration(0);
   return slotIsFree ? 1 : this->sendShare.Of(aNow, aClass);
 }
 
@@ -505,4 +530,22 @@
   return this->limit;
 }
 
+const RequestLimit&
+SlotQueue::Limit() const
+{
+  return this->limit;
+}
+
+ColdLimit&
+SlotQueue::Cold()
+{
+  return this->cold;
+}
+
+const ColdLimit&
+SlotQueue::Cold() const
+{
+  return this->cold;
+}
+
 } // namespace fescuetiller
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/coldlimit.h"
 #include "admission/requestlimit.h"
 #include "admission/sendshare.h"
 #include "admission/servicetimes.h"
@@ -12,6 +13,10 @@
 
 namespace fescuetiller {
 
+/** Reason of a refusal because the server is cold and has been sent as many
+ * requests as it tolerates then. */
+constexpr const char* kServerColdReason = "server-cold";
+
 /** A request that needs a slot of the backend server. */
 struct SlotRequest
 {
@@ -60,9 +65,9 @@
  * arrival. Requests that will miss their target time start only after all of
  * these. A request that is not expected to finish before its deadline is
  * refused at once; under overload, so is one that is expected to miss its
- * target time. While the server states a request limit, no more requests start
- * than it accepts, and what exceeds that counts as overload. Does no I/O and
- * reads no clock; not thread-safe.
+ * target time. While the server states a request limit or is cold, no more
+ * requests start than it accepts, and what exceeds that counts as overload.
+ * Does no I/O and reads no clock; not thread-safe.
  */
 class SlotQueue
 {
@@ -81,7 +86,8 @@
 
   /** Gives the free slots to waiting requests.
    * @return Ids of the requests to start now, in order. Each occupies a slot
-   * until OnFinished is called for it. */
+   * until OnFinished is called for it, and counts for the cold limit; the
+   * caller reports to Cold() when it is sent. */
   std::vector<uint64_t> Start(Time aNow);
 
   /** Frees the slot of a request.
@@ -105,16 +111,19 @@
   double OfferedLoad(Time aNow) const;
 
   /** Number of slots that requests can make use of: all of them, or as many as
-   * the request limit keeps in use. */
-  double UsableSlots() const;
+   * the request limit and the cold limit keep in use. */
+  double UsableSlots(Time aNow) const;
 
-  /** Share of the slots that the request limit leaves unused. */
-  double UnusableShare() const;
+  /** Share of the slots that these limits leave unused. */
+  double UnusableShare(Time aNow) const;
 
   /** Expected time from arrival to response of a request of the class that
    * arrives now. */
   Duration ExpectedLatency(Time aNow, const std::string& aClass) const;
 
+  /** Time after which a refused caller may retry, spread by request id. */
+  Duration RetryDelay(Time aNow, uint64_t aId) const;
+
   /** Share of the requests of a class that other daemons should send. */
   double ShareToSend(Time aNow, const std::string& aClass) const;
 
@@ -122,6 +131,9 @@
   size_t WaitingCount() const;
   ServiceTimes& Times();
   RequestLimit& Limit();
+  const RequestLimit& Limit() const;
+  ColdLimit& Cold();
+  const ColdLimit& Cold() const;
 
 private:
   /** Requests of a class, counted with exponential decay. */
@@ -144,9 +156,10 @@
   bool ComesBefore(Time aNow,
                    const SlotRequest& aLeft,
                    const SlotRequest& aRight) const;
+  /** Time until the server accepts that many further requests. */
+  Duration TimeUntilAccepted(Time aNow, size_t aRequests) const;
   Duration EstimateWait(Time aNow, const SlotRequest* aRequest) const;
   Duration EstimateTimeToFreeSlot(Time aNow) const;
-  Duration RetryDelay(Time aNow, uint64_t aId) const;
   double OfferedDecay(Time aNow) const;
   void AddOfferedWork(Time aNow, const SlotRequest& aRequest, Duration aWork);
   double AvailableShare(Time aNow, const SlotRequest& aRequest) const;
@@ -161,6 +174,7 @@
   std::map<uint64_t, RunningRequest> running;
   ServiceTimes times;
   RequestLimit limit;
+  ColdLimit cold;
   std::map<std::string, ClassShare> shares;
   SendShare sendShare;
   double offeredWork = 0;  ///< Slot seconds, summed with exponential decay.
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -117,6 +117,7 @@
                     aState.draining,
                     aState.sendUntil,
                     aState.coldUntil,
+                    aState.heardAt,
                     aState.drainTime,
                     aState.nextHeartbeat,
                     aState.leaseUntil,
@@ -1720,6 +1721,7 @@
       state.coldUntil = this->lastHeartbeat + report.remainingWarmUp;
     }
   }
+  state.heardAt = this->lastHeartbeat;
   state.drainTime = this->settings.drainTime;
   if (state.draining) {
     state.sendUntil = this->server.DrainingSince() + this->settings.drainTime;
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -74,6 +74,7 @@
   Time sendUntil = Time::max(); ///< It must get no requests afterwards.
   /** Until when the server is cold by its last heartbeat; Time(): it is not. */
   Time coldUntil;
+  Time heardAt; ///< When that heartbeat was received.
   /** Time from an announced shutdown until no more requests are sent. */
   Duration drainTime = std::chrono::seconds(2);
   Time nextHeartbeat; ///< When the next grants are expected.
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -325,6 +325,10 @@
   this->counters.SetGauge(
     "fescuetiller_server_request_limit",
     aReport.requestLimit.value_or(std::numeric_limits<double>::infinity()));
+  this->counters.SetGauge("fescuetiller_server_cold",
+                          aReport.serverIsCold ? 1 : 0);
+  this->counters.SetGauge("fescuetiller_server_cold_refusals",
+                          static_cast<double>(aReport.coldRefusals));
   this->counters.SetGauge("fescuetiller_blocked_requests",
                           static_cast<double>(aReport.blockedRequests));
   this->counters.SetGauge("fescuetiller_log_lines_dropped",
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -103,6 +103,15 @@
   } else {
     this->withdrawnReason = this->executor.ReasonNotToSend(now, this->key);
   }
+  auto& cold = this->executor.queue.Cold();
+  if (this->withdrawnReason.empty()) {
+    // The server may have become cold since the request got its slot.
+    if (cold.MaySend(now)) {
+      cold.OnSent(now, this->id);
+    } else {
+      this->withdrawnReason = kServerColdReason;
+    }
+  }
   aRequest.set(headers::kTimeLeft,
                std::to_string(ToMilliseconds(this->deadline - now)));
   return this->withdrawnReason.empty();
@@ -195,6 +204,9 @@
 Execution::Refuse(const std::string& aReason, Duration aRetryAfter)
 {
   this->LogOutcome("refused", aReason);
+  if (aReason == kServerColdReason) {
+    ++this->executor.coldRefusals;
+  }
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
   auto response = TextResponse(503, aReason + "\n");
@@ -228,7 +240,9 @@
 Execution::OnCompleteResponse(HttpResponse aResponse)
 {
   auto status = aResponse.result_int();
-  if (status != kMisdirected) {
+  if (status == kMisdirected) {
+    this->executor.queue.Cold().OnMisdirected(this->id);
+  } else {
     this->executor.OnSignOfLife(this->server, this->startedAt);
     this->ReadServerState(aResponse);
   }
@@ -258,7 +272,9 @@
 Execution::OnHeaders(ResponseHeaders aHeaders)
 {
   this->status = aHeaders.message.result_int();
-  if (this->status != kMisdirected) {
+  if (this->status == kMisdirected) {
+    this->executor.queue.Cold().OnMisdirected(this->id);
+  } else {
     this->executor.OnSignOfLife(this->server, this->startedAt);
     this->ReadServerState(aHeaders.message);
   }
@@ -293,11 +309,15 @@
 Execution::OnFailure(const CallFailure& aFailure)
 {
   if (aFailure.withdrawn) {
-    this->Refuse(this->withdrawnReason, kServerRefusalRetryAfter);
+    bool isCold = this->withdrawnReason == kServerColdReason;
+    this->Refuse(this->withdrawnReason,
+                 isCold
+                   ? this->executor.queue.RetryDelay(BootClock::now(), this->id)
+                   : kServerRefusalRetryAfter);
     return;
   }
-  if (aFailure.connectionRefused && this->executor.onServerConnectionRefused) {
-    this->executor.onServerConnectionRefused();
+  if (aFailure.connectionRefused) {
+    this->executor.OnConnectionRefused();
   }
   if (aFailure.stage == CallStage::ResponseStarted) {
     this->executor.OnSignOfLife(this->server, this->startedAt);
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -69,6 +69,7 @@
   , crashes(std::random_device()())
   , expiryTimer(aContext)
 {
+  this->queue.Cold().SetCountedSince(BootClock::now());
   this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
     if (this->onUnexpectedData) {
       this->onUnexpectedData(aData);
@@ -86,12 +87,59 @@
   }
   this->serving = aServing;
   this->queue.SetSlots(aServing.slots);
+  this->queue.Cold().OnHeartbeat(aServing.heardAt, aServing.coldUntil);
+  this->UpdateColdState(BootClock::now());
   this->UpdateSlotCapacity();
   this->RecordCrashes();
   this->RefuseMovedRequests();
   this->StartEligibleRequests();
 }
 
+void
+Executor::SetColdRate(std::optional<double> aPerSecond,
+                      double aOverage,
+                      double aSlack)
+{
+  this->queue.Cold().SetRate(aPerSecond, aOverage, aSlack);
+  this->UpdateColdState(BootClock::now());
+}
+
+void
+Executor::UpdateColdState(Time aNow)
+{
+  const auto& cold = this->queue.Cold();
+  if (cold.IsCold(aNow) == this->isCold || this->serving.server.id.empty()) {
+    return;
+  }
+  this->isCold = !this->isCold;
+  if (!this->isCold) {
+    this->log.Write({ "server-warm",
+                      { { "server", this->serving.server.id },
+                        { "refused", std::to_string(this->coldRefusals) } } });
+    return;
+  }
+  // Without an end, the next heartbeat decides.
+  auto until = cold.ColdUntil();
+  this->log.Write(
+    { "server-cold",
+      { { "server", this->serving.server.id },
+        { "for_ms",
+          until == Time::max() ? ""
+                               : std::to_string(ToMilliseconds(until - aNow)) },
+        { "per_second", FormatLimit(cold.PerSecond(aNow)) },
+        { "sent_last_second",
+          std::to_string(cold.SentSince(aNow - std::chrono::seconds(1))) } } });
+}
+
+void
+Executor::OnConnectionRefused()
+{
+  this->queue.Cold().OnRestart(BootClock::now());
+  if (this->onServerConnectionRefused) {
+    this->onServerConnectionRefused();
+  }
+}
+
 void
 Executor::UpdateSlotCapacity()
 {
@@ -487,6 +535,7 @@
 Executor::StartEligibleRequests()
 {
   auto now = BootClock::now();
+  this->UpdateColdState(now);
   for (auto id : this->queue.Start(now)) {
     auto found = this->executions.find(id);
     if (found != this->executions.end() &&
@@ -534,7 +583,7 @@
   report.outcome = aOutcome;
   report.reason = aReason;
   report.retryAfter = aRetryAfter;
-  auto unusable = this->queue.UnusableShare();
+  auto unusable = this->queue.UnusableShare(now);
   report.load = this->queue.OfferedLoad(now) * (1 - unusable) + unusable;
   report.untilHeartbeat = this->serving.nextHeartbeat - now;
   return report;
@@ -606,7 +655,19 @@
 double
 Executor::UnusableShare() const
 {
-  return this->queue.UnusableShare();
+  return this->queue.UnusableShare(BootClock::now());
+}
+
+bool
+Executor::IsServerCold() const
+{
+  return this->queue.Cold().IsCold(BootClock::now());
+}
+
+uint64_t
+Executor::ColdRefusals() const
+{
+  return this->coldRefusals;
 }
 
 std::vector<KeyWeight>
@@ -642,8 +703,9 @@
 }
 
 void
-Executor::CloseIdleConnections(Time aNow)
+Executor::RunPeriodicTasks(Time aNow)
 {
+  this->UpdateColdState(aNow);
   this->pool.CloseExpired(aNow);
 }
 
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -49,6 +49,11 @@
 
   void SetServing(const ServingState& aServing);
 
+  /** Sets what a cold server tolerates; see ColdLimit::SetRate. */
+  void SetColdRate(std::optional<double> aPerSecond,
+                   double aOverage,
+                   double aSlack);
+
   /** Handles what another daemon knows of the server's announcements, which may
    * have been made before this daemon was started. */
   void OnServerNotice(const ServerNotice& aNotice);
@@ -78,8 +83,12 @@
   /** Load offered to the backend server; 1: full capacity. */
   double OfferedLoad();
   /** Share of the backend server's capacity that it does not offer now, since
-   * it states a request limit. */
+   * it states a request limit or is cold. */
   double UnusableShare() const;
+  /** Whether the backend server is cold, and how many requests were refused for
+   * that reason so far. */
+  bool IsServerCold() const;
+  uint64_t ColdRefusals() const;
   /** Share of the backend server's capacity that each key takes; the shares of
    * all keys add up to 1 at full capacity. */
   std::vector<KeyWeight> KeyWeights();
@@ -94,7 +103,8 @@
   HttpResponse MakeFinalResponse();
   /** Number of connections to the backend server opened so far. */
   uint64_t ConnectionsOpened() const;
-  void CloseIdleConnections(Time aNow);
+  /** Closes idle connections, and logs when the server is warm again. */
+  void RunPeriodicTasks(Time aNow);
 
 private:
   friend class Execution;
@@ -151,6 +161,10 @@
   void OnRequestLimit(const ServerIncarnation& aServer,
                       Time aSentAt,
                       std::optional<double> aLimit);
+  /** The server's address refuses connections. */
+  void OnConnectionRefused();
+  /** Logs when the server becomes cold or warm. */
+  void UpdateColdState(Time aNow);
   /** Refuses waiting requests whose keys are no longer served here. */
   void RefuseMovedRequests();
   void StartEligibleRequests();
@@ -187,6 +201,8 @@
   std::vector<BrokenOff> brokenOff;
   asio::steady_timer expiryTimer;
   bool expiryTimerArmed = false;
+  bool isCold = false;       ///< As logged last.
+  uint64_t coldRefusals = 0; ///< Requests refused since the server was cold.
   uint64_t nextId = 1;
   std::map<uint64_t, std::shared_ptr<Execution>> executions;
   std::set<std::string> runningIds; ///< Request ids that hold a slot.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -119,6 +119,20 @@
 {
   this->settings = aSettings;
   this->ingress.SetRetryRatio(aSettings.retryRatio * kRetryRatioFraction);
+  this->SetColdRate();
+}
+
+void
+TrafficNode::SetColdRate()
+{
+  const auto* service =
+    this->configuration == nullptr
+      ? nullptr
+      : this->configuration->FindService(this->settings.service);
+  this->executor.SetColdRate(
+    service == nullptr ? std::nullopt : service->coldRequestsPerSecond,
+    this->settings.coldOverage,
+    this->settings.coldSlack);
 }
 
 void
@@ -133,6 +147,8 @@
   sessions.idleTimeout = limits.idleTimeout;
   this->clientServer.SetLimits(sessions);
   this->callerServer.SetLimits(sessions);
+  this->configuration = aConfiguration;
+  this->SetColdRate();
   this->ingress.SetConfiguration(std::move(aConfiguration));
 }
 
@@ -272,7 +288,7 @@
   for (auto* server : this->HttpServers()) {
     server->CloseTimedOut(now);
   }
-  this->executor.CloseIdleConnections(now);
+  this->executor.RunPeriodicTasks(now);
   this->ingress.CloseIdleConnections(now);
   this->uplink.DropExpired(now);
   auto repeated = this->executor.Crashes().Next(now, kRepeatedCrashRecords);
@@ -287,7 +303,9 @@
                      this->executor.Crashes().BlockedCount(now),
                      this->executor.SlotTotals(),
                      this->executor.KeyWeights(),
-                     this->ingress.PeerLoads() });
+                     this->ingress.PeerLoads(),
+                     this->executor.IsServerCold(),
+                     this->executor.ColdRefusals() });
   }
   this->LogSlotUsage(now);
   this->timer.expires_after(kPeriodicInterval);
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -20,13 +20,15 @@
   /** Requests per second that the backend server accepts; empty if it states no
    * limit. */
   std::optional<double> requestLimit;
-  /** Share of the backend server's capacity that its request limit leaves
-   * unused. */
+  /** Share of the backend server's capacity that is unused since it states a
+   * request limit or is cold. */
   double unusableShare = 0;
   size_t blockedRequests = 0; ///< Requests that must not run again.
   SlotTimes slotTotals;       ///< Use of the backend server's slots so far.
   std::vector<KeyWeight> keyWeights;
   std::map<MemberId, PeerLoad> peerLoads;
+  bool serverIsCold = false;
+  uint64_t coldRefusals = 0; ///< Requests refused so far for that reason.
 };
 
 /**
@@ -77,6 +79,8 @@
   std::array<HttpServer*, 3> HttpServers();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
+  /** Passes what a cold server tolerates to the executor. */
+  void SetColdRate();
   /** Logs and counts data that no request waited for.
    * @param aSender "server" or "daemon". */
   void OnUnexpectedData(const std::string& aSender,
@@ -88,6 +92,7 @@
   NodeSettings settings;
   EventLog& log;
   Counters& counters;
+  std::shared_ptr<const Configuration> configuration; ///< nullptr at first.
   Executor executor;
   Uplink uplink;
   Ingress ingress;
