--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -119,6 +119,7 @@
                     aState.coldUntil,
                     aState.evacuatedFrom,
                     aState.knowsEvacuations,
+                    aState.heardAt,
                     aState.drainTime,
                     aState.nextHeartbeat,
                     aState.leaseUntil,
@@ -1760,6 +1761,7 @@
   }
   state.evacuatedFrom = this->evacuations.SendUntil(this->ownsKeys);
   state.knowsEvacuations = this->evacuations.IsKnown();
+  state.heardAt = this->lastHeartbeat;
   state.drainTime = this->settings.drainTime;
   if (state.draining) {
     state.sendUntil = this->server.DrainingSince() + this->settings.drainTime;
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -79,6 +79,7 @@
   /** Until when the server is cold by its last heartbeat; Time(): it is not;
    * Time::max(): until a heartbeat arrives after the evacuation of its zone. */
   Time coldUntil;
+  Time heardAt; ///< When that heartbeat was received.
   /** It must get no requests afterwards, since its zone is evacuated. */
   Time evacuatedFrom = Time::max();
   /** Whether the daemon knows which zones are evacuated. */
