--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -140,6 +140,7 @@
     aState.sendUntil = aNewer.sendUntil;
     aState.drainTime = aNewer.drainTime;
     aState.coldUntil = aNewer.coldUntil;
+    aState.heardAt = aNewer.heardAt;
   }
   return aState;
 }
