--- a/tests/cluster/evacuationstest.cpp
+++ b/tests/cluster/evacuationstest.cpp
@@ -321,6 +321,8 @@
       CHECK(simulation.OwnedIn(kZone) == 0); // They return gradually.
       simulation.RunFor(seconds(30));
       CHECK(simulation.OwnedIn(kZone) > 0.1);
+      simulation.SetBusy(false); // Moving keys are held by none.
+      simulation.RunFor(seconds(8));
       CHECK(simulation.HeldShare() == 1.0);
     }
     CHECK(simulation.Violations().empty());
--- a/tests/daemon/controldaemon.h
+++ b/tests/daemon/controldaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -50,6 +51,9 @@
     this->node->onServing = [this](const auto& aServing) {
       this->serving = aServing;
     };
+    this->node->onEvacuatedZones = [this](const auto& aZones) {
+      this->zones = aZones;
+    };
     REQUIRE(this->node->Listen());
     this->SendHeartbeat();
   }
@@ -97,8 +101,9 @@
   size_t routes = 0;
   size_t members = 0; ///< Members that the daemon knows.
   bool isMember = false;
-  ServingState serving;    ///< What requests are served by.
-  bool isDraining = false; ///< Whether the server announces its shutdown.
+  ServingState serving;        ///< What requests are served by.
+  std::set<std::string> zones; ///< Under evacuation.
+  bool isDraining = false;     ///< Whether the server announces its shutdown.
 };
 
 inline std::string
--- a/tests/daemon/drainingtest.cpp
+++ b/tests/daemon/drainingtest.cpp
@@ -280,7 +280,7 @@
   {
     // It waits until its key is granted.
     fixture.serving.ranges = { { { 0, 999 }, Time() } };
-    fixture.serving.nextHeartbeat = BootClock::now() + seconds(1);
+    fixture.serving.nextHeartbeat = BootClock::now() + milliseconds(400);
     fixture.executor->SetServing(fixture.serving);
     auto recorder = fixture.Start();
     fixture.context.run_for(milliseconds(30));
--- a/tests/daemon/evacuation.sh
+++ b/tests/daemon/evacuation.sh
@@ -81,6 +81,9 @@
   check "runs after the bound without the store" \
     "$(runs $number $((ordered + 5000)) "$returned")" -eq 0
 done
+check "orders that the restarted daemon learned from others" \
+  "$(grep -c '"event":"evacuation-ordered".*"source":"peer"' \
+    "$folder/node-1.log")" -ge 1
 sleep 2
 withdraw
 for number in 1 4; do
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -35,6 +35,22 @@
   this->WriteRow({ "op", "", "config" }, EncodeBase64(aText));
 }
 
+void
+StoreStandIn::SetEvacuated(const std::string& aZone, bool aEvacuated)
+{
+  auto stored = EvacuationKey(aZone);
+  Key key{ stored.table, stored.part, stored.key };
+  if (aEvacuated) {
+    this->WriteRow(key, EncodeBase64("{}"));
+    return;
+  }
+  this->content.rows.erase(key);
+  auto change = ToJson(key, { "", ++this->content.version });
+  change["removed"] = true;
+  this->content.changes.emplace_back(this->content.version, change);
+  this->NotifyWatchers();
+}
+
 void
 StoreStandIn::SetFault(const std::string& aFault)
 {
--- a/tests/standins/storestandin.h
+++ b/tests/standins/storestandin.h
@@ -37,6 +37,9 @@
   /** Writes the operator's configuration. */
   void SetConfiguration(const std::string& aText);
 
+  /** Orders or withdraws the evacuation of a zone. */
+  void SetEvacuated(const std::string& aZone, bool aEvacuated);
+
   /** Sets the fault of all calls from now on. */
   void SetFault(const std::string& aFault);
   /** Whether the fault has left a watch of a table without a response. */
