--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -676,7 +676,10 @@
 void
 ControlNode::OnPeerConfirmation(Time aNow, const PeerMessage& aMessage)
 {
-  bool isSame = aMessage.configuration != 0 &&
+  // It confirms the orders to evacuate zones as well, so it must state them.
+  bool statesOrders =
+    aMessage.evacuations.version != 0 && !aMessage.evacuations.truncated;
+  bool isSame = statesOrders && aMessage.configuration != 0 &&
                 aMessage.configuration == this->configurationRow.version;
   if (isSame && aMessage.configurationAge &&
       this->configurationCheck.OnConfirmed(aNow - *aMessage.configurationAge)) {
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -60,6 +60,7 @@
   /** Added to each response of the server, which then acts as the daemon of
    * another member. */
   std::map<std::string, std::string> daemonFields;
+  std::string otherZone = "a"; ///< Zone of the other member.
   /** The daemon closed the connection of a pending request. */
   bool requestAborted = false;
   HttpServer server{ context, [this](std::shared_ptr<Exchange> aExchange) {
@@ -138,7 +139,7 @@
                                {} }),
            ToRow(MemberRecord{ "other",
                                "agenda",
-                               "a",
+                               this->otherZone,
                                ToString(this->server.Address()),
                                ToString(this->server.Address()),
                                MemberState::Ready,
@@ -772,6 +773,54 @@
   }
 }
 
+// Guards against requests that travel to an evacuated zone to be refused there,
+// and against clients that hear of a refusal though other servers are free.
+SCENARIO("A request without a key goes to a zone that is not evacuated",
+         "[path][evacuations]")
+{
+  RequestPathFixture fixture;
+  fixture.configuration->services["agenda"].ownsKeys = false;
+  fixture.serving.ownsKeys = false;
+  fixture.serving.ranges.clear();
+  fixture.otherZone = "b";
+  ExecutionReport report;
+  report.outcome = ExecutionOutcome::Answered;
+  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  fixture.Configure("nobody");
+  auto isSentToOther = [&] {
+    return fixture.serverRequests.size() == 1 &&
+           fixture.serverRequests[0].find(kDispatchField) !=
+             fixture.serverRequests[0].end();
+  };
+
+  GIVEN("the own zone")
+  {
+    fixture.node->SetEvacuatedZones({ "a" });
+    CHECK(fixture.Post("/look/1").result_int() == 200);
+    CHECK(isSentToOther());
+  }
+  GIVEN("the other zone")
+  {
+    fixture.node->SetEvacuatedZones({ "b" });
+    CHECK(fixture.Post("/look/1").result_int() == 200);
+    CHECK_FALSE(isSentToOther());
+  }
+  GIVEN("the own zone, which only the executor knows")
+  {
+    fixture.serving.evacuatedFrom = Time();
+    fixture.node->SetServing(fixture.serving);
+    CHECK(fixture.Post("/look/1").result_int() == 200);
+    CHECK(isSentToOther());
+  }
+  GIVEN("all zones of the service")
+  {
+    fixture.node->SetEvacuatedZones({ "a", "b" });
+    CHECK(fixture.Post("/look/1").result_int() == 503);
+    CHECK(fixture.serverRequests.empty());
+    CHECK(fixture.counters.FormatText().find("evacuated") != std::string::npos);
+  }
+}
+
 SCENARIO("Few requests are refused while servers break off a quarter of their "
          "responses",
          "[path][brokenoff]")
