Ask busy servers whether they are cold, and follow the load that servers state

A server that becomes cold between two heartbeats got the usual rate until the next one. StatusSchedule has its daemon send a status check after each half of what a cold server tolerates in a second, at least 100 ms apart, and none below that rate. A check takes a free slot and counts towards the limit.

A daemon counted the slot of a caller that left as free while its server went on with the work, and its estimates are means over seconds. StatedLoad reads X-Server-Load of all responses: work beyond what the daemon waits for occupies slots (for 500 ms after a statement, 2 s for abandoned requests), and the fourth figure scales estimates for 300 ms; learned times are those at the usual speed.

The stand-in server becomes cold after its start or on demand, logs arrivals, ends or complains above the bound, and states X-Cold-Ms and X-Server-Load.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -11,3 +11,5 @@
 #include "admission/servicetimes.h"
 #include "admission/slotqueue.h"
 #include "admission/slotusage.h"
+#include "admission/statedload.h"
+#include "admission/statusschedule.h"
--- a/src/admission/coldlimit.cpp
+++ b/src/admission/coldlimit.cpp
@@ -142,6 +142,12 @@
   this->reserved.erase(aId);
 }
 
+bool
+ColdLimit::IsReserved(uint64_t aId) const
+{
+  return this->reserved.count(aId) > 0;
+}
+
 bool
 ColdLimit::MaySend(Time aNow) const
 {
--- a/src/admission/coldlimit.h
+++ b/src/admission/coldlimit.h
@@ -53,6 +53,8 @@
   void Reserve(uint64_t aId);
   /** Ends a reservation whose request is not sent. */
   void Release(uint64_t aId);
+  /** Whether a request has a reservation and was not sent yet. */
+  bool IsReserved(uint64_t aId) const;
   /** Whether a request may be sent now. Differs from a reservation made
    * earlier if the server has become cold since. */
   bool MaySend(Time aNow) const;
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -56,6 +56,13 @@
 /** Assumed slot time of a request, in seconds, before any has been offered. A
  * cold server without requests would count as one with its full capacity. */
 constexpr double kUnknownMeanWork = 0.05;
+/** From this stated slowness on, a request that must wait and will be late is
+ * refused if other servers can run it. */
+constexpr double kSlowMachine = 1.5;
+
+/** Longest time for which a request or a response is on its way between the
+ * daemon and its server, on the same machine. */
+constexpr Duration kTransitTime = milliseconds(5);
 
 constexpr uint32_t kNestedRank = 0;
 constexpr uint32_t kStarvedRank = 1;
@@ -113,8 +120,14 @@
   this->slots = std::max<uint32_t>(1, aSlots);
 }
 
+size_t
+SlotQueue::OccupiedSlots(Time aNow) const
+{
+  return this->running.size() + this->stated.OtherWork(aNow);
+}
+
 Duration
-SlotQueue::EstimateServiceTime(const SlotRequest& aRequest) const
+SlotQueue::EstimateUsualTime(const SlotRequest& aRequest) const
 {
   auto untilTarget = aRequest.targetTime - aRequest.arrivedAt;
   // A retry may arrive after its target time.
@@ -124,10 +137,19 @@
                                          kUnknownTimeShare));
 }
 
+Duration
+SlotQueue::EstimateServiceTime(Time aNow, const SlotRequest& aRequest) const
+{
+  return std::chrono::duration_cast<Duration>(
+    this->EstimateUsualTime(aRequest) * this->stated.Slowness(aNow));
+}
+
 Time
-SlotQueue::EstimateEnd(Time aStart, const SlotRequest& aRequest) const
+SlotQueue::EstimateEnd(Time aNow,
+                       Time aStart,
+                       const SlotRequest& aRequest) const
 {
-  return std::max(Time(aStart + this->EstimateServiceTime(aRequest)),
+  return std::max(Time(aStart + this->EstimateServiceTime(aNow, aRequest)),
                   aRequest.linkFreeAt) +
          aRequest.transmission;
 }
@@ -135,7 +157,7 @@
 bool
 SlotQueue::CanMeetTarget(Time aNow, const SlotRequest& aRequest) const
 {
-  return this->EstimateEnd(aNow, aRequest) <= aRequest.targetTime;
+  return this->EstimateEnd(aNow, aNow, aRequest) <= aRequest.targetTime;
 }
 
 bool
@@ -157,12 +179,15 @@
 Duration
 SlotQueue::EstimateTimeToFreeSlot(Time aNow) const
 {
-  if (this->running.size() < this->slots) {
+  if (this->OccupiedSlots(aNow) < this->slots) {
     return Duration(0);
   }
   Duration shortest = Duration::max();
+  if (this->stated.OtherWork(aNow) > 0) {
+    shortest = this->stated.NextFreeAt(aNow) - aNow;
+  }
   for (const auto& [id, entry] : this->running) {
-    auto usual = this->EstimateServiceTime(entry.request);
+    auto usual = this->EstimateServiceTime(aNow, entry.request);
     auto spent = aNow - entry.startedAt;
     // A request that has exceeded the usual time is expected to take as long
     // again as it has taken so far.
@@ -192,11 +217,12 @@
     }
     if (aRequest == nullptr || (other.id != aRequest->id &&
                                 this->ComesBefore(aNow, other, *aRequest))) {
-      work += this->EstimateServiceTime(other);
+      work += this->EstimateServiceTime(aNow, other);
       ++ahead;
     }
   }
-  bool slotIsFree = this->running.size() < this->slots && work == Duration(0);
+  bool slotIsFree =
+    this->OccupiedSlots(aNow) < this->slots && work == Duration(0);
   auto untilSlot = slotIsFree ? Duration(0)
                               : work / static_cast<int>(this->slots) +
                                   this->EstimateTimeToFreeSlot(aNow);
@@ -309,27 +335,31 @@
 std::vector<SlotRefusal>
 SlotQueue::Offer(Time aNow, const SlotRequest& aRequest)
 {
-  auto usual = this->EstimateServiceTime(aRequest);
-  this->AddOfferedWork(aNow, aRequest, usual);
+  // Load counts at the usual speed: a slow machine is so for less than a
+  // second.
+  this->AddOfferedWork(aNow, aRequest, this->EstimateUsualTime(aRequest));
+  auto taken = this->EstimateServiceTime(aNow, aRequest);
   this->DecayClassShare(aNow, aRequest.requestClass).offered += aRequest.weight;
   this->sendShare.OnOffered(aNow, aRequest.requestClass, aRequest.weight);
   bool inTime = this->CanMeetTarget(aNow, aRequest);
   auto untilGranted = Duration(aRequest.notBefore - aNow);
   auto wait = std::max(this->EstimateWait(aNow, &aRequest), untilGranted);
-  auto end = this->EstimateEnd(aNow + wait, aRequest);
+  auto end = this->EstimateEnd(aNow, aNow + wait, aRequest);
   auto untilLinkFree =
     std::max(Duration(aRequest.linkFreeAt - aNow), Duration(0));
   auto margin = std::chrono::duration_cast<Duration>(
     std::max(wait * kWaitMargin, untilLinkFree * kLinkMargin));
   bool late = !inTime || end + margin > aRequest.targetTime;
-  auto left = aRequest.deadline - aNow - usual;
+  auto left = aRequest.deadline - aNow - taken;
   // Late responses would make those behind them late, too, while the link is
   // the bottleneck.
-  bool linkFull = aRequest.linkFreeAt > aNow + wait + usual;
+  bool linkFull = aRequest.linkFreeAt > aNow + wait + taken;
+  bool slow = late && aRequest.mayRunElsewhere && wait > Duration(0) &&
+              this->stated.Slowness(aNow) > kSlowMachine;
   bool hopeless =
     end > aRequest.deadline ||
     (late && (wait > std::chrono::duration_cast<Duration>(left * kLateShare) ||
-              linkFull || this->OfferedLoad(aNow) > kFullLoad));
+              linkFull || slow || this->OfferedLoad(aNow) > kFullLoad));
   // A free slot is used even if the class is expected to take too long.
   // Otherwise no request of the class would run, and a shorter time would never
   // be learned.
@@ -337,12 +367,13 @@
   bool cooled = this->cold.TimeUntil(aNow, ahead + 1) > Duration(0);
   bool limited = cooled || this->limit.TimeUntil(aNow, ahead + 1) > Duration(0);
   bool free = aRequest.notBefore <= aNow && aRequest.deadline > aNow &&
-              this->running.size() + this->waiting.size() < this->slots &&
+              this->OccupiedSlots(aNow) + this->waiting.size() < this->slots &&
               !limited && !linkFull;
   if (hopeless && !free) {
     std::string reason = cooled     ? kServerColdReason
                          : limited  ? "server-limit"
                          : linkFull ? "link-full"
+                         : slow     ? kServerSlowReason
                                     : "no-time";
     return { { aRequest.id,
                wait == untilGranted && !linkFull ? "granted-too-late" : reason,
@@ -360,7 +391,7 @@
 SlotQueue::Start(Time aNow)
 {
   std::vector<uint64_t> started;
-  while (this->running.size() < this->slots &&
+  while (this->OccupiedSlots(aNow) < this->slots &&
          this->TimeUntilAccepted(aNow, 1) == Duration(0)) {
     auto best = this->waiting.end();
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();
@@ -395,9 +426,62 @@
   }
   if (aLearn) {
     this->times.Learn(found->second.request.requestClass,
-                      aNow - found->second.startedAt);
+                      this->stated.AtUsualSpeed(found->second.startedAt, aNow));
   }
   this->running.erase(found);
+  this->finishedAt.push_back(aNow);
+  while (this->finishedAt.front() < aNow - kTransitTime) {
+    this->finishedAt.pop_front();
+  }
+}
+
+void
+SlotQueue::OnAbandoned(Time aNow, uint64_t aId)
+{
+  auto found = this->running.find(aId);
+  if (found != this->running.end() && !this->cold.IsReserved(aId)) {
+    auto usual = this->EstimateServiceTime(aNow, found->second.request);
+    auto spent = Duration(aNow - found->second.startedAt);
+    this->stated.OnAbandoned(aNow,
+                             aNow + (spent < usual ? usual - spent : spent));
+  }
+  this->OnFinished(aNow, aId, false);
+}
+
+bool
+SlotQueue::StartStatusCheck(Time aNow, uint64_t aId)
+{
+  if (this->OccupiedSlots(aNow) >= this->slots ||
+      this->TimeUntilAccepted(aNow, 1) > Duration(0)) {
+    return false;
+  }
+  // A target at once, so that its slot is expected to be free at once.
+  SlotRequest request;
+  request.id = aId;
+  request.arrivedAt = aNow;
+  request.targetTime = aNow;
+  request.deadline = aNow;
+  this->running[aId] = { request, aNow };
+  this->limit.OnSent(aNow);
+  this->cold.Reserve(aId);
+  return true;
+}
+
+void
+SlotQueue::OnStatedLoad(Time aNow, uint64_t aId, const ServerLoad& aLoad)
+{
+  StatedLoad::OwnRequests own;
+  for (const auto& [id, entry] : this->running) {
+    if (!this->cold.IsReserved(id)) {
+      ++own.most;
+      bool isCounted = id != aId && entry.startedAt < aNow - kTransitTime;
+      own.least += isCounted ? 1 : 0;
+    }
+  }
+  for (auto at : this->finishedAt) {
+    own.most += at >= aNow - kTransitTime ? 1 : 0;
+  }
+  this->stated.OnStatement(aNow, aLoad, own);
 }
 
 bool
@@ -421,12 +505,13 @@
   auto untilAllowed = this->TimeUntilAccepted(aNow, 1);
   bool cooled = this->cold.TimeUntil(aNow, 1) > Duration(0);
   bool blocked =
-    this->running.size() >= this->slots || untilAllowed > Duration(0);
+    this->OccupiedSlots(aNow) >= this->slots || untilAllowed > Duration(0);
   bool full = this->OfferedLoad(aNow) > kFullLoad && blocked;
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     auto start = std::max(Time(aNow + untilAllowed), entry->notBefore);
-    auto usual = blocked ? this->EstimateServiceTime(*entry) : Duration(0);
-    bool expired = start + usual + entry->transmission > entry->deadline;
+    auto taken =
+      blocked ? this->EstimateServiceTime(aNow, *entry) : Duration(0);
+    bool expired = start + taken + entry->transmission > entry->deadline;
     bool late = !this->CanMeetTarget(aNow, *entry);
     auto waited = aNow - entry->arrivedAt;
     bool displaced =
@@ -494,14 +579,16 @@
 SlotQueue::ExpectedLatency(Time aNow, const std::string& aClass) const
 {
   return this->EstimateWait(aNow, nullptr) +
-         this->times.Estimate(aClass, Duration(0));
+         std::chrono::duration_cast<Duration>(
+           this->times.Estimate(aClass, Duration(0)) *
+           this->stated.Slowness(aNow));
 }
 
 double
 SlotQueue::ShareToSend(Time aNow, const std::string& aClass) const
 {
   bool slotIsFree =
-    this->running.size() + this->waiting.size() < this->slots &&
+    this->OccupiedSlots(aNow) + this->waiting.size() < this->slots &&
     this->cold.TimeUntil(aNow, this->waiting.size() + 1) == Duration(0);
   return slotIsFree ? 1 : this->sendShare.Of(aNow, aClass);
 }
@@ -548,4 +635,18 @@
   return this->cold;
 }
 
+const StatedLoad&
+SlotQueue::Stated() const
+{
+  return this->stated;
+}
+
+void
+SlotQueue::ResetServer()
+{
+  this->times.Reset();
+  this->limit.Reset();
+  this->stated.Reset();
+}
+
 } // namespace fescuetiller
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -9,6 +10,7 @@
 #include "admission/requestlimit.h"
 #include "admission/sendshare.h"
 #include "admission/servicetimes.h"
+#include "admission/statedload.h"
 #include "base/base.h"
 
 namespace fescuetiller {
@@ -16,6 +18,9 @@
 /** Reason of a refusal because the server is cold and has been sent as many
  * requests as it tolerates then. */
 constexpr const char* kServerColdReason = "server-cold";
+/** Reason of a refusal because the server's machine is slow at the moment, and
+ * other servers can run the request as well. */
+constexpr const char* kServerSlowReason = "server-slow";
 
 /** A request that needs a slot of the backend server. */
 struct SlotRequest
@@ -40,6 +45,8 @@
   Time linkFreeAt;
   /** Time that the link takes for the response. */
   Duration transmission = Duration(0);
+  /** Whether other servers can run it, too. */
+  bool mayRunElsewhere = false;
 };
 
 /** A request that will not run, with the reason and the time after which the
@@ -67,7 +74,9 @@
  * refused at once; under overload, so is one that is expected to miss its
  * target time. While the server states a request limit or is cold, no more
  * requests start than it accepts, and what exceeds that counts as overload.
- * Does no I/O and reads no clock; not thread-safe.
+ * Work that the server states beyond what it was sent occupies slots, and
+ * estimates follow the speed that it states. Does no I/O and reads no clock;
+ * not thread-safe.
  */
 class SlotQueue
 {
@@ -95,6 +104,19 @@
    * and may be used for estimates. */
   void OnFinished(Time aNow, uint64_t aId, bool aLearn);
 
+  /** Like OnFinished, for a request that the server may still run although
+   * nobody waits for its response any more. */
+  void OnAbandoned(Time aNow, uint64_t aId);
+
+  /** Gives a slot to a status check, if one is free and the server accepts
+   * requests. The slot is occupied until OnFinished is called.
+   * @return Whether it got one. */
+  bool StartStatusCheck(Time aNow, uint64_t aId);
+
+  /** Handles the load that the server stated in the response to a request,
+   * before OnFinished is called for it. */
+  void OnStatedLoad(Time aNow, uint64_t aId, const ServerLoad& aLoad);
+
   /** Removes a waiting request. @return Whether it was waiting. */
   bool Cancel(uint64_t aId);
 
@@ -134,6 +156,11 @@
   const RequestLimit& Limit() const;
   ColdLimit& Cold();
   const ColdLimit& Cold() const;
+  const StatedLoad& Stated() const;
+
+  /** Forgets what was learned and stated, since another server process has been
+   * started. */
+  void ResetServer();
 
 private:
   /** Requests of a class, counted with exponential decay. */
@@ -149,9 +176,14 @@
     Time startedAt;
   };
 
-  Duration EstimateServiceTime(const SlotRequest& aRequest) const;
+  /** Slots that are held by requests, or by other work of the server. */
+  size_t OccupiedSlots(Time aNow) const;
+  /** Expected time in a slot at the usual speed. */
+  Duration EstimateUsualTime(const SlotRequest& aRequest) const;
+  /** The same at the speed that the server stated last. */
+  Duration EstimateServiceTime(Time aNow, const SlotRequest& aRequest) const;
   /** When the response to a request would have arrived that starts then. */
-  Time EstimateEnd(Time aStart, const SlotRequest& aRequest) const;
+  Time EstimateEnd(Time aNow, Time aStart, const SlotRequest& aRequest) const;
   bool CanMeetTarget(Time aNow, const SlotRequest& aRequest) const;
   bool ComesBefore(Time aNow,
                    const SlotRequest& aLeft,
@@ -175,6 +207,8 @@
   ServiceTimes times;
   RequestLimit limit;
   ColdLimit cold;
+  StatedLoad stated;
+  std::deque<Time> finishedAt; ///< When requests finished lately.
   std::map<std::string, ClassShare> shares;
   SendShare sendShare;
   double offeredWork = 0;  ///< Slot seconds, summed with exponential decay.
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -329,6 +329,11 @@
                           aReport.serverIsCold ? 1 : 0);
   this->counters.SetGauge("fescuetiller_server_cold_refusals",
                           static_cast<double>(aReport.coldRefusals));
+  this->counters.SetGauge("fescuetiller_status_checks",
+                          static_cast<double>(aReport.statusChecks));
+  this->counters.SetGauge("fescuetiller_server_other_work",
+                          static_cast<double>(aReport.otherWork));
+  this->counters.SetGauge("fescuetiller_server_slowness", aReport.slowness);
   this->counters.SetGauge("fescuetiller_blocked_requests",
                           static_cast<double>(aReport.blockedRequests));
   this->counters.SetGauge("fescuetiller_log_lines_dropped",
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -136,7 +136,11 @@
   this->receiver.reset();
   auto now = BootClock::now();
   bool succeeded = aUse == SlotUse::InTime || aUse == SlotUse::Late;
-  this->executor.queue.OnFinished(now, this->id, succeeded);
+  if (this->abandoned || aUse == SlotUse::Cancelled) {
+    this->executor.queue.OnAbandoned(now, this->id);
+  } else {
+    this->executor.queue.OnFinished(now, this->id, succeeded);
+  }
   if (this->startedAt != Time()) {
     this->executor.slotUsage.OnFinished(now, this->startedAt, aUse);
   }
@@ -226,6 +230,7 @@
   if (aHeaders[headers::kLeaving] == headers::kIsLeaving) {
     this->executor.AnnounceLeaving(this->server, BootClock::now());
   }
+  this->executor.OnStatedLoad(this->id, this->server, aHeaders);
   auto limit = ParseRequestLimit(std::string(aHeaders[headers::kRequestLimit]),
                                  this->server.id);
   if (limit) {
@@ -325,6 +330,7 @@
   if (aFailure.stage != CallStage::NotSent && !aFailure.timedOut) {
     this->executor.OnBrokenOff(this->fingerprint, this->server);
   }
+  this->abandoned = aFailure.timedOut && aFailure.stage != CallStage::NotSent;
   switch (aFailure.stage) {
     case CallStage::NotSent:
       this->LogOutcome("refused", "server-unreachable");
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -80,6 +80,7 @@
   Time startedAt;
   ServerIncarnation server;    ///< Server that the request was sent to.
   std::string withdrawnReason; ///< Why it was not sent; empty if it was.
+  bool abandoned = false;      ///< The server may run it longer than is waited.
   unsigned status = 0;         ///< Of a response whose body follows in chunks.
 };
 
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -7,7 +7,8 @@
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include "fescuetillerd/execution.h"
-#include "platform/headers.h"
+#include "fescuetillerd/statuscheck.h"
+#include "platform/platform.h"
 
 namespace fescuetiller {
 
@@ -81,9 +82,9 @@
 Executor::SetServing(const ServingState& aServing)
 {
   if (aServing.server != this->serving.server) {
-    this->queue.Times().Reset();
-    this->queue.Limit().Reset();
+    this->queue.ResetServer();
     this->leavingSince.reset();
+    this->malformedHeaders.clear();
   }
   this->serving = aServing;
   this->queue.SetSlots(aServing.slots);
@@ -96,11 +97,10 @@
 }
 
 void
-Executor::SetColdRate(std::optional<double> aPerSecond,
-                      double aOverage,
-                      double aSlack)
+Executor::SetColdPolicy(const ColdPolicy& aPolicy)
 {
-  this->queue.Cold().SetRate(aPerSecond, aOverage, aSlack);
+  this->coldPolicy = aPolicy;
+  this->queue.Cold().SetRate(aPolicy.perSecond, aPolicy.overage, aPolicy.slack);
   this->UpdateColdState(BootClock::now());
 }
 
@@ -131,6 +131,103 @@
           std::to_string(cold.SentSince(aNow - std::chrono::seconds(1))) } } });
 }
 
+void
+Executor::CheckStatus(Time aNow)
+{
+  const auto& path = this->coldPolicy.healthPath;
+  if (path.empty() || this->IsServerLeaving() ||
+      !this->ReasonNotToSend(aNow, std::nullopt).empty() ||
+      !this->statusSchedule.IsDue(
+        aNow, this->queue.Cold(), this->coldPolicy.heartbeat) ||
+      !this->queue.StartStatusCheck(aNow, this->nextId)) {
+    return;
+  }
+  auto id = this->nextId++;
+  this->statusSchedule.OnSent(aNow);
+  ++this->statusChecks;
+  auto check = std::make_shared<StatusCheck>();
+  auto asked = this->serving.server;
+  auto sentAt = std::make_shared<Time>(aNow);
+  check->beforeSend = [this, id, asked, sentAt] {
+    auto now = BootClock::now();
+    if (asked != this->serving.server ||
+        !this->ReasonNotToSend(now, std::nullopt).empty() ||
+        !this->queue.Cold().MaySend(now)) {
+      return false;
+    }
+    *sentAt = now;
+    this->queue.Cold().OnSent(now, id);
+    return true;
+  };
+  check->onEnd = [this, id, asked, sentAt](const HttpResponse* aResponse) {
+    this->OnStatusResponse(id, asked, *sentAt, aResponse);
+  };
+  check->Start(
+    this->pool, this->server, path, asked.id, "status-" + std::to_string(id));
+}
+
+void
+Executor::OnStatusResponse(uint64_t aId,
+                           const ServerIncarnation& aServer,
+                           Time aSentAt,
+                           const HttpResponse* aResponse)
+{
+  constexpr unsigned kMisdirected = 421;
+  auto now = BootClock::now();
+  // Without a response, the next one may tell.
+  bool useful = true;
+  if (aResponse != nullptr && aResponse->result_int() == kMisdirected) {
+    this->queue.Cold().OnMisdirected(aId);
+  } else if (aResponse != nullptr && aServer == this->serving.server) {
+    this->OnStatedLoad(aId, aServer, *aResponse);
+    useful = this->ReadColdTime(aSentAt, *aResponse);
+  }
+  this->statusSchedule.OnEnded(now, useful);
+  this->queue.OnFinished(now, aId, false);
+  this->StartEligibleRequests();
+}
+
+bool
+Executor::ReadColdTime(Time aSentAt, const http::fields& aHeaders)
+{
+  auto time = ParseColdTime(std::string(aHeaders[headers::kColdTime]),
+                            this->serving.server.id);
+  if (!time) {
+    this->LogMalformed(time.error());
+    return false;
+  }
+  if (*time) {
+    this->queue.Cold().OnResponse(aSentAt, BootClock::now(), **time);
+  }
+  return time->has_value();
+}
+
+void
+Executor::OnStatedLoad(uint64_t aId,
+                       const ServerIncarnation& aServer,
+                       const http::fields& aHeaders)
+{
+  if (aServer != this->serving.server) {
+    return;
+  }
+  auto load =
+    ParseServerLoad(std::string(aHeaders[headers::kLoad]), aServer.id);
+  if (!load) {
+    this->LogMalformed(load.error());
+  } else if (*load) {
+    this->queue.OnStatedLoad(BootClock::now(), aId, **load);
+  }
+}
+
+void
+Executor::LogMalformed(const Error& aError)
+{
+  if (this->malformedHeaders.insert(aError.operation).second) {
+    this->log.Write(
+      { "server-header-refused", { { "reason", ToString(aError) } } });
+  }
+}
+
 void
 Executor::OnConnectionRefused()
 {
@@ -459,6 +556,7 @@
   slot.arrivedAt = now;
   slot.sinceFirstAttempt = aDispatch.sinceFirstAttempt;
   slot.weight = aDispatch.weight;
+  slot.mayRunElsewhere = !this->serving.ownsKeys;
   slot.targetTime = now + aDispatch.untilTarget;
   slot.deadline = now + aDispatch.untilDeadline;
   if (aLink) {
@@ -536,6 +634,7 @@
 {
   auto now = BootClock::now();
   this->UpdateColdState(now);
+  this->CheckStatus(now);
   for (auto id : this->queue.Start(now)) {
     auto found = this->executions.find(id);
     if (found != this->executions.end() &&
@@ -670,6 +769,24 @@
   return this->coldRefusals;
 }
 
+uint64_t
+Executor::StatusChecks() const
+{
+  return this->statusChecks;
+}
+
+size_t
+Executor::OtherWork() const
+{
+  return this->queue.Stated().OtherWork(BootClock::now());
+}
+
+double
+Executor::Slowness() const
+{
+  return this->queue.Stated().Slowness(BootClock::now());
+}
+
 std::vector<KeyWeight>
 Executor::KeyWeights()
 {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -24,6 +24,18 @@
   virtual void Cancel() = 0;
 };
 
+/** How cold servers of the service are treated. */
+struct ColdPolicy
+{
+  /** See ColdLimit::SetRate. */
+  std::optional<double> perSecond;
+  double overage = 1;
+  double slack = 0;
+  std::string healthPath; ///< Path of status checks; empty: none are sent.
+  /** Usual interval of the server's heartbeats. */
+  Duration heartbeat = std::chrono::seconds(1);
+};
+
 /**
  * Runs requests on the backend server beside this daemon. No other daemon can
  * reach that server, so its slots, keys and drain are enforced here, exactly.
@@ -49,10 +61,7 @@
 
   void SetServing(const ServingState& aServing);
 
-  /** Sets what a cold server tolerates; see ColdLimit::SetRate. */
-  void SetColdRate(std::optional<double> aPerSecond,
-                   double aOverage,
-                   double aSlack);
+  void SetColdPolicy(const ColdPolicy& aPolicy);
 
   /** Handles what another daemon knows of the server's announcements, which may
    * have been made before this daemon was started. */
@@ -89,6 +98,13 @@
    * that reason so far. */
   bool IsServerCold() const;
   uint64_t ColdRefusals() const;
+  /** Number of status checks sent so far. */
+  uint64_t StatusChecks() const;
+  /** Slots of the backend server that are held by work that nobody waits for,
+   * as it states. */
+  size_t OtherWork() const;
+  /** How long work takes there at the moment; 1: as usual, or unknown. */
+  double Slowness() const;
   /** Share of the backend server's capacity that each key takes; the shares of
    * all keys add up to 1 at full capacity. */
   std::vector<KeyWeight> KeyWeights();
@@ -163,6 +179,21 @@
                       std::optional<double> aLimit);
   /** The server's address refuses connections. */
   void OnConnectionRefused();
+  /** Handles the load that the server states in the response to a request. */
+  void OnStatedLoad(uint64_t aId,
+                    const ServerIncarnation& aServer,
+                    const http::fields& aHeaders);
+  /** Asks the server whether it is cold, if that is due. */
+  void CheckStatus(Time aNow);
+  /** @param aResponse nullptr if the server has not responded. */
+  void OnStatusResponse(uint64_t aId,
+                        const ServerIncarnation& aServer,
+                        Time aSentAt,
+                        const HttpResponse* aResponse);
+  /** Reads how long the server stays cold. @return Whether it states that. */
+  bool ReadColdTime(Time aSentAt, const http::fields& aHeaders);
+  /** Logs a malformed header of the server, once per incarnation and kind. */
+  void LogMalformed(const Error& aError);
   /** Logs when the server becomes cold or warm. */
   void UpdateColdState(Time aNow);
   /** Refuses waiting requests whose keys are no longer served here. */
@@ -203,6 +234,11 @@
   bool expiryTimerArmed = false;
   bool isCold = false;       ///< As logged last.
   uint64_t coldRefusals = 0; ///< Requests refused since the server was cold.
+  ColdPolicy coldPolicy;
+  StatusSchedule statusSchedule;
+  uint64_t statusChecks = 0;
+  /** Kinds of headers of the current server that were malformed. */
+  std::set<std::string> malformedHeaders;
   uint64_t nextId = 1;
   std::map<uint64_t, std::shared_ptr<Execution>> executions;
   std::set<std::string> runningIds; ///< Request ids that hold a slot.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -119,20 +119,25 @@
 {
   this->settings = aSettings;
   this->ingress.SetRetryRatio(aSettings.retryRatio * kRetryRatioFraction);
-  this->SetColdRate();
+  this->SetColdPolicy();
 }
 
 void
-TrafficNode::SetColdRate()
+TrafficNode::SetColdPolicy()
 {
   const auto* service =
     this->configuration == nullptr
       ? nullptr
       : this->configuration->FindService(this->settings.service);
-  this->executor.SetColdRate(
-    service == nullptr ? std::nullopt : service->coldRequestsPerSecond,
-    this->settings.coldOverage,
-    this->settings.coldSlack);
+  ColdPolicy policy;
+  policy.overage = this->settings.coldOverage;
+  policy.slack = this->settings.coldSlack;
+  policy.heartbeat = this->settings.heartbeat;
+  if (service != nullptr) {
+    policy.perSecond = service->coldRequestsPerSecond;
+    policy.healthPath = service->healthPath;
+  }
+  this->executor.SetColdPolicy(policy);
 }
 
 void
@@ -148,7 +153,7 @@
   this->clientServer.SetLimits(sessions);
   this->callerServer.SetLimits(sessions);
   this->configuration = aConfiguration;
-  this->SetColdRate();
+  this->SetColdPolicy();
   this->ingress.SetConfiguration(std::move(aConfiguration));
 }
 
@@ -305,7 +310,10 @@
                      this->executor.KeyWeights(),
                      this->ingress.PeerLoads(),
                      this->executor.IsServerCold(),
-                     this->executor.ColdRefusals() });
+                     this->executor.ColdRefusals(),
+                     this->executor.StatusChecks(),
+                     this->executor.OtherWork(),
+                     this->executor.Slowness() });
   }
   this->LogSlotUsage(now);
   this->timer.expires_after(kPeriodicInterval);
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -29,6 +29,10 @@
   std::map<MemberId, PeerLoad> peerLoads;
   bool serverIsCold = false;
   uint64_t coldRefusals = 0; ///< Requests refused so far for that reason.
+  uint64_t statusChecks = 0; ///< Sent to the server so far.
+  /** Slots of the server that are held by work that nobody waits for. */
+  size_t otherWork = 0;
+  double slowness = 1; ///< How long work takes on its machine; 1: as usual.
 };
 
 /**
@@ -79,8 +83,8 @@
   std::array<HttpServer*, 3> HttpServers();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
-  /** Passes what a cold server tolerates to the executor. */
-  void SetColdRate();
+  /** Passes on to the executor how cold servers are treated. */
+  void SetColdPolicy();
   /** Logs and counts data that no request waited for.
    * @param aSender "server" or "daemon". */
   void OnUnexpectedData(const std::string& aSender,
--- a/src/model/model.h
+++ b/src/model/model.h
@@ -6,6 +6,7 @@
 #include "model/configuration.h"
 #include "model/crashrecord.h"
 #include "model/keyrange.h"
+#include "model/serverload.h"
 #include "model/servernotice.h"
 #include "model/serverreport.h"
 #include "model/storecalls.h"
--- a/src/platform/headers.h
+++ b/src/platform/headers.h
@@ -16,8 +16,13 @@
 constexpr const char* kSignature = "X-Server-Signature";
 /** The backend server did not run the request. */
 constexpr const char* kNotExecuted = "X-Not-Executed";
-/** Load of the backend server: running requests, waiting requests, slots. */
+/** Load of the backend server: running requests, waiting requests, slots, and
+ * of some servers how long work takes at this moment, in percent of the usual
+ * time. */
 constexpr const char* kLoad = "X-Server-Load";
+/** Milliseconds for which the backend server stays cold; 0: it is warm. In
+ * responses to status checks. */
+constexpr const char* kColdTime = "X-Cold-Ms";
 /** Requests per second that the backend server accepts from all daemons
  * together. */
 constexpr const char* kRequestLimit = "Server-Limit";
--- a/tests/admission/coldlimittest.cpp
+++ b/tests/admission/coldlimittest.cpp
@@ -303,8 +303,8 @@
   CAPTURE(gap);
   auto before = MakeLimit();
   before.OnHeartbeat(kStart, kStart + seconds(20));
-  auto sent = SendAll(before, kStart, seconds(3));
-  auto restart = kStart + seconds(3);
+  auto restart = kStart + milliseconds(2760); // Just after a part was sent.
+  auto sent = SendAll(before, kStart, restart - kStart);
   auto after = MakeLimit();
   after.SetCountedSince(restart);
   after.OnHeartbeat(restart + milliseconds(gap), kStart + seconds(20));
--- a/tests/admission/serverload.cpp
+++ b/tests/admission/serverload.cpp
@@ -222,9 +222,9 @@
       case RetryTarget::Recognized:
         break;
     }
-    return this->retries
-      .TakeFirstSentAt(aNow, aClient.fingerprint, this->StatedDeadline(aClient))
-      .value_or(aNow);
+    auto attempt = this->retries.TakeAttempt(
+      aNow, aClient.fingerprint, this->StatedDeadline(aClient));
+    return attempt ? attempt->firstSentAt : aNow;
   }
 
   void SendRequest(Time aNow, Client aClient)
@@ -260,11 +260,11 @@
       auto& result = this->results[client.loadClass->name];
       result.longestRefusedWait = std::max(
         result.longestRefusedWait, Duration(aNow - client.request.arrivedAt));
+      auto firstSentAt = client.request.targetTime - client.loadClass->target;
       this->retries.OnUnsuccessful(aNow,
                                    client.fingerprint,
                                    this->StatedDeadline(client),
-                                   client.request.targetTime -
-                                     client.loadClass->target);
+                                   { firstSentAt, Time() });
       auto retryAt = aNow + refusal.retryAfter;
       if (!client.retried &&
           retryAt < client.firstAt + client.loadClass->deadline / 2) {
--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -1,6 +1,11 @@
 # Functions that start a store and pairs of a daemon and a backend server as
 # processes. Scripts that include this file first set build, here and network
 # (the first three numbers of a loopback address), then call start_deployment.
+# Optional: service_fields (further JSON fields of the service, each after a
+# comma), bounds (further lines of the daemons' section [bounds]) and heartbeat.
+service_fields=${service_fields:-}
+bounds=${bounds:-}
+heartbeat=${heartbeat:-300ms}
 pairs=4
 . "$here/../standins/waiting.sh"
 folder=$(mktemp -d)
@@ -65,14 +70,14 @@
   "$build/tests/storestandin" --ports-file "$folder/store" &
   wait_for "$folder/store"
   store=127.0.0.1:$(port "$folder/store" port)
-  curl -sf -o /dev/null --data-binary @- "http://$store/standin/config" <<'JSON'
+  curl -sf -o /dev/null --data-binary @- "http://$store/standin/config" <<JSON
 {"version":"r1","routes":{
 "book":{"host":"a.example","prefix":"/book/","kind":"unsafe","timeout":"800ms",
 "target-latency":"200ms","priority":1,"service":"agenda","attempts":2},
 "look":{"host":"a.example","prefix":"/look/","kind":"safe","timeout":"800ms",
 "target-latency":"200ms","priority":2,"service":"agenda","attempts":2}},
 "services":{"agenda":{"health-check":"/h","max-connections":100,
-"protocol":"h1","tls":false,"sharded":true}}}
+"protocol":"h1","tls":false,"sharded":true$service_fields}}}
 JSON
 
   for number in $(seq $pairs); do
@@ -95,7 +100,8 @@
 [platform]
 store = $store
 [bounds]
-heartbeat = 300ms
+heartbeat = $heartbeat
+$bounds
 INI
     start_daemon "$number"
     start_server "$number"
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1500,3 +1500,123 @@
     }
   }
 }
+
+// Guards against a server that gets the usual rate until its next heartbeat
+// although it has become cold.
+SCENARIO("A server that gets many requests is asked whether it is cold",
+         "[path][cold]")
+{
+  RequestPathFixture fixture;
+  auto& service = fixture.configuration->services["agenda"];
+  service.healthPath = "/status";
+  service.coldRequestsPerSecond = 4;
+  fixture.serving.heardAt = BootClock::now();
+  fixture.Configure();
+  // Requests that an earlier process may have sent count for a second.
+  fixture.context.run_for(milliseconds(1200));
+  auto statusChecks = [&] {
+    return std::count_if(
+      fixture.serverRequests.begin(),
+      fixture.serverRequests.end(),
+      [](const auto& aRequest) { return aRequest.target() == "/status"; });
+  };
+
+  GIVEN("a server that states that it is cold")
+  {
+    fixture.daemonFields[headers::kColdTime] = "5000";
+    for (int count = 0; count < 3; ++count) {
+      CHECK(fixture.Post("/look/1").result_int() == 200);
+    }
+    fixture.context.run_for(milliseconds(50));
+    // More than half of what a cold server tolerates in a second.
+    REQUIRE(statusChecks() == 1);
+    CHECK(fixture.serverRequests.back()[headers::kTargetServer] == "i-1");
+    THEN("it gets no more in that second than it tolerates")
+    {
+      auto response = fixture.Post("/look/1");
+      CHECK(response.result_int() == 503);
+      CHECK(response.find(headers::kRetryAfter) != response.end());
+      CHECK(fixture.serverRequests.size() == 4);
+      AND_THEN("it gets more later, and no further status checks")
+      {
+        fixture.context.run_for(milliseconds(1200));
+        CHECK(fixture.Post("/look/1").result_int() == 200);
+        CHECK(statusChecks() == 1);
+      }
+    }
+    THEN("the next heartbeat decides")
+    {
+      fixture.serving.heardAt = BootClock::now();
+      fixture.node->SetServing(fixture.serving);
+      CHECK(fixture.Post("/look/1").result_int() == 200);
+    }
+  }
+  GIVEN("a server that does not respond to the check")
+  {
+    // Guards against a conclusion from a check that has failed.
+    fixture.serverActions = { ServerAction::Respond,
+                              ServerAction::Respond,
+                              ServerAction::Respond,
+                              ServerAction::Disconnect };
+    for (int count = 0; count < 5; ++count) {
+      CHECK(fixture.Post("/look/1").result_int() == 200);
+    }
+    CHECK(statusChecks() >= 1);
+  }
+  GIVEN("a service whose cold servers have no limit")
+  {
+    service.coldRequestsPerSecond.reset();
+    fixture.Configure();
+    fixture.serving.coldUntil = Time::max();
+    fixture.node->SetServing(fixture.serving);
+    for (int count = 0; count < 10; ++count) {
+      CHECK(fixture.Post("/look/1").result_int() == 200);
+    }
+    CHECK(statusChecks() == 0);
+  }
+  GIVEN("a server that counts as cold until its next heartbeat")
+  {
+    fixture.serving.coldUntil = Time::max();
+    fixture.node->SetServing(fixture.serving);
+    CHECK(fixture.Post("/look/1").result_int() == 200);
+    CHECK(fixture.Post("/look/1").result_int() == 503);
+    CHECK(statusChecks() == 0);
+  }
+}
+
+// Guards against a request that is sent to a server that states that it is
+// full.
+SCENARIO("Slots that a server states to be in use are not used",
+         "[path][statedload]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  fixture.daemonFields[headers::kLoad] = "4,0,4";
+  CHECK(fixture.Post("/look/1").result_int() == 200);
+  // Three of the four beyond the one that was sent.
+  CHECK(fixture.Post("/look/1").result_int() == 200);
+
+  WHEN("all are in use by others")
+  {
+    fixture.daemonFields[headers::kLoad] = "9,0,4";
+    CHECK(fixture.Post("/look/1").result_int() == 200);
+    auto before = BootClock::now();
+    auto response = fixture.Post("/look/1");
+    auto sent = fixture.serverRequests.size();
+    THEN("the next request waits or is refused, for half a second at most")
+    {
+      CHECK((response.result_int() == 503 ||
+             BootClock::now() - before > milliseconds(400)));
+      fixture.context.run_for(milliseconds(550));
+      CHECK(fixture.Post("/look/1").result_int() == 200);
+      CHECK(fixture.serverRequests.size() == sent + 1);
+    }
+  }
+  WHEN("a header is malformed")
+  {
+    for (const auto* text : { "many", "1,2", "1,2,3,0", "-1,0,4" }) {
+      fixture.daemonFields[headers::kLoad] = text;
+      CHECK(fixture.Post("/look/1").result_int() == 200);
+    }
+  }
+}
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -301,3 +301,51 @@
     }
   }
 }
+
+SCENARIO("A server states its load", "[platform][statedload]")
+{
+  THEN("three or four figures are read, and no field means that none is stated")
+  {
+    auto load = ParseServerLoad("3,1,5", "i-1").value();
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->waiting == 1);
+    CHECK(load->slots == 5);
+    CHECK_FALSE(load->slowness);
+    CHECK(ParseServerLoad("0, 0, 9, 300", "i-1").value()->slowness == 3.0);
+    CHECK_FALSE(ParseServerLoad("", "i-1").value());
+  }
+  THEN("anything else is an error that names the server")
+  {
+    for (const auto* text :
+         { "3",
+           "3,1",
+           "3,1,5,100,7",
+           "-1,0,5",
+           "3,x,5",
+           "3,,5",
+           "3,0,5,0",
+           "3,0,5,-100",
+           "99999999999,0,5",
+           "1,1,1,                                                    1" }) {
+      CAPTURE(text);
+      auto load = ParseServerLoad(text, "i-1");
+      REQUIRE_FALSE(load);
+      CHECK(load.error().peer == "i-1");
+    }
+  }
+}
+
+SCENARIO("A server states for how long it is cold", "[platform][cold]")
+{
+  CHECK(ParseColdTime("1200", "i-1").value() == milliseconds(1200));
+  CHECK(ParseColdTime("0", "i-1").value() == Duration(0));
+  CHECK_FALSE(ParseColdTime("", "i-1").value());
+  for (const auto* text :
+       { "-1", "1.5", "soon", "99999999999999999999", "1s" }) {
+    CAPTURE(text);
+    auto time = ParseColdTime(text, "i-1");
+    REQUIRE_FALSE(time);
+    CHECK(time.error().peer == "i-1");
+  }
+}
--- a/tests/standins/keyserverstandin.cpp
+++ b/tests/standins/keyserverstandin.cpp
@@ -1,4 +1,5 @@
 #include <cstdlib>
+#include <deque>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -25,6 +26,13 @@
 constexpr Duration kResponseTimeout = milliseconds(1000);
 /** Where the faults of all further answers are posted. */
 constexpr const char* kFaultsPath = "/standin/faults";
+/** Where the milliseconds are posted for which it becomes cold; 0: warm. */
+constexpr const char* kColdPath = "/standin/cold";
+/** How often it is decided whether the machine is slow. */
+constexpr Duration kNoiseInterval = milliseconds(400);
+/** How much longer work takes on a slow machine, in percent. */
+constexpr int64_t kSlowPercent = 300;
+constexpr int64_t kUsualPercent = 100;
 
 } // namespace
 
@@ -44,14 +52,23 @@
   /** Requests with this body end the process when their work is done; empty:
    * none do. */
   std::string fatalBody;
-  std::string faults; ///< See AnswerFaults::Parse.
-  uint32_t seed = 1;  ///< For the faults and the time that requests take.
+  int64_t coldMs = 0;      ///< How long it is cold after its start.
+  double coldBound = 0;    ///< Most requests in a second while cold; 0: any.
+  bool coldCrash = false;  ///< Whether it ends above that; else it logs it.
+  std::string arrivalLog;  ///< File that all arrivals are appended to, if set.
+  std::string healthPath;  ///< Path of the status check, if set.
+  bool statesLoad = false; ///< Whether its responses state its load.
+  double slowShare = 0;    ///< Share of the time in which its machine is slow.
+  std::string faults;      ///< See AnswerFaults::Parse.
+  uint32_t seed = 1;       ///< For the faults and the time that requests take.
 };
 
 /**
  * A backend server that owns keys, as the platform's protocol describes it. It
  * logs each request that it runs: boot time in nanoseconds, incarnation, key,
- * fencing token, request id.
+ * fencing token, request id. Work goes on when its caller leaves. The log of
+ * arrivals has a line for each request, status checks included, but none that
+ * was not meant for it: boot time in nanoseconds, "cold" or "warm", request id.
  */
 class KeyServerStandIn
 {
@@ -69,7 +86,15 @@
     , runLog(options.runLog, std::ios::app)
     , id("i-" + std::to_string(ToBootNanoseconds(BootClock::now())))
     , random(options.seed)
+    , noiseTimer(aContext)
   {
+    this->BecomeCold(this->options.coldMs);
+    if (!this->options.arrivalLog.empty()) {
+      this->arrivalLog.open(this->options.arrivalLog, std::ios::app);
+    }
+    if (this->options.slowShare > 0) {
+      this->ChangeSpeed();
+    }
     this->server.SetSeed(this->options.seed);
   }
 
@@ -135,9 +160,85 @@
     if (this->statesLeaving) {
       aResponse.set(headers::kLeaving, headers::kIsLeaving);
     }
+    if (this->options.statesLoad) {
+      aResponse.set(headers::kLoad, this->LoadText());
+    }
     aRespond(std::move(aResponse));
   }
 
+  std::string LoadText() const
+  {
+    auto text = std::to_string(this->running) + ",0," +
+                std::to_string(this->options.slots);
+    if (this->options.slowShare > 0) {
+      text += "," + std::to_string(this->speedPercent);
+    }
+    return text;
+  }
+
+  void BecomeCold(int64_t aMilliseconds)
+  {
+    this->coldUntil = BootClock::now() + milliseconds(aMilliseconds);
+    this->coldArrivals.clear();
+  }
+
+  int64_t RemainingColdMs() const
+  {
+    return std::max<int64_t>(
+      0, ToMilliseconds(this->coldUntil - BootClock::now()));
+  }
+
+  /** Decides at random whether the machine is slow for the next interval. */
+  void ChangeSpeed()
+  {
+    bool slow =
+      std::bernoulli_distribution(this->options.slowShare)(this->random);
+    this->speedPercent = slow ? kSlowPercent : kUsualPercent;
+    this->noiseTimer.expires_after(kNoiseInterval);
+    this->noiseTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        this->ChangeSpeed();
+      }
+    });
+  }
+
+  /** Logs an arrival, and checks what a cold server tolerates. */
+  void CountArrival(const HttpRequest& aRequest)
+  {
+    auto now = BootClock::now();
+    bool isCold = now < this->coldUntil;
+    if (this->arrivalLog.is_open()) {
+      this->arrivalLog << ToBootNanoseconds(now) << ' '
+                       << (isCold ? "cold" : "warm") << ' '
+                       << aRequest[headers::kRequestId] << std::endl;
+    }
+    if (!isCold || this->options.coldBound <= 0) {
+      return;
+    }
+    auto& arrivals = this->coldArrivals;
+    arrivals.push_back(now);
+    while (arrivals.front() <= now - std::chrono::seconds(1)) {
+      arrivals.pop_front();
+    }
+    if (static_cast<double>(arrivals.size()) > this->options.coldBound) {
+      std::cout << "BROKEN " << arrivals.size()
+                << " requests in a second while cold" << std::endl;
+      if (this->options.coldCrash) {
+        std::_Exit(EXIT_FAILURE);
+      }
+    }
+  }
+
+  void RespondToStatusCheck(const HttpRequest& aRequest,
+                            const FaultyServer::Respond& aRespond)
+  {
+    auto response = TextResponse(200, "");
+    response.set(headers::kRequestId, aRequest[headers::kRequestId]);
+    response.set(headers::kColdTime, std::to_string(this->RemainingColdMs()));
+    response.set(headers::kLoad, this->LoadText());
+    this->Respond(aRespond, std::move(response));
+  }
+
   void SetFaults(const HttpRequest& aRequest,
                  const FaultyServer::Respond& aRespond)
   {
@@ -157,6 +258,19 @@
       this->SetFaults(aRequest, aRespond);
       return;
     }
+    if (aRequest.target() == kColdPath) {
+      int64_t time = 0;
+      boost::conversion::try_lexical_convert(aRequest.body(), time);
+      this->BecomeCold(time);
+      aRespond(TextResponse(200, ""));
+      return;
+    }
+    if (!this->options.healthPath.empty() &&
+        aRequest.target() == this->options.healthPath) {
+      this->CountArrival(aRequest);
+      this->RespondToStatusCheck(aRequest, aRespond);
+      return;
+    }
     Key key = 0;
     const Grant* grant = nullptr;
     if (boost::conversion::try_lexical_convert(
@@ -167,6 +281,7 @@
       this->Reject(aRequest, aRespond, 421);
       return;
     }
+    this->CountArrival(aRequest);
     if (this->running >= this->options.slots) {
       this->Reject(aRequest, aRespond, 503);
       return;
@@ -182,8 +297,10 @@
     bool isFatal = !this->options.fatalBody.empty() &&
                    aRequest.body() == this->options.fatalBody;
     auto work = std::make_shared<asio::steady_timer>(this->context);
-    work->expires_after(milliseconds(std::uniform_int_distribution<int64_t>(
-      this->options.leastWorkMs, this->options.mostWorkMs)(this->random)));
+    work->expires_after(milliseconds(
+      std::uniform_int_distribution<int64_t>(
+        this->options.leastWorkMs, this->options.mostWorkMs)(this->random) *
+      this->speedPercent / kUsualPercent));
     work->async_wait([this,
                       respond = std::move(aRespond),
                       work,
@@ -210,7 +327,7 @@
                   { "slots", this->options.slots },
                   { "state", "ready" },
                   { "seq", ++this->sequence },
-                  { "cold", "0ms" },
+                  { "cold", std::to_string(this->RemainingColdMs()) + "ms" },
                   { "holds", json::array() },
                   { "freed", json::array() } };
     for (const auto& each : this->grants) {
@@ -290,6 +407,11 @@
   std::vector<KeyRange> freed;
   uint64_t sequence = 0;
   uint32_t running = 0;
+  Time coldUntil;
+  std::deque<Time> coldArrivals; ///< In the last second, while cold.
+  std::ofstream arrivalLog;
+  asio::steady_timer noiseTimer;
+  int64_t speedPercent = kUsualPercent; ///< Time that work takes.
   bool statesLimit = false;
   bool statesLeaving = false;
 };
@@ -333,6 +455,29 @@
   add("request-limit",
       options::value(&settings.requestLimit),
       "requests per second that it states as its limit after SIGUSR1");
+  add("cold-ms",
+      options::value(&settings.coldMs),
+      "how long it is cold after its start");
+  add("cold-bound",
+      options::value(&settings.coldBound),
+      "most requests in a second that it tolerates while cold");
+  add("cold-crash",
+      options::bool_switch(&settings.coldCrash),
+      "end above that; else it is logged");
+  add("arrival-log",
+      options::value(&settings.arrivalLog),
+      "file for the log of arrivals");
+  add("health-path",
+      options::value(&settings.healthPath),
+      "path of the status check");
+  add("states-load",
+      options::bool_switch(&settings.statesLoad),
+      "state the load in all responses");
+  add("slow-share",
+      options::value(&settings.slowShare),
+      "share of the time in which its machine is slow, as it then states");
+  add("slots", options::value(&settings.slots), "requests that run at once");
+  add("heartbeat-ms", options::value<int64_t>(), "interval of heartbeats");
   add("fatal-body",
       options::value(&settings.fatalBody),
       "requests with this body end the process");
@@ -348,6 +493,10 @@
       "longest time that a request takes");
   auto values = fescuetiller::ParseOptions(aCount, aArguments, description);
   options::notify(values);
+  if (values.count("heartbeat-ms") != 0) {
+    settings.heartbeat =
+      std::chrono::milliseconds(values["heartbeat-ms"].as<int64_t>());
+  }
   if (values.count("fault") != 0) {
     settings.faults = boost::algorithm::join(
       values["fault"].as<std::vector<std::string>>(), ",");
