Send one response to a watch whose wait ends as a change arrives

The stand-in of the store cancelled the timer of a watch when it sent a change. If the timer had expired already, and its handler was queued, the handler sent a second response. It replaced the first one, whose headers were still in use by the write: a segmentation fault in testdaemon. The daemons check their configuration by watches without a wait, so any change that coincides with a check could do it, as in "A large configuration comes into force on a daemon whose link to the store is slow".

Evidence: the new test ended with SIGSEGV before the change; gdb shows basic_fields::value_type::buffer below write_some_op of ServerSession::WriteNext. After it: testdaemon "[standins]" passes.

--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -271,8 +271,14 @@
 void
 StoreStandIn::EndEmptyWatch(const std::shared_ptr<Exchange>& aExchange)
 {
-  this->watchers.remove_if(
-    [&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
+  auto found = std::find_if(
+    this->watchers.begin(), this->watchers.end(), [&](const auto& aWatcher) {
+      return aWatcher.exchange == aExchange;
+    });
+  if (found == this->watchers.end()) {
+    return; // A change was sent after the timer had expired.
+  }
+  this->watchers.erase(found);
   this->Respond(
     aExchange,
     200,
