Silence only connections that have been made in the slow link of the tests

SlowLink::SilenceConnections also silenced the connection that it would accept next, contrary to its description. If the daemon had an idle connection at that moment, its check failed over that one after 0.8 s, the next over the new one, and the third began 0.6 s later: up to 3.8 s, beyond the 3 s in which a configuration must be in force after a disturbance. Without an idle connection only one check failed, so the test seldom did. The fault is the stand-in's; the bound stays, and a further scenario always leaves an idle connection.

--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -440,6 +440,28 @@
   }
 }
 
+// The next check is sent over an idle connection if there is one, and fails.
+SCENARIO("A configuration comes into force in time although an idle connection "
+         "to the store fell silent, too",
+         "[configuration][silence]")
+{
+  constexpr int kRounds = 2; // The age at which a check begins is random.
+  for (int round = 0; round < kRounds; ++round) {
+    SlowLinkFixture fixture;
+    fixture.store.SetConfiguration(ConfigurationText(1, 2));
+    fixture.StartFar();
+    REQUIRE(fixture.RunUntil([&] { return fixture.far->isMember; }));
+    // The daemon writes its member row over a connection of its own.
+    fixture.far->isDraining = true;
+    REQUIRE(fixture.RunUntil([&] { return fixture.far->serving.draining; }));
+    fixture.context.run_for(milliseconds(300));
+    fixture.link->SilenceConnections();
+    fixture.store.SetConfiguration(ConfigurationText(2, 3));
+    CHECK(fixture.RunUntil([&] { return fixture.far->version == 2; },
+                           kMaxOutdatedTime));
+  }
+}
+
 // A check that found the watched version outdated began the load of the table
 // again, and so did the next one, before the first load had ended.
 SCENARIO("A load over a slow link is not begun again by the next check",
--- a/tests/daemon/standintest.cpp
+++ b/tests/daemon/standintest.cpp
@@ -4,6 +4,7 @@
 
 #include "platform/platform.h"
 #include "standins/reservedports.h"
+#include "standins/slowlink.h"
 #include "standins/storestandin.h"
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
@@ -25,6 +26,36 @@
 
 } // namespace
 
+// Guards against a link that also silences the next connection: tests of silent
+// connections then failed when a daemon's first new connection was needed.
+SCENARIO("Connections that are made after others were silenced work",
+         "[standins][silence]")
+{
+  asio::io_context context{ 1 };
+  StoreStandIn store(context);
+  REQUIRE(store.Listen(0));
+  store.SetConfiguration("text");
+  SlowLink link(context, Loopback(store.Port()));
+  REQUIRE(link.Listen());
+  ConnectionPool pool(context);
+  StoreClient client(pool, link.Address(), milliseconds(500));
+  std::optional<Result<StoreRows>> rows;
+  auto read = [&] {
+    rows.reset();
+    client.ReadFrom(ConfigurationKey(),
+                    [&](Result<StoreRows> aRows) { rows = std::move(aRows); });
+    REQUIRE(RunUntil(context, [&] { return rows.has_value(); }));
+  };
+  read();
+  REQUIRE(*rows);
+
+  link.SilenceConnections();
+  read(); // Over the connection that is open.
+  CHECK_FALSE(*rows);
+  read(); // Over a new one.
+  CHECK(*rows);
+}
+
 // Guards against two responses to one call: the second one replaced the first
 // while it was being written, so that freed memory was sent.
 SCENARIO("A change that comes as the wait of a call ends is sent once",
--- a/tests/standins/slowlink.cpp
+++ b/tests/standins/slowlink.cpp
@@ -104,12 +104,12 @@
 SlowLink::Accept()
 {
   auto relay = std::make_shared<Relay>(this->context);
-  this->relays.push_back(relay);
   this->acceptor.async_accept(
     relay->client, [this, relay](error_code aAcceptError) {
       if (aAcceptError) {
         return;
       }
+      this->relays.push_back(relay);
       this->Accept();
       if (this->shared) {
         error_code ignored; // The link only holds more.
