--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1,6 +1,7 @@
 #include "cluster/ownershipagent.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -54,6 +55,9 @@
 constexpr size_t kMaxDatagramRowBytes = 1100;
 /** Encoded bytes of a row besides its value and key. */
 constexpr size_t kRowOverheadBytes = 40;
+/** Members of each other zone that are sent changed rows to pass on. With two,
+ * the loss of one of them, or of one datagram, delays nobody. */
+constexpr size_t kRelaysPerZone = 2;
 /** Age at which a load from a peer message is outdated. */
 constexpr Duration kMaxLoadAge = milliseconds(3000);
 /** How long a member remembers where it moved keys; by then the others know the
@@ -461,6 +465,9 @@
     return {};
   }
   this->probe.OnReply(aMessage.from);
+  if (aMessage.relay) {
+    this->relays.insert(aMessage.from);
+  }
   if (aMessage.era != this->era && !isProbe) {
     return {};
   }
@@ -472,6 +479,7 @@
                                          aMessage.version,
                                          aMessage.sentAt);
     message.era = this->era;
+    message.relay = PeerMessage::Relay::Able;
     return message;
   };
   if (aMessage.kind == Kind::Renew || aMessage.kind == Kind::Acknowledge) {
@@ -484,6 +492,9 @@
       for (const auto& row : aMessage.rows) {
         this->OnRow(aNow, row);
       }
+      if (aMessage.relay == PeerMessage::Relay::Requested) {
+        return this->RelayRows(aMessage);
+      }
       break;
     case Kind::Renew:
       // Without a lease the record of this member may have been removed, and it
@@ -592,6 +603,9 @@
   }
   for (auto& message : output.messages) {
     message.message.era = this->era;
+    if (!message.message.relay) {
+      message.message.relay = PeerMessage::Relay::Able;
+    }
   }
   return output;
 }
@@ -681,7 +695,7 @@
     row.version = aResult.version;
     this->view.Apply(row);
   }
-  this->DisseminateRows(changed);
+  this->DisseminateRows(aNow, changed);
 }
 
 /** Whether operators have drained this member. */
@@ -1400,10 +1414,8 @@
     forced ? Time::max() : aNow + kChangeTimeout);
 }
 
-/** Sends changed rows to all members, so that they need not wait for the
- * store. */
 void
-OwnershipAgent::DisseminateRows(const std::vector<StoreRow>& aRows)
+OwnershipAgent::DisseminateRows(Time aNow, const std::vector<StoreRow>& aRows)
 {
   std::vector<std::vector<StoreRow>> datagrams(1);
   size_t bytes = 0;
@@ -1418,23 +1430,106 @@
     }
     datagrams.back().push_back(row);
   }
-  // Just after a return, the view lacks members that have not joined again.
-  auto receivers = this->earlierMembers;
-  for (const auto& [id, member] : this->view.AllMembers()) {
-    receivers[id] = member.record.udpAddress;
-  }
-  for (const auto& [id, address] : receivers) {
+  for (const auto& [id, receiver] : this->ChooseRowReceivers(aNow, aRows)) {
     for (const auto& rows : datagrams) {
-      if (id != this->self && !rows.empty()) {
+      if (!rows.empty()) {
         PeerMessage message;
         message.kind = PeerMessage::Kind::Rows;
         message.from = this->self;
         message.to = id;
         message.rows = rows;
-        this->pendingMessages.push_back({ address, std::move(message) });
+        if (receiver.relays) {
+          message.relay = PeerMessage::Relay::Requested;
+        }
+        this->pendingMessages.push_back(
+          { receiver.address, std::move(message) });
+      }
+    }
+  }
+}
+
+std::map<MemberId, OwnershipAgent::RowReceiver>
+OwnershipAgent::ChooseRowReceivers(Time aNow,
+                                   const std::vector<StoreRow>& aRows)
+{
+  std::map<MemberId, RowReceiver> receivers;
+  // Just after a return, the view lacks members that have not joined again.
+  for (const auto& [id, address] : this->earlierMembers) {
+    receivers[id] = { address };
+  }
+  // New owners and guardians need the rows first.
+  std::set<MemberId> concerned;
+  for (const auto& row : aRows) {
+    if (auto range = ParseRange(row)) {
+      concerned.insert(range->owner);
+    } else if (auto member = ParseMember(row)) {
+      concerned.insert(member->id);
+      concerned.insert(member->guardians.begin(), member->guardians.end());
+    }
+  }
+  std::map<std::string, std::vector<MemberId>> others; ///< By zone.
+  for (const auto& [id, member] : this->view.AllMembers()) {
+    // A member that joins must be heard by all others, which give it no keys
+    // otherwise.
+    bool direct = this->phase != Phase::Member ||
+                  member.record.zone == this->identity.zone ||
+                  concerned.count(id) > 0;
+    if (direct) {
+      receivers[id] = { member.record.udpAddress };
+    } else {
+      others[member.record.zone].push_back(id);
+    }
+  }
+  for (auto member = this->relays.begin(); member != this->relays.end();) {
+    member = this->view.FindMember(*member) == nullptr
+               ? this->relays.erase(member)
+               : std::next(member);
+  }
+  for (const auto& [zone, members] : others) {
+    std::vector<MemberId> able;
+    for (const auto& id : members) {
+      if (this->relays.count(id) > 0 && this->probe.IsAlive(aNow, id)) {
+        able.push_back(id);
       }
     }
+    bool relayed =
+      able.size() >= kRelaysPerZone && members.size() > kRelaysPerZone;
+    for (size_t relay = 0; relayed && relay < kRelaysPerZone; ++relay) {
+      auto left = able.size() - relay;
+      auto drawn =
+        static_cast<size_t>(this->random() * static_cast<double>(left));
+      std::swap(able[relay], able[relay + std::min(drawn, left - 1)]);
+    }
+    if (relayed) {
+      able.resize(kRelaysPerZone);
+    }
+    for (const auto& id : relayed ? able : members) {
+      receivers[id] = { this->view.FindMember(id)->record.udpAddress, relayed };
+    }
+  }
+  receivers.erase(this->self);
+  return receivers;
+}
+
+std::vector<OutgoingMessage>
+OwnershipAgent::RelayRows(const PeerMessage& aMessage) const
+{
+  std::vector<OutgoingMessage> messages;
+  for (const auto& [id, member] : this->view.AllMembers()) {
+    if (member.record.zone != this->identity.zone || id == this->self ||
+        id == aMessage.from) {
+      continue;
+    }
+    PeerMessage message;
+    message.kind = PeerMessage::Kind::Rows;
+    message.from = this->self;
+    message.to = id;
+    message.rows = aMessage.rows;
+    message.era = this->era;
+    message.relay = PeerMessage::Relay::Able;
+    messages.push_back({ member.record.udpAddress, std::move(message) });
   }
+  return messages;
 }
 
 void
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -132,7 +132,8 @@
   /** The backend server's address refused a connection. */
   void OnConnectionRefused(Time aNow);
 
-  /** @return Replies to the sender; their address is left empty. */
+  /** @return Replies to the sender, whose address is left empty, and messages
+   * to others. */
   std::vector<OutgoingMessage> OnPeerMessage(Time aNow,
                                              const PeerMessage& aMessage);
   /** The long lease of another member was read from the store. */
@@ -238,7 +239,22 @@
   std::vector<KeyHandover> FindHandovers(
     const std::vector<PlannedMove>& aPlans) const;
   void WriteMoves(Time aNow);
-  void DisseminateRows(const std::vector<StoreRow>& aRows);
+  /** Sends changed rows to the other members, directly or through others. */
+  void DisseminateRows(Time aNow, const std::vector<StoreRow>& aRows);
+  /** A member to which changed rows are sent. */
+  struct RowReceiver
+  {
+    std::string address;
+    bool relays = false; ///< It passes them on in its zone.
+  };
+  /** Chooses the members to which changed rows are sent. The others get them
+   * from relays. */
+  std::map<MemberId, RowReceiver> ChooseRowReceivers(
+    Time aNow,
+    const std::vector<StoreRow>& aRows);
+  /** Returns the messages that pass on rows to the other members of the own
+   * zone. */
+  std::vector<OutgoingMessage> RelayRows(const PeerMessage& aMessage) const;
   bool IsStoreReachable() const;
   void MergeRanges(Time aNow);
   void TakeUnownedRanges(Time aNow);
@@ -342,6 +358,8 @@
   double unusableShare = 0;                   ///< Of the own server's capacity.
   std::map<MemberId, PeerLoad> responseLoads; ///< From HTTP responses.
   std::map<MemberId, ReceivedLoad> messageLoads; ///< From peer messages.
+  /** Members that pass on rows if they are asked to. */
+  std::set<MemberId> relays;
   std::vector<Event> events;
 };
 
--- a/src/cluster/peermessage.cpp
+++ b/src/cluster/peermessage.cpp
@@ -17,6 +17,10 @@
 using nlohmann::json;
 
 constexpr int kLastKind = static_cast<int>(PeerMessage::Kind::Crashes);
+constexpr uint64_t kLastRelay =
+  static_cast<uint64_t>(PeerMessage::Relay::Requested);
+/** Position of PeerMessage::relay. */
+constexpr size_t kRelayIndex = 14;
 /** Age above which a configuration counts as not confirmed. */
 constexpr Duration kMaxConfigurationAge = std::chrono::seconds(60);
 
@@ -80,6 +84,16 @@
   return std::chrono::milliseconds(aValue.get<int64_t>());
 }
 
+/** Returns nothing for a value of a later release. */
+std::optional<PeerMessage::Relay>
+ReadRelay(const json& aValue)
+{
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() > kLastRelay) {
+    return std::nullopt;
+  }
+  return static_cast<PeerMessage::Relay>(aValue.get<int>());
+}
+
 /** Throws if they are malformed. */
 std::vector<StoreRow>
 ReadRows(const json& aValue)
@@ -138,7 +152,8 @@
                     aMessage.configuration,
                     aMessage.configurationAge,
                     aMessage.crashes,
-                    aMessage.era);
+                    aMessage.era,
+                    aMessage.relay);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -179,6 +194,10 @@
                         crash.trials });
   }
   value.push_back(crashes);
+  if (aMessage.relay) {
+    value.push_back(json()); // Reserved for the evacuations of zones.
+    value.push_back(static_cast<int>(*aMessage.relay));
+  }
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
 }
@@ -207,12 +226,14 @@
       ReadLoad(value.at(7)),
       std::chrono::milliseconds(
         ReadInteger(value.at(8), -kMaxMilliseconds, kMaxMilliseconds)),
-      // Earlier releases do not send the last four.
+      // Earlier releases do not send the last ones.
       value.size() > 9 ? ReadVersion(value.at(9)) : 0,
       value.size() > 11 ? ParseAge(value.at(11)) : std::nullopt,
       value.size() > 12 ? ParseCrashes(value.at(12))
                         : std::vector<CrashRecord>(),
-      value.size() > 10 ? ToUnsigned(value.at(10), "era", kMaxStoreEra) : 0
+      value.size() > 10 ? ToUnsigned(value.at(10), "era", kMaxStoreEra) : 0,
+      value.size() > kRelayIndex ? ReadRelay(value.at(kRelayIndex))
+                                 : std::nullopt
     };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/cluster/peermessage.h
+++ b/src/cluster/peermessage.h
@@ -24,6 +24,13 @@
     Crashes,        ///< Servers that ended under requests.
   };
 
+  /** What its release knows of passing on rows. */
+  enum class Relay
+  {
+    Able,      ///< The sender passes on rows if it is asked to.
+    Requested, ///< The receiver is to pass the rows on in its own zone.
+  };
+
   Kind kind = Kind::Renew;
   MemberId from;
   MemberId to;
@@ -43,6 +50,8 @@
   std::vector<CrashRecord> crashes; ///< For Crashes only.
   /** Era of the store as the sender knows it. */
   StoreEra era = 0;
+  /** Whether rows are passed on; empty from releases that pass on none. */
+  std::optional<Relay> relay;
 
   friend bool operator==(const PeerMessage& aLeft, const PeerMessage& aRight);
 };
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -754,7 +754,8 @@
     this->onCrashRecords(message->crashes);
   }
   for (const auto& reply : this->agent.OnPeerMessage(now, *message)) {
-    this->SendPeerMessage(ToString(sender), reply.message);
+    this->SendPeerMessage(
+      reply.address.empty() ? ToString(sender) : reply.address, reply.message);
   }
 }
 
@@ -768,11 +769,14 @@
   }
   aMessage.configuration = this->configurationRow.version;
   aMessage.configurationAge = this->ConfigurationAge(BootClock::now());
+  auto bytes = Encode(aMessage);
+  auto zone = this->zones.Find(this->agent.View(), aAddress);
+  if (zone && *zone != this->settings.zone) {
+    this->counters.CountZoneDatagram(*zone, aMessage.kind, bytes.size());
+  }
   boost::system::error_code ignored; // Lost datagrams are sent again.
-  this->peerSocket.send_to(asio::buffer(Encode(aMessage)),
-                           { address->address(), address->port() },
-                           0,
-                           ignored);
+  this->peerSocket.send_to(
+    asio::buffer(bytes), { address->address(), address->port() }, 0, ignored);
 }
 
 void
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -131,6 +131,7 @@
   ServingState publishedServing;
   Time nextEraReadAt; ///< Next call because of another daemon's era.
   Time refusedAt;     ///< First refused connection to the server; Time(): none.
+  ZoneByAddress zones;
   bool stopping = false;
 };
 
--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -78,6 +78,44 @@
   this->gauges[aName] = aValue;
 }
 
+void
+Counters::CountZoneTraffic(const std::string& aZone,
+                           ZonePurpose aPurpose,
+                           ZoneTraffic::Parts aParts)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->zoneTraffic.Count(aZone, aPurpose, aParts);
+}
+
+void
+Counters::CountZoneDatagram(const std::string& aZone,
+                            PeerMessage::Kind aKind,
+                            uint64_t aBytes)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->zoneTraffic.CountDatagram(aZone, aKind, aBytes);
+}
+
+Event
+Counters::MakeZoneTrafficEvent() const
+{
+  std::map<std::string, ZoneTraffic::Total> totals;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& entry : this->zoneTraffic.Entries()) {
+      auto& total = totals[entry.purpose + "_" + entry.part];
+      total.messages += entry.total.messages;
+      total.bytes += entry.total.bytes;
+    }
+  }
+  Event event{ "zone-traffic", {} };
+  for (const auto& [name, total] : totals) {
+    event.fields.emplace_back(name + "_bytes", std::to_string(total.bytes));
+    event.fields.emplace_back(name + "_count", std::to_string(total.messages));
+  }
+  return event;
+}
+
 std::string
 Counters::FormatText() const
 {
@@ -144,6 +182,28 @@
                  { { "event", name } },
                  static_cast<double>(count));
   }
+  writer.Describe("fescuetiller_zone_bytes_total",
+                  "counter",
+                  "Bytes between this zone and others by purpose and part.");
+  auto zoneEntries = this->zoneTraffic.Entries();
+  for (const auto& entry : zoneEntries) {
+    writer.Write("fescuetiller_zone_bytes_total",
+                 { { "zone", entry.zone },
+                   { "purpose", entry.purpose },
+                   { "part", entry.part } },
+                 static_cast<double>(entry.total.bytes));
+  }
+  writer.Describe(
+    "fescuetiller_zone_messages_total",
+    "counter",
+    "Messages between this zone and others that had such a part.");
+  for (const auto& entry : zoneEntries) {
+    writer.Write("fescuetiller_zone_messages_total",
+                 { { "zone", entry.zone },
+                   { "purpose", entry.purpose },
+                   { "part", entry.part } },
+                 static_cast<double>(entry.total.messages));
+  }
   writer.Describe("fescuetiller_slot_seconds_total",
                   "counter",
                   "Time of the backend server's slots by use.");
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -9,6 +9,7 @@
 
 #include "admission/admission.h"
 #include "base/base.h"
+#include "fescuetillerd/zonetraffic.h"
 
 namespace fescuetiller {
 
@@ -52,6 +53,20 @@
 
   void SetGauge(const std::string& aName, double aValue);
 
+  /** Counts parts of the messages of one request to another zone. */
+  void CountZoneTraffic(const std::string& aZone,
+                        ZonePurpose aPurpose,
+                        ZoneTraffic::Parts aParts);
+
+  /** Counts a datagram to another zone. */
+  void CountZoneDatagram(const std::string& aZone,
+                         PeerMessage::Kind aKind,
+                         uint64_t aBytes);
+
+  /** Totals of the traffic with all other zones together, for the log: the
+   * bytes by purpose and part, and the number of requests and responses. */
+  Event MakeZoneTrafficEvent() const;
+
   /** Formats all metrics for a Prometheus scrape. */
   std::string FormatText() const;
 
@@ -71,6 +86,7 @@
   std::map<std::string, uint64_t> events;
   std::map<std::string, double> gauges;
   SlotTimes slotTimes;
+  ZoneTraffic zoneTraffic;
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/dispatch.cpp
+++ b/src/fescuetillerd/dispatch.cpp
@@ -5,8 +5,11 @@
 #include <sstream>
 #include <tuple>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
+#include "platform/headers.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -21,6 +24,22 @@
 constexpr const char* kSinceFirstPrefix = "f=";
 constexpr const char* kWeightPrefix = "w=";
 constexpr const char* kSharePrefix = "s=";
+constexpr const char* kCompactReportPrefix = "c=";
+/** Prefixes of optional parts of compact encodings only. */
+constexpr const char* kSenderPrefix = "o=";
+constexpr const char* kOutcomePrefix = "o=";
+constexpr const char* kReasonPrefix = "r=";
+constexpr const char* kRetryPrefix = "a=";
+constexpr const char* kOwnerPrefix = "w=";
+constexpr const char* kReachedPrefix = "x=";
+/** Units of the number that holds priority, kind and nesting in a compact
+ * dispatch. */
+constexpr uint32_t kPriorityUnit = 8;
+constexpr uint32_t kKindUnit = 2;
+static_assert(kLastKind * kKindUnit + 1 < kPriorityUnit);
+/** Digits of the hash of the service in a compact dispatch. It detects that
+ * the daemon of another service has taken over an address. */
+constexpr size_t kServiceHashDigits = 5;
 /** Bounds what one request of a faulty sender counts for. */
 constexpr double kMaxWeight = 100;
 
@@ -50,12 +69,111 @@
   return value;
 }
 
+/** Returns what follows the prefix of an optional part; nothing if it has
+ * another one. */
+std::optional<std::string>
+ReadTextOption(const std::string& aText, const std::string& aPrefix)
+{
+  if (aText.compare(0, aPrefix.size(), aPrefix) != 0) {
+    return std::nullopt;
+  }
+  return aText.substr(aPrefix.size());
+}
+
 Duration
 Milliseconds(int64_t aCount)
 {
   return std::chrono::milliseconds(aCount);
 }
 
+std::string
+HashOfService(const std::string& aService)
+{
+  return ToHex(StableHash(aService)).substr(0, kServiceHashDigits);
+}
+
+void
+WriteOptions(std::ostream& aText, const Dispatch& aDispatch)
+{
+  if (aDispatch.sinceFirstAttempt > Duration(0)) {
+    aText << ' ' << kSinceFirstPrefix
+          << ToMilliseconds(aDispatch.sinceFirstAttempt);
+  }
+  if (aDispatch.weight != 1) {
+    aText << ' ' << kWeightPrefix << ToThousandths(aDispatch.weight);
+  }
+}
+
+/** Handles one optional part. Unknown ones are ignored. */
+void
+ReadOptionOf(Dispatch& aDispatch, const std::string& aOption)
+{
+  if (auto since = ReadOption(aOption, kSinceFirstPrefix)) {
+    aDispatch.sinceFirstAttempt = Milliseconds(*since);
+  } else if (auto weight = ReadOption(aOption, kWeightPrefix)) {
+    aDispatch.weight =
+      std::clamp(static_cast<double>(*weight) / kThousandths, 1.0, kMaxWeight);
+  } else if (auto compact = ReadOption(aOption, kCompactReportPrefix)) {
+    aDispatch.readsCompactReport = *compact > 0;
+  }
+}
+
+std::string
+EncodeCompact(const Dispatch& aDispatch, const std::string& aSenderService)
+{
+  std::ostringstream text;
+  text << HashOfService(aDispatch.service) << ' ' << aDispatch.requestClass
+       << ' '
+       << aDispatch.priority * kPriorityUnit +
+            static_cast<uint32_t>(aDispatch.kind) * kKindUnit +
+            (aDispatch.nested ? 1 : 0)
+       << ' ' << ToMilliseconds(aDispatch.untilTarget) << ' '
+       << ToMilliseconds(aDispatch.untilDeadline);
+  WriteOptions(text, aDispatch);
+  if (aSenderService != aDispatch.service) {
+    text << ' ' << kSenderPrefix << aSenderService;
+  }
+  return text.str();
+}
+
+/** @param aSender Set to the service of the sender. */
+std::optional<Dispatch>
+DecodeCompactDispatch(const std::string& aText,
+                      const std::string& aOwnService,
+                      std::string& aSender)
+{
+  std::istringstream text(aText);
+  std::string service;
+  Dispatch dispatch;
+  uint32_t number = 0;
+  int64_t target = 0;
+  int64_t deadline = 0;
+  text >> service >> dispatch.requestClass >> number >> target >> deadline;
+  auto kind = static_cast<int>(number % kPriorityUnit / kKindUnit);
+  if (!text || kind > kLastKind) {
+    return std::nullopt;
+  }
+  // A dispatch for another service is refused, whatever its name.
+  dispatch.service =
+    service == HashOfService(aOwnService) ? aOwnService : kAbsent;
+  dispatch.priority = number / kPriorityUnit;
+  dispatch.kind = static_cast<RequestKind>(kind);
+  dispatch.nested = number % kKindUnit != 0;
+  dispatch.untilTarget = Milliseconds(target);
+  dispatch.untilDeadline = Milliseconds(deadline);
+  dispatch.readsCompactReport = true;
+  aSender = dispatch.service;
+  std::string option;
+  while (text >> option) {
+    if (auto sender = ReadTextOption(option, kSenderPrefix)) {
+      aSender = *sender;
+    } else {
+      ReadOptionOf(dispatch, option);
+    }
+  }
+  return dispatch;
+}
+
 } // namespace
 
 bool
@@ -70,7 +188,8 @@
                     aDispatch.untilTarget,
                     aDispatch.untilDeadline,
                     aDispatch.sinceFirstAttempt,
-                    aDispatch.weight);
+                    aDispatch.weight,
+                    aDispatch.readsCompactReport);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -101,12 +220,9 @@
        << aDispatch.priority << ' ' << static_cast<int>(aDispatch.kind) << ' '
        << aDispatch.nested << ' ' << ToMilliseconds(aDispatch.untilTarget)
        << ' ' << ToMilliseconds(aDispatch.untilDeadline);
-  if (aDispatch.sinceFirstAttempt > Duration(0)) {
-    text << ' ' << kSinceFirstPrefix
-         << ToMilliseconds(aDispatch.sinceFirstAttempt);
-  }
-  if (aDispatch.weight != 1) {
-    text << ' ' << kWeightPrefix << ToThousandths(aDispatch.weight);
+  WriteOptions(text, aDispatch);
+  if (aDispatch.readsCompactReport) {
+    text << ' ' << kCompactReportPrefix << 1;
   }
   return text.str();
 }
@@ -129,16 +245,64 @@
   dispatch.untilDeadline = Milliseconds(deadline);
   std::string option;
   while (text >> option) {
-    if (auto since = ReadOption(option, kSinceFirstPrefix)) {
-      dispatch.sinceFirstAttempt = Milliseconds(*since);
-    } else if (auto weight = ReadOption(option, kWeightPrefix)) {
-      dispatch.weight = std::clamp(
-        static_cast<double>(*weight) / kThousandths, 1.0, kMaxWeight);
-    }
+    ReadOptionOf(dispatch, option);
+  }
+  return dispatch;
+}
+
+void
+SetDispatch(http::fields& aFields,
+            const Dispatch& aDispatch,
+            const std::string& aSenderService,
+            bool aCompact)
+{
+  aFields.erase(kDispatchField);
+  aFields.erase(kCompactDispatchField);
+  if (aCompact) {
+    aFields.erase(headers::kCallerService);
+    aFields.set(kCompactDispatchField,
+                EncodeCompact(aDispatch, aSenderService));
+  } else {
+    aFields.set(headers::kCallerService, aSenderService);
+    aFields.set(kDispatchField, Encode(aDispatch));
+  }
+}
+
+std::optional<Dispatch>
+TakeDispatch(http::fields& aFields, const std::string& aOwnService)
+{
+  // Daemons that do not know the compact field pass it on as the client sent
+  // it, together with their own one.
+  std::string plain(aFields[kDispatchField]);
+  std::string compact(aFields[kCompactDispatchField]);
+  aFields.erase(kDispatchField);
+  aFields.erase(kCompactDispatchField);
+  if (!plain.empty() || compact.empty()) {
+    return DecodeDispatch(plain);
+  }
+  std::string sender;
+  auto dispatch = DecodeCompactDispatch(compact, aOwnService, sender);
+  if (dispatch) {
+    aFields.set(headers::kCallerService, sender);
   }
   return dispatch;
 }
 
+bool
+IsDaemonField(std::string_view aName)
+{
+  for (const auto* name : { kDispatchField,
+                            kCompactDispatchField,
+                            kExecutionReportField,
+                            kCompactReportField,
+                            kServerNoticeField }) {
+    if (boost::iequals(aName, std::string_view(name))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string
 Encode(const ExecutionReport& aReport)
 {
@@ -193,6 +357,104 @@
   return report;
 }
 
+std::string
+EncodeCompact(const ExecutionReport& aReport)
+{
+  std::ostringstream text;
+  text << static_cast<int64_t>(aReport.load * kLoadUnit) << ' '
+       << ToMilliseconds(aReport.expectedTime) << ' '
+       << ToMilliseconds(aReport.untilHeartbeat) << ' '
+       << ToMilliseconds(aReport.elapsed);
+  if (aReport.outcome != ExecutionOutcome::Answered) {
+    text << ' ' << kOutcomePrefix << static_cast<int>(aReport.outcome);
+  }
+  if (!aReport.reason.empty()) {
+    text << ' ' << kReasonPrefix << aReport.reason;
+  }
+  if (aReport.retryAfter > Duration(0)) {
+    text << ' ' << kRetryPrefix << ToMilliseconds(aReport.retryAfter);
+  }
+  if (aReport.reachedServer) {
+    text << ' ' << kReachedPrefix << 1;
+  }
+  if (!aReport.owner.empty()) {
+    text << ' ' << kOwnerPrefix << aReport.owner;
+  }
+  if (aReport.sendShare < 1) {
+    text << ' ' << kSharePrefix << ToThousandths(aReport.sendShare);
+  }
+  return text.str();
+}
+
+std::optional<ExecutionReport>
+DecodeCompactReport(const std::string& aText)
+{
+  std::istringstream text(aText);
+  ExecutionReport report;
+  int64_t load = 0;
+  int64_t expected = 0;
+  int64_t heartbeat = 0;
+  int64_t elapsed = 0;
+  text >> load >> expected >> heartbeat >> elapsed;
+  if (!text) {
+    return std::nullopt;
+  }
+  std::string option;
+  while (text >> option) {
+    if (ReadTextOption(option, kOutcomePrefix)) {
+      // Without its outcome, a refusal would be taken for a response.
+      auto outcome = ReadOption(option, kOutcomePrefix);
+      if (!outcome || *outcome > kLastOutcome) {
+        return std::nullopt;
+      }
+      report.outcome = static_cast<ExecutionOutcome>(*outcome);
+    } else if (auto reason = ReadTextOption(option, kReasonPrefix)) {
+      report.reason = *reason;
+    } else if (auto retry = ReadOption(option, kRetryPrefix)) {
+      report.retryAfter = Milliseconds(*retry);
+    } else if (auto reached = ReadOption(option, kReachedPrefix)) {
+      report.reachedServer = *reached > 0;
+    } else if (auto owner = ReadTextOption(option, kOwnerPrefix)) {
+      report.owner = *owner;
+    } else if (auto share = ReadOption(option, kSharePrefix)) {
+      report.sendShare =
+        std::min(static_cast<double>(*share) / kThousandths, 1.0);
+    }
+  }
+  report.load = static_cast<double>(load) / kLoadUnit;
+  report.expectedTime = Milliseconds(expected);
+  report.untilHeartbeat = Milliseconds(heartbeat);
+  report.elapsed = Milliseconds(elapsed);
+  return report;
+}
+
+void
+SetReport(http::fields& aFields, const ExecutionReport& aReport, bool aCompact)
+{
+  aFields.erase(kExecutionReportField);
+  aFields.erase(kCompactReportField);
+  aFields.set(aCompact ? kCompactReportField : kExecutionReportField,
+              aCompact ? EncodeCompact(aReport) : Encode(aReport));
+}
+
+std::optional<ReceivedReport>
+TakeReport(http::fields& aFields)
+{
+  // Daemons that do not know the compact field pass it on as the server sent
+  // it, together with their own one.
+  std::string plain(aFields[kExecutionReportField]);
+  std::string compact(aFields[kCompactReportField]);
+  aFields.erase(kExecutionReportField);
+  aFields.erase(kCompactReportField);
+  bool isCompact = plain.empty() && !compact.empty();
+  auto report =
+    isCompact ? DecodeCompactReport(compact) : DecodeExecutionReport(plain);
+  if (!report) {
+    return std::nullopt;
+  }
+  return ReceivedReport{ std::move(*report), isCompact };
+}
+
 std::string
 Encode(const ServerNotice& aNotice)
 {
--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "fescuetillerd/eventlog.h"
 #include "http/http.h"
@@ -13,6 +14,11 @@
 constexpr const char* kDispatchField = "Fescue-Dispatch";
 /** Header field that carries the ExecutionReport of a response. */
 constexpr const char* kExecutionReportField = "Fescue-Note";
+/** The same in their compact encodings. A daemon states with its Dispatch that
+ * it reads compact reports. A member whose report was compact reads compact
+ * dispatches, so others are sent the encoding above. */
+constexpr const char* kCompactDispatchField = "Fd";
+constexpr const char* kCompactReportField = "Fn";
 /** Header field that carries a ServerNotice: in a request what the sender was
  * told by earlier responses, in a response what its sender knows. Absent if
  * there is nothing to tell. */
@@ -36,6 +42,8 @@
   /** Number of requests that this one stands for: the sender has refused the
    * others itself, as ExecutionReport::sendShare demands. */
   double weight = 1;
+  /** The sender reads compact reports. */
+  bool readsCompactReport = false;
 
   friend bool operator==(const Dispatch& aLeft, const Dispatch& aRight);
 };
@@ -43,6 +51,26 @@
 std::string
 Encode(const Dispatch& aDispatch);
 
+/** Adds a dispatch and the service of the sender to the headers of a request.
+ * @param aCompact Whether the receiver reads the compact encoding. */
+void
+SetDispatch(http::fields& aFields,
+            const Dispatch& aDispatch,
+            const std::string& aSenderService,
+            bool aCompact);
+
+/** Removes the dispatch, in either encoding, from the headers of a request. Of
+ * a compact one, restores the header field with the sender's service.
+ * @param aOwnService Service of the receiver; a compact dispatch contains only
+ * a hash of it.
+ * @return No value if there is none, or if it is malformed. */
+std::optional<Dispatch>
+TakeDispatch(http::fields& aFields, const std::string& aOwnService);
+
+/** Whether a header field is read by daemons only. */
+bool
+IsDaemonField(std::string_view aName);
+
 /** @return No value if the text is malformed. */
 std::optional<Dispatch>
 DecodeDispatch(const std::string& aText);
@@ -96,6 +124,31 @@
 std::optional<ExecutionReport>
 DecodeExecutionReport(const std::string& aText);
 
+std::string
+EncodeCompact(const ExecutionReport& aReport);
+
+/** @return No value if the text is malformed. */
+std::optional<ExecutionReport>
+DecodeCompactReport(const std::string& aText);
+
+/** Adds a report to the headers of a response, in place of what the server may
+ * have sent there.
+ * @param aCompact Whether the receiver reads the compact encoding. */
+void
+SetReport(http::fields& aFields, const ExecutionReport& aReport, bool aCompact);
+
+/** A report that was received, and how it was encoded. */
+struct ReceivedReport
+{
+  ExecutionReport report;
+  bool isCompact = false;
+};
+
+/** Removes the report, in either encoding, from the headers of a response.
+ * @return No value if there is none, or if it is malformed. */
+std::optional<ReceivedReport>
+TakeReport(http::fields& aFields);
+
 std::string
 Encode(const ServerNotice& aNotice);
 
--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -73,6 +73,7 @@
   auto forwarded = std::move(this->request); // Sent only once.
   RemoveHopByHopFields(forwarded);
   forwarded.erase(kDispatchField);
+  forwarded.erase(kCompactDispatchField);
   forwarded.erase(kServerNoticeField);
   forwarded.set(headers::kTargetServer, this->server.id);
   forwarded.keep_alive(true);
@@ -173,6 +174,22 @@
   };
 }
 
+HttpResponse
+Execution::MakeEmptyResponse(unsigned aStatus) const
+{
+  HttpResponse response(static_cast<http::status>(aStatus), 11);
+  // An empty one would be replaced by the usual one, which is longer.
+  response.reason("-");
+  response.set(headers::kRequestId, this->requestId);
+  return response;
+}
+
+void
+Execution::AddState(http::fields& aFields, const ExecutionReport& aReport)
+{
+  this->executor.AddState(aFields, aReport, this->dispatch.readsCompactReport);
+}
+
 void
 Execution::RespondWithFailure(const std::string& aReason,
                               ExecutionOutcome aOutcome)
@@ -182,12 +199,11 @@
                       ? kServerUnreachableRetryAfter
                       : kServerRefusalRetryAfter;
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
-  auto response = TextResponse(
-    aOutcome == ExecutionOutcome::Refused ? 503 : 502, aReason + "\n");
-  response.set(headers::kRequestId, this->requestId);
+  auto response =
+    this->MakeEmptyResponse(aOutcome == ExecutionOutcome::Refused ? 503 : 502);
   auto report = this->executor.MakeReport(aOutcome, *this, aReason, retryAfter);
   report.reachedServer = aReason != "server-unreachable";
-  this->executor.SetReport(response, report);
+  this->AddState(response, report);
   responseReceiver->OnCompleteResponse(std::move(response));
 }
 
@@ -197,14 +213,13 @@
   this->LogOutcome("refused", aReason);
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(SlotUse::Unanswered);
-  auto response = TextResponse(503, aReason + "\n");
-  response.set(headers::kRequestId, this->requestId);
+  auto response = this->MakeEmptyResponse(503);
   auto report = this->executor.MakeReport(
     ExecutionOutcome::Refused, *this, aReason, aRetryAfter);
   if (this->key) {
     report.owner = this->executor.FindNewOwner(*this->key);
   }
-  this->executor.SetReport(response, report);
+  this->AddState(response, report);
   responseReceiver->OnCompleteResponse(std::move(response));
 }
 
@@ -241,8 +256,8 @@
   this->LogOutcome("answered", std::to_string(status));
   auto self = this->shared_from_this();
   auto responseReceiver = this->Finish(this->UseByResponse(status));
-  this->executor.SetReport(
-    aResponse, this->executor.MakeReport(ExecutionOutcome::Answered, *this));
+  this->AddState(aResponse,
+                 this->executor.MakeReport(ExecutionOutcome::Answered, *this));
   responseReceiver->OnCompleteResponse(std::move(aResponse));
 }
 
@@ -268,9 +283,8 @@
     this->OnRefused(this->status);
     return;
   }
-  this->executor.SetReport(
-    aHeaders.message,
-    this->executor.MakeReport(ExecutionOutcome::Answered, *this));
+  this->AddState(aHeaders.message,
+                 this->executor.MakeReport(ExecutionOutcome::Answered, *this));
   this->receiver->OnHeaders(std::move(aHeaders));
 }
 
--- a/src/fescuetillerd/execution.h
+++ b/src/fescuetillerd/execution.h
@@ -65,6 +65,12 @@
    * reached, or did not respond completely. */
   void RespondWithFailure(const std::string& aReason,
                           ExecutionOutcome aOutcome);
+  /** Makes a response that is not a backend server's. Daemons read only its
+   * report, so it has no body. */
+  HttpResponse MakeEmptyResponse(unsigned aStatus) const;
+  /** Adds a report and the server's announcements to the headers of a response.
+   */
+  void AddState(http::fields& aFields, const ExecutionReport& aReport);
   /** Passes what the server states about itself in the headers of a response to
    * the executor. */
   void ReadServerState(const http::fields& aHeaders);
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -567,17 +567,21 @@
 Executor::MakeFinalResponse()
 {
   auto response = TextResponse(503, "stopping\n");
-  this->SetReport(response,
-                  this->MakeStateReport(ExecutionOutcome::Refused,
-                                        kStoppingReason,
-                                        kDefaultRetryAfter));
+  // Releases that do not know the compact encoding may receive it.
+  this->AddState(response,
+                 this->MakeStateReport(ExecutionOutcome::Refused,
+                                       kStoppingReason,
+                                       kDefaultRetryAfter),
+                 false);
   return response;
 }
 
 void
-Executor::SetReport(http::fields& aFields, const ExecutionReport& aReport)
+Executor::AddState(http::fields& aFields,
+                   const ExecutionReport& aReport,
+                   bool aCompact)
 {
-  aFields.set(kExecutionReportField, Encode(aReport));
+  SetReport(aFields, aReport, aCompact);
   aFields.erase(kServerNoticeField);
   ServerNotice notice;
   notice.server = this->serving.server;
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -168,8 +168,10 @@
                              const std::string& aReason = "",
                              Duration aRetryAfter = Duration(0)) const;
   /** Adds a report and the server's announcements to the headers of a response.
-   */
-  void SetReport(http::fields& aFields, const ExecutionReport& aReport);
+   * @param aCompact Whether the receiver reads compact reports. */
+  void AddState(http::fields& aFields,
+                const ExecutionReport& aReport,
+                bool aCompact);
 
   asio::io_context& context;
   Tcp::endpoint server;
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -1,5 +1,7 @@
 #include "fescuetillerd/ingress.h"
 
+#include <iterator>
+
 #include "fescuetillerd/callerapi.h"
 #include "fescuetillerd/ingressrequest.h"
 
@@ -62,6 +64,11 @@
 {
   this->view = std::move(aView);
   this->self = std::move(aSelf);
+  auto& compact = this->compactMembers;
+  for (auto member = compact.begin(); member != compact.end();) {
+    member = this->view->FindMember(*member) == nullptr ? compact.erase(member)
+                                                        : std::next(member);
+  }
 }
 
 bool
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 #include "cluster/cluster.h"
 #include "fescuetillerd/counters.h"
@@ -73,6 +74,9 @@
   MemberId self;
   DestinationPicker destinations;
   PeerTable peers;
+  /** Members that read compact dispatches, by their reports. A member is one
+   * process, so this holds as long as the member exists. */
+  std::set<MemberId> compactMembers;
   ServerNotices serverNotices;
   std::map<std::string, RetryBudget> budgets; ///< By service.
   ClientRetries clientRetries;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -359,8 +359,6 @@
   RemoveHopByHopFields(forwarded);
   forwarded.version(11);
   forwarded.keep_alive(true);
-  forwarded.set(kDispatchField, Encode(this->dispatch));
-  forwarded.set(headers::kCallerService, this->ingress.settings.service);
   forwarded.erase(headers::kTargetServer);
   // The client may have listed it among the headers of its connection.
   forwarded.set(headers::kRequestId, this->requestId);
@@ -371,23 +369,50 @@
     forwarded.content_length(forwarded.body().size());
   }
   forwarded.erase(kServerNoticeField);
+  ++this->attempts;
+  this->otherZone.reset();
   this->ingress.peers.OnRequestSent(aMember);
-  if (aMember == this->ingress.self) {
-    this->localExecution = this->ingress.executor.Start(
-      std::move(forwarded), this->dispatch, this->shared_from_this());
+  if (aMember != this->ingress.self) {
+    this->SendToPeer(this->ingress.view->FindMember(aMember)->record,
+                     std::move(forwarded));
     return;
   }
-  const auto* peer = this->ingress.view->FindMember(aMember);
-  auto address = ParseEndpoint(peer->record.address);
+  SetDispatch(forwarded, this->dispatch, this->ingress.settings.service, false);
+  this->localExecution = this->ingress.executor.Start(
+    std::move(forwarded), this->dispatch, this->shared_from_this());
+}
+
+void
+IngressRequest::SendToPeer(const MemberRecord& aMember, HttpRequest aRequest)
+{
+  auto address = ParseEndpoint(aMember.address);
   if (!address) {
     this->EndAttempt();
     this->OnAttemptFailed(FailedAttempt::NotSent("bad-address"));
     return;
   }
-  this->currentAddress = peer->record.address;
-  auto notice = this->ingress.serverNotices.Find(now, this->currentAddress);
+  this->currentAddress = aMember.address;
+  if (aMember.zone != this->ingress.settings.zone) {
+    this->otherZone = aMember.zone;
+  }
+  this->dispatch.readsCompactReport = true;
+  SetDispatch(aRequest,
+              this->dispatch,
+              this->ingress.settings.service,
+              this->ingress.compactMembers.count(aMember.id) > 0);
+  // The daemon beside the server states it anew, by the dispatch.
+  aRequest.erase(headers::kTimeLeft);
+  auto notice =
+    this->ingress.serverNotices.Find(this->sentAt, this->currentAddress);
   if (notice) {
-    forwarded.set(kServerNoticeField, Encode(*notice));
+    aRequest.set(kServerNoticeField, Encode(*notice));
+  }
+  if (this->otherZone) {
+    auto size = SizeOf(aRequest);
+    this->CountZoneTraffic(
+      { { ZonePart::RequestHead, size.total - size.daemonFields },
+        { ZonePart::RequestBody, aRequest.body().size() },
+        { ZonePart::RequestFields, size.daemonFields } });
   }
   CallOptions options;
   options.connectTimeout = kConnectTimeout;
@@ -396,11 +421,41 @@
   options.correlationField = headers::kRequestId;
   this->remoteCall = UpstreamCall::Start(this->ingress.pool,
                                          *address,
-                                         std::move(forwarded),
+                                         std::move(aRequest),
                                          options,
                                          this->shared_from_this());
 }
 
+void
+IngressRequest::CountZoneTraffic(ZoneTraffic::Parts aParts)
+{
+  if (!this->otherZone) {
+    return;
+  }
+  auto purpose = ZonePurpose::Request;
+  if (this->attempts > 1) {
+    purpose = ZonePurpose::Retry;
+  } else if (this->dispatch.nested) {
+    purpose = ZonePurpose::Call;
+  }
+  this->ingress.counters.CountZoneTraffic(*this->otherZone, purpose, aParts);
+}
+
+void
+IngressRequest::CountZoneResponse(const HeadSize& aHead,
+                                  uint64_t aBodyBytes,
+                                  bool aIsServers)
+{
+  if (aIsServers) {
+    this->CountZoneTraffic(
+      { { ZonePart::ResponseHead, aHead.total - aHead.daemonFields },
+        { ZonePart::ResponseBody, aBodyBytes },
+        { ZonePart::ResponseFields, aHead.daemonFields } });
+  } else {
+    this->CountZoneTraffic({ { ZonePart::Refusal, aHead.total + aBodyBytes } });
+  }
+}
+
 void
 IngressRequest::EndAttempt()
 {
@@ -427,11 +482,14 @@
 std::optional<ExecutionReport>
 IngressRequest::ExtractReport(http::fields& aFields)
 {
-  auto report =
-    DecodeExecutionReport(std::string(aFields[kExecutionReportField]));
+  auto received = TakeReport(aFields);
   auto notice = TakeServerNotice(aFields, this->ingress.log);
-  aFields.erase(kExecutionReportField);
-  if (report) {
+  std::optional<ExecutionReport> report;
+  if (received) {
+    report = received->report;
+    if (received->isCompact && this->remoteCall != nullptr) {
+      this->ingress.compactMembers.insert(this->currentMember);
+    }
     auto now = BootClock::now();
     this->ingress.peers.OnReport(now,
                                  this->currentMember,
@@ -458,7 +516,12 @@
 void
 IngressRequest::OnCompleteResponse(HttpResponse aResponse)
 {
+  auto size = this->otherZone ? SizeOf(aResponse) : HeadSize();
   auto report = this->ExtractReport(aResponse);
+  this->CountZoneResponse(size,
+                          aResponse.body().size(),
+                          report &&
+                            report->outcome == ExecutionOutcome::Answered);
   this->EndAttempt();
   if (!report) {
     // Not from a daemon's request path, so the outcome is unknown.
@@ -490,6 +553,9 @@
 void
 IngressRequest::OnHeaders(ResponseHeaders aHeaders)
 {
+  if (this->otherZone) {
+    this->CountZoneResponse(SizeOf(aHeaders.message), 0, true);
+  }
   if (!this->ExtractReport(aHeaders.message)) {
     // Not from a daemon's request path, so the outcome is unknown.
     auto self = this->shared_from_this(); // The call keeps it until its end.
@@ -530,6 +596,7 @@
 IngressRequest::OnBodyChunk(asio::const_buffer aChunk,
                             std::function<void()> aNext)
 {
+  this->CountZoneTraffic({ { ZonePart::ResponseBody, aChunk.size() } });
   this->StartResponse();
   this->exchange->WriteChunk(aChunk, std::move(aNext));
 }
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -69,6 +69,8 @@
    * not want to be sent, since it would refuse them. */
   bool IsHeldBack(const std::string& aOwner);
   void SendTo(const std::string& aMember);
+  /** Sends the request to the daemon of another member. */
+  void SendToPeer(const MemberRecord& aMember, HttpRequest aRequest);
   void OnAttemptFailed(const FailedAttempt& aAttempt);
   /** @return Whether the request was sent again or will be. */
   bool RetryIfPossible(const FailedAttempt& aAttempt);
@@ -99,6 +101,13 @@
   /** Counts the request and logs it. */
   void RecordOutcome(const std::string& aOutcome, const std::string& aReason);
   Duration TimeLeft() const;
+  /** Counts bytes of the current attempt if it went to another zone. */
+  void CountZoneTraffic(ZoneTraffic::Parts aParts);
+  /** Counts the headers of a response, and its body unless that follows.
+   * @param aIsServers Whether the response is a backend server's. */
+  void CountZoneResponse(const HeadSize& aHead,
+                         uint64_t aBodyBytes,
+                         bool aIsServers);
   /** Removes the execution report from the headers of a response and records
    * its load and times for the current member. */
   std::optional<ExecutionReport> ExtractReport(http::fields& aFields);
@@ -121,7 +130,10 @@
   Time deadline;
   std::string currentMember;  ///< Member of the last attempt.
   std::string currentAddress; ///< Of that member, if it is another one.
-  Time sentAt;                ///< Start of the last attempt.
+  /** Zone of that member; nothing if it is the own one. */
+  std::optional<std::string> otherZone;
+  Time sentAt;                            ///< Start of the last attempt.
+  uint32_t attempts = 0;                  ///< Attempts so far, without pauses.
   std::optional<ResponseHeaders> headers; ///< Not sent to the client yet.
   std::set<std::string> triedMembers;
   std::shared_ptr<UpstreamCall> remoteCall;    ///< Attempt at another daemon.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kPeriodicInterval = std::chrono::milliseconds(500);
 /** Interval between log lines on the use of the server's slots. */
 constexpr Duration kSlotUsageLogInterval = std::chrono::seconds(2);
+/** Interval between log lines on the traffic with other zones. */
+constexpr Duration kZoneTrafficLogInterval = std::chrono::seconds(5);
 /** Longer than other daemons keep their idle connections to this one, so that
  * the calling side closes them first. */
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
@@ -202,8 +204,7 @@
 void
 TrafficNode::OnPeerRequest(const std::shared_ptr<Exchange>& aExchange)
 {
-  auto dispatch =
-    DecodeDispatch(std::string(aExchange->request[kDispatchField]));
+  auto dispatch = TakeDispatch(aExchange->request, this->settings.service);
   if (!dispatch) {
     aExchange->Respond(TextResponse(400, "no dispatch\n"));
     return;
@@ -265,6 +266,20 @@
   });
 }
 
+void
+TrafficNode::LogZoneTraffic(Time aNow)
+{
+  if (aNow < this->nextZoneTrafficLog) {
+    return;
+  }
+  this->nextZoneTrafficLog = aNow + kZoneTrafficLogInterval;
+  auto event = this->counters.MakeZoneTrafficEvent();
+  if (event.fields != this->loggedZoneTraffic) {
+    this->loggedZoneTraffic = event.fields;
+    this->log.Write(EventPriority::Summary, [&event] { return event; });
+  }
+}
+
 void
 TrafficNode::RunPeriodicTasks()
 {
@@ -290,6 +305,7 @@
                      this->ingress.PeerLoads() });
   }
   this->LogSlotUsage(now);
+  this->LogZoneTraffic(now);
   this->timer.expires_after(kPeriodicInterval);
   this->timer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -83,6 +83,8 @@
                         const UnexpectedData& aData);
   /** Logs what the server's slots were used for, if it has changed. */
   void LogSlotUsage(Time aNow);
+  /** Logs the bytes between zones so far, if they have changed. */
+  void LogZoneTraffic(Time aNow);
 
   asio::io_context& context;
   NodeSettings settings;
@@ -97,6 +99,9 @@
   asio::steady_timer timer;
   Time nextSlotUsageLog;
   SlotTimes loggedSlotTotals; ///< Totals in the last log line.
+  Time nextZoneTrafficLog;
+  /** Fields of the last log line on it. */
+  decltype(Event::fields) loggedZoneTraffic;
   Time dismissedUntil; ///< Until when others may read the final response.
 };
 
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -38,6 +38,13 @@
   return aVersion == 0 ? 0 : MakeRowVersion(aEra, aVersion);
 }
 
+size_t
+ZoneOf(size_t aNode)
+{
+  constexpr size_t kZones = 3;
+  return aNode % kZones;
+}
+
 AgentSettings
 Settings(const BrokenRules& aBroken)
 {
@@ -153,6 +160,7 @@
   , broken(aBroken)
   , highest(kLastKey + 1, { 0, SIZE_MAX })
   , handovers(kLastKey + 1)
+  , pollInterval(kPollInterval)
 {
   this->CopyStore();
   for (size_t index = 0; index < aNodes; ++index) {
@@ -264,6 +272,13 @@
     condition.version = NumberOf(condition.version);
   }
   auto outcome = this->store.Apply(ToStored(aChange, aEra));
+  auto isClusterRow = [](const StoreRow& aRow) {
+    return aRow.key.table == kClusterTable;
+  };
+  if (outcome.committed &&
+      std::any_of(aChange.sets.begin(), aChange.sets.end(), isClusterRow)) {
+    ++this->changes;
+  }
   outcome.version = WithEra(outcome.version, aEra);
   outcome.current = FromStored(std::move(outcome.current), aEra);
   for (auto& row : outcome.current) {
@@ -318,7 +333,7 @@
   node.frozenUntil = Time();
   node.agent = std::make_unique<OwnershipAgent>(
     AgentIdentity{ kService,
-                   "zone-" + std::to_string(aNode % 3),
+                   "zone-" + std::to_string(ZoneOf(aNode)),
                    node.address + ":2",
                    node.address + ":3",
                    node.address + ":1" },
@@ -436,6 +451,10 @@
         this->now < node.peersUnreachableUntil) {
       continue;
     }
+    if (aMessage.message.kind == PeerMessage::Kind::Rows &&
+        ZoneOf(aFrom) != ZoneOf(index)) {
+      ++this->rowDatagramsBetweenZones;
+    }
     auto encoded = Encode(aMessage.message);
     auto deliver = std::make_shared<Action>();
     *deliver = [this, index, aFrom, encoded, deliver] {
@@ -450,8 +469,10 @@
       }
       for (auto& reply : target.agent->OnPeerMessage(
              this->now, *DecodePeerMessage(encoded))) {
-        this->SendPeerMessage(
-          index, { this->nodes[aFrom]->address + ":3", reply.message });
+        if (reply.address.empty()) {
+          reply.address = this->nodes[aFrom]->address + ":3";
+        }
+        this->SendPeerMessage(index, reply);
       }
     };
     this->Schedule(this->DrawDuration(milliseconds(1), milliseconds(4)),
@@ -497,7 +518,7 @@
     node.seenVersion = this->store.Version();
     node.agent->OnRowsComplete(WithEra(node.seenVersion, node.agent->Era()));
   }
-  this->Schedule(kPollInterval,
+  this->Schedule(this->pollInterval,
                  [this, aNode, aRun] { this->PollStore(aNode, aRun); });
 }
 
@@ -974,6 +995,72 @@
   return text;
 }
 
+void
+ClusterSimulation::SetPollInterval(Duration aInterval)
+{
+  this->pollInterval = aInterval;
+}
+
+void
+ClusterSimulation::ReadStoredVersions()
+{
+  if (this->storedVersionsOf == this->store.Version()) {
+    return;
+  }
+  this->storedVersionsOf = this->store.Version();
+  this->storedMembers.clear();
+  this->storedRanges.clear();
+  auto era = this->store.Era();
+  auto stored = this->store.Read({ kClusterTable, kService, "" }).rows;
+  for (const auto& row : FromStored(stored, era)) {
+    if (auto range = ParseRange(row)) {
+      this->storedRanges[range->range.first] = WithEra(row.version, era);
+    } else if (auto member = ParseMember(row)) {
+      this->storedMembers[member->id] = WithEra(row.version, era);
+    }
+  }
+}
+
+std::set<size_t>
+ClusterSimulation::StaleNodes()
+{
+  this->ReadStoredVersions();
+  std::set<size_t> stale;
+  for (size_t index = 0; index < this->nodes.size(); ++index) {
+    const auto& node = *this->nodes[index];
+    if (!node.daemonUp || this->now < node.frozenUntil) {
+      continue;
+    }
+    const auto& view = node.agent->View();
+    const auto& ranges = view.RangesOf(kService);
+    for (const auto& [first, version] : this->storedRanges) {
+      auto known = ranges.find(first);
+      if (known == ranges.end() || known->second.version < version) {
+        stale.insert(index);
+      }
+    }
+    for (const auto& [id, version] : this->storedMembers) {
+      const auto* known = view.FindMember(id);
+      if (known == nullptr || known->version < version) {
+        stale.insert(index);
+      }
+    }
+  }
+  return stale;
+}
+
+size_t
+ClusterSimulation::RowDatagramsBetweenZones() const
+{
+  return this->rowDatagramsBetweenZones;
+}
+
+size_t
+ClusterSimulation::Changes() const
+{
+  return this->changes;
+}
+
 size_t
 ClusterSimulation::Nodes() const
 {
--- a/tests/cluster/clustersimulation.h
+++ b/tests/cluster/clustersimulation.h
@@ -95,6 +95,16 @@
    * and the latest events of the owner. */
   std::string DescribeUnheldRanges() const;
 
+  /** Changes how often daemons read changes from the store. */
+  void SetPollInterval(Duration aInterval);
+  /** Nodes whose daemons run and do not know all rows of the store as they are
+   * now. */
+  std::set<size_t> StaleNodes();
+  /** Number of datagrams with changed rows so far that went to another zone. */
+  size_t RowDatagramsBetweenZones() const;
+  /** Number of committed changes of the cluster's rows so far. */
+  size_t Changes() const;
+
   size_t Nodes() const;
   /** Number of nodes whose servers hold any key. */
   size_t Holders() const;
@@ -140,6 +150,8 @@
   void UpdateEra(size_t aNode);
   /** Returns what a daemon reads from the store, as its client presents it. */
   StoreRows ReadRows(size_t aNode, std::vector<StoreRow> aRows) const;
+  /** Reads the versions of members and ranges in the store, if it changed. */
+  void ReadStoredVersions();
   StoreOutcome Apply(StoreTransaction aChange, StoreEra aEra);
   bool IsStoreResponding(size_t aNode) const;
   bool DrawChance(double aShare);
@@ -164,6 +176,12 @@
   std::vector<std::string> handovers;
   size_t releases = 0;
   size_t coldKeys = 0;
+  Duration pollInterval;
+  size_t rowDatagramsBetweenZones = 0;
+  size_t changes = 0;
+  RowVersion storedVersionsOf = 0; ///< Version of the store as of these:
+  std::map<MemberId, RowVersion> storedMembers;
+  std::map<Key, RowVersion> storedRanges; ///< By first key.
   std::vector<std::string> violations;
 };
 
