--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1430,20 +1430,20 @@
     }
     datagrams.back().push_back(row);
   }
-  for (const auto& [id, receiver] : this->ChooseRowReceivers(aNow, aRows)) {
-    for (const auto& rows : datagrams) {
-      if (!rows.empty()) {
-        PeerMessage message;
-        message.kind = PeerMessage::Kind::Rows;
-        message.from = this->self;
-        message.to = id;
-        message.rows = rows;
-        if (receiver.relays) {
-          message.relay = PeerMessage::Relay::Requested;
-        }
-        this->pendingMessages.push_back(
-          { receiver.address, std::move(message) });
+  for (const auto& rows : datagrams) {
+    if (rows.empty()) {
+      continue;
+    }
+    for (const auto& [id, receiver] : this->ChooseRowReceivers(aNow, rows)) {
+      PeerMessage message;
+      message.kind = PeerMessage::Kind::Rows;
+      message.from = this->self;
+      message.to = id;
+      message.rows = rows;
+      if (receiver.relays) {
+        message.relay = PeerMessage::Relay::Requested;
       }
+      this->pendingMessages.push_back({ receiver.address, std::move(message) });
     }
   }
 }
@@ -1471,12 +1471,12 @@
   for (const auto& [id, member] : this->view.AllMembers()) {
     // A member that joins must be heard by all others, which give it no keys
     // otherwise.
-    bool direct = this->phase != Phase::Member ||
-                  member.record.zone == this->identity.zone ||
-                  concerned.count(id) > 0;
-    if (direct) {
+    bool isNear =
+      this->phase != Phase::Member || member.record.zone == this->identity.zone;
+    if (isNear || concerned.count(id) > 0) {
       receivers[id] = { member.record.udpAddress };
-    } else {
+    }
+    if (!isNear) {
       others[member.record.zone].push_back(id);
     }
   }
@@ -1486,31 +1486,40 @@
                : std::next(member);
   }
   for (const auto& [zone, members] : others) {
-    std::vector<MemberId> able;
-    for (const auto& id : members) {
-      if (this->relays.count(id) > 0 && this->probe.IsAlive(aNow, id)) {
-        able.push_back(id);
-      }
-    }
-    bool relayed =
-      able.size() >= kRelaysPerZone && members.size() > kRelaysPerZone;
-    for (size_t relay = 0; relayed && relay < kRelaysPerZone; ++relay) {
-      auto left = able.size() - relay;
-      auto drawn =
-        static_cast<size_t>(this->random() * static_cast<double>(left));
-      std::swap(able[relay], able[relay + std::min(drawn, left - 1)]);
-    }
-    if (relayed) {
-      able.resize(kRelaysPerZone);
-    }
-    for (const auto& id : relayed ? able : members) {
-      receivers[id] = { this->view.FindMember(id)->record.udpAddress, relayed };
+    auto chosen = this->ChooseRelays(aNow, members, concerned);
+    bool relays = !chosen.empty();
+    for (const auto& id : relays ? chosen : members) {
+      receivers[id] = { this->view.FindMember(id)->record.udpAddress, relays };
     }
   }
   receivers.erase(this->self);
   return receivers;
 }
 
+std::vector<MemberId>
+OwnershipAgent::ChooseRelays(Time aNow,
+                             const std::vector<MemberId>& aMembers,
+                             const std::set<MemberId>& aPreferred) const
+{
+  // In a random order, those that get the rows anyway first.
+  std::multimap<std::pair<bool, double>, MemberId> able;
+  for (const auto& id : aMembers) {
+    if (this->relays.count(id) > 0 && this->probe.IsAlive(aNow, id)) {
+      able.emplace(std::pair(aPreferred.count(id) == 0, this->random()), id);
+    }
+  }
+  std::vector<MemberId> chosen;
+  if (able.size() >= kRelaysPerZone && aMembers.size() > kRelaysPerZone) {
+    for (const auto& [rank, id] : able) {
+      chosen.push_back(id);
+      if (chosen.size() == kRelaysPerZone) {
+        break;
+      }
+    }
+  }
+  return chosen;
+}
+
 std::vector<OutgoingMessage>
 OwnershipAgent::RelayRows(const PeerMessage& aMessage) const
 {
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -252,6 +252,13 @@
   std::map<MemberId, RowReceiver> ChooseRowReceivers(
     Time aNow,
     const std::vector<StoreRow>& aRows);
+  /** Chooses the members of another zone that pass rows on.
+   * @param aPreferred Members that are sent the rows anyway.
+   * @return Nothing if too few of the members can. */
+  std::vector<MemberId> ChooseRelays(
+    Time aNow,
+    const std::vector<MemberId>& aMembers,
+    const std::set<MemberId>& aPreferred) const;
   /** Returns the messages that pass on rows to the other members of the own
    * zone. */
   std::vector<OutgoingMessage> RelayRows(const PeerMessage& aMessage) const;
