--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -87,6 +87,13 @@
   this->zoneTraffic.Count(aZone, aPurpose, aParts);
 }
 
+void
+Counters::CountZoneChoice(const std::string& aClass, bool aOtherZone)
+{
+  std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->zoneChoices[{ aClass, aOtherZone }];
+}
+
 void
 Counters::CountZoneDatagram(const std::string& aZone,
                             PeerMessage::Kind aKind,
@@ -204,6 +211,15 @@
                    { "part", entry.part } },
                  static_cast<double>(entry.total.messages));
   }
+  writer.Describe("fescuetiller_zone_choices_total",
+                  "counter",
+                  "Answered requests without a key by where they ran.");
+  for (const auto& [key, count] : this->zoneChoices) {
+    writer.Write(
+      "fescuetiller_zone_choices_total",
+      { { "class", key.first }, { "zone", key.second ? "other" : "own" } },
+      static_cast<double>(count));
+  }
   writer.Describe("fescuetiller_slot_seconds_total",
                   "counter",
                   "Time of the backend server's slots by use.");
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -58,6 +58,9 @@
                         ZonePurpose aPurpose,
                         ZoneTraffic::Parts aParts);
 
+  /** Counts an answered request without a key by where it ran. */
+  void CountZoneChoice(const std::string& aClass, bool aOtherZone);
+
   /** Counts a datagram to another zone. */
   void CountZoneDatagram(const std::string& aZone,
                          PeerMessage::Kind aKind,
@@ -87,6 +90,8 @@
   std::map<std::string, double> gauges;
   SlotTimes slotTimes;
   ZoneTraffic zoneTraffic;
+  /** By class and whether they ran in another zone. */
+  std::map<std::pair<std::string, bool>, uint64_t> zoneChoices;
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -27,6 +27,9 @@
   , counters(aCounters)
   , pool(aContext)
   , view(std::make_shared<ClusterView>())
+  , zoneChoice([this] {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  })
   , random(std::random_device()())
 {
   this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
@@ -53,6 +56,12 @@
   }
 }
 
+void
+Ingress::SetTransferCost(std::optional<Duration> aCost)
+{
+  this->settings.transferCost = aCost;
+}
+
 void
 Ingress::SetConfiguration(std::shared_ptr<const Configuration> aConfiguration)
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -21,6 +21,9 @@
   std::string service; ///< Service of the backend server beside the daemon.
   std::string zone;
   double retryRatio = 0.1; ///< Retries allowed per request.
+  /** Time of a caller that a KiB sent to another zone is worth; empty: not
+   * stated. */
+  std::optional<Duration> transferCost;
 };
 
 /**
@@ -42,6 +45,7 @@
 
   /** Changes the number of retries allowed per request. */
   void SetRetryRatio(double aRatio);
+  void SetTransferCost(std::optional<Duration> aCost);
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const ClusterView> aView, MemberId aSelf);
 
@@ -74,14 +78,16 @@
   MemberId self;
   DestinationPicker destinations;
   PeerTable peers;
+  ZoneChoice zoneChoice;
   /** Members that read compact dispatches, by their reports. A member is one
    * process, so this holds as long as the member exists. */
   std::set<MemberId> compactMembers;
   ServerNotices serverNotices;
   std::map<std::string, RetryBudget> budgets; ///< By service.
   ClientRetries clientRetries;
-  std::mt19937_64 random; ///< Decides which requests are held back.
-  size_t inFlight = 0;    ///< Number of IngressRequests that exist.
+  /** Decides which requests are held back and which are sent to other zones. */
+  std::mt19937_64 random;
+  size_t inFlight = 0; ///< Number of IngressRequests that exist.
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -49,6 +49,10 @@
 
 constexpr unsigned kFirstServerError = 500;
 
+/** Size of the headers of a request and its response together, for the price of
+ * sending them to another zone. */
+constexpr uint64_t kUsualHeadBytes = 512;
+
 /** Whether a status that the router itself responds with guarantees that the
  * request has not run and never will. */
 bool
@@ -272,17 +276,8 @@
       candidates.push_back({ other->id, other->zone });
     }
   }
-  PeerCriteria criteria;
-  criteria.requestClass = this->dispatch.requestClass;
-  criteria.ownZone = this->ingress.settings.zone;
-  double preference = this->route.kind == RequestKind::Download
-                        ? kDownloadZonePreference
-                        : kZonePreference;
-  criteria.zonePreference = std::chrono::duration_cast<Duration>(
-    this->route.targetLatency * preference);
-  criteria.tried = this->triedMembers;
   auto now = BootClock::now();
-  auto chosen = this->ingress.peers.Pick(now, candidates, criteria);
+  auto chosen = this->PickMember(now, candidates);
   if (!chosen.empty() && !this->ingress.peers.AllowRequest(now, chosen)) {
     aReason = "all-unreachable";
     return "";
@@ -293,6 +288,33 @@
   return chosen;
 }
 
+std::string
+IngressRequest::PickMember(Time aNow,
+                           const std::vector<PeerCandidate>& aCandidates)
+{
+  const auto& settings = this->ingress.settings;
+  if (settings.transferCost) {
+    ZoneCriteria criteria;
+    criteria.requestClass = this->dispatch.requestClass;
+    criteria.ownZone = settings.zone;
+    criteria.target = this->route.targetLatency;
+    criteria.transferCost = *settings.transferCost;
+    criteria.tried = this->triedMembers;
+    return this->ingress.zoneChoice.Choose(
+      aNow, aCandidates, criteria, this->ingress.peers);
+  }
+  PeerCriteria criteria;
+  criteria.requestClass = this->dispatch.requestClass;
+  criteria.ownZone = settings.zone;
+  double preference = this->route.kind == RequestKind::Download
+                        ? kDownloadZonePreference
+                        : kZonePreference;
+  criteria.zonePreference = std::chrono::duration_cast<Duration>(
+    this->route.targetLatency * preference);
+  criteria.tried = this->triedMembers;
+  return this->ingress.peers.Pick(aNow, aCandidates, criteria);
+}
+
 bool
 IngressRequest::IsHeldBack(const std::string& aOwner)
 {
@@ -371,6 +393,7 @@
   forwarded.erase(kServerNoticeField);
   ++this->attempts;
   this->otherZone.reset();
+  this->bodyBytes = forwarded.body().size();
   this->ingress.peers.OnRequestSent(aMember);
   if (aMember != this->ingress.self) {
     this->SendToPeer(this->ingress.view->FindMember(aMember)->record,
@@ -426,6 +449,18 @@
                                          this->shared_from_this());
 }
 
+void
+IngressRequest::RecordSize()
+{
+  if (this->key) {
+    return;
+  }
+  this->ingress.zoneChoice.OnSize(this->dispatch.requestClass,
+                                  kUsualHeadBytes + this->bodyBytes);
+  this->ingress.counters.CountZoneChoice(this->dispatch.requestClass,
+                                         this->otherZone.has_value());
+}
+
 void
 IngressRequest::CountZoneTraffic(ZoneTraffic::Parts aParts)
 {
@@ -540,6 +575,8 @@
     return;
   }
   this->ended = true;
+  this->bodyBytes += aResponse.body().size();
+  this->RecordSize();
   if (aResponse.result_int() >= kFirstServerError) {
     this->ExpectRetry();
   }
@@ -596,6 +633,7 @@
 IngressRequest::OnBodyChunk(asio::const_buffer aChunk,
                             std::function<void()> aNext)
 {
+  this->bodyBytes += aChunk.size();
   this->CountZoneTraffic({ { ZonePart::ResponseBody, aChunk.size() } });
   this->StartResponse();
   this->exchange->WriteChunk(aChunk, std::move(aNext));
@@ -607,6 +645,7 @@
   this->StartResponse();
   this->EndAttempt();
   this->ended = true;
+  this->RecordSize();
   this->RecordOutcome("answered", "streamed");
   this->exchange->onClientDisconnect = nullptr;
   this->exchange->EndResponse();
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "fescuetillerd/ingress.h"
 
@@ -65,6 +66,10 @@
   /** @param aReason Set if no member can be chosen.
    * @return The member; empty if there is none. */
   std::string ChooseMember(std::string& aReason);
+  /** Chooses among members that own no keys.
+   * @return The member; empty if every candidate was tried. */
+  std::string PickMember(Time aNow,
+                         const std::vector<PeerCandidate>& aCandidates);
   /** Decides whether the request is one of those that the owner of its key does
    * not want to be sent, since it would refuse them. */
   bool IsHeldBack(const std::string& aOwner);
@@ -101,6 +106,8 @@
   /** Counts the request and logs it. */
   void RecordOutcome(const std::string& aOutcome, const std::string& aReason);
   Duration TimeLeft() const;
+  /** Records the size of the request and its response for later choices. */
+  void RecordSize();
   /** Counts bytes of the current attempt if it went to another zone. */
   void CountZoneTraffic(ZoneTraffic::Parts aParts);
   /** Counts the headers of a response, and its body unless that follows.
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -49,7 +49,8 @@
             executor,
             { aSettings.service,
               aSettings.zone,
-              aSettings.retryRatio * kRetryRatioFraction },
+              aSettings.retryRatio * kRetryRatioFraction,
+              aSettings.transferCost },
             aLog,
             aCounters)
   , clientServer(aContext,
@@ -121,6 +122,7 @@
 {
   this->settings = aSettings;
   this->ingress.SetRetryRatio(aSettings.retryRatio * kRetryRatioFraction);
+  this->ingress.SetTransferCost(aSettings.transferCost);
 }
 
 void
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -166,6 +166,32 @@
   return true;
 }
 
+PeerTable::Estimate
+PeerTable::EstimateOf(Time aNow,
+                      const std::string& aMember,
+                      const std::string& aClass) const
+{
+  Estimate estimate;
+  auto found = this->peers.find(aMember);
+  if (found == this->peers.end()) {
+    return estimate;
+  }
+  const auto& peer = found->second;
+  auto times = peer.classes.find(aClass);
+  if (times != peer.classes.end()) {
+    bool reported = aNow - times->second.reportedAt < kMaxReportAge;
+    bool measured = aNow - times->second.overheadAt < kMaxOverheadAge;
+    estimate.time += reported ? times->second.expected : Duration(0);
+    estimate.time += measured ? times->second.overhead : Duration(0);
+  }
+  estimate.time += kInFlightTime * static_cast<int>(peer.inFlight);
+  estimate.time += aNow < peer.avoidUntil ? kFailingPeerCost : Duration(0);
+  if (aNow - peer.reportedAt < kMaxReportAge) {
+    estimate.load = peer.load;
+  }
+  return estimate;
+}
+
 std::string
 PeerTable::Pick(Time aNow,
                 const std::vector<PeerCandidate>& aCandidates,
@@ -180,19 +206,8 @@
     Duration cost = candidate.zone == aCriteria.ownZone
                       ? Duration(0)
                       : aCriteria.zonePreference;
-    auto found = this->peers.find(candidate.member);
-    if (found != this->peers.end()) {
-      const auto& peer = found->second;
-      auto times = peer.classes.find(aCriteria.requestClass);
-      if (times != peer.classes.end()) {
-        bool reported = aNow - times->second.reportedAt < kMaxReportAge;
-        bool measured = aNow - times->second.overheadAt < kMaxOverheadAge;
-        cost += reported ? times->second.expected : Duration(0);
-        cost += measured ? times->second.overhead : Duration(0);
-      }
-      cost += kInFlightTime * static_cast<int>(peer.inFlight);
-      cost += aNow < peer.avoidUntil ? kFailingPeerCost : Duration(0);
-    }
+    cost +=
+      this->EstimateOf(aNow, candidate.member, aCriteria.requestClass).time;
     if (cost < least) {
       least = cost;
       best = candidate.member;
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -109,6 +110,18 @@
                    const std::vector<PeerCandidate>& aCandidates,
                    const PeerCriteria& aCriteria) const;
 
+  /** What is expected of the next request of a class at a peer. */
+  struct Estimate
+  {
+    /** Until its response; counted as an hour for failing peers. */
+    Duration time = Duration(0);
+    std::optional<double> load; ///< Empty if it is unknown or outdated.
+  };
+  /** An unknown peer counts as one without any wait. */
+  Estimate EstimateOf(Time aNow,
+                      const std::string& aMember,
+                      const std::string& aClass) const;
+
   /** The latest load report of a peer. */
   struct Report
   {
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -9,3 +9,4 @@
 #include "routing/retrybudget.h"
 #include "routing/routetable.h"
 #include "routing/servernotices.h"
+#include "routing/zonechoice.h"
