--- a/src/cluster/peermessage.cpp
+++ b/src/cluster/peermessage.cpp
@@ -17,6 +17,10 @@
 using nlohmann::json;
 
 constexpr int kLastKind = static_cast<int>(PeerMessage::Kind::Crashes);
+constexpr uint64_t kLastRelay =
+  static_cast<uint64_t>(PeerMessage::Relay::Requested);
+/** Position of PeerMessage::relay. */
+constexpr size_t kRelayIndex = 14;
 /** Age above which a configuration counts as not confirmed. */
 constexpr Duration kMaxConfigurationAge = std::chrono::seconds(60);
 
@@ -80,6 +84,16 @@
   return std::chrono::milliseconds(aValue.get<int64_t>());
 }
 
+/** Returns nothing for a value of a later release. */
+std::optional<PeerMessage::Relay>
+ReadRelay(const json& aValue)
+{
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() > kLastRelay) {
+    return std::nullopt;
+  }
+  return static_cast<PeerMessage::Relay>(aValue.get<int>());
+}
+
 /** Throws if they are malformed. */
 std::vector<StoreRow>
 ReadRows(const json& aValue)
@@ -101,6 +115,9 @@
 ReadEvacuations(const json& aValue)
 {
   EvacuationOrders orders;
+  if (aValue.is_null()) {
+    return orders;
+  }
   orders.version = ReadVersion(aValue.at(0));
   for (const auto& zone : aValue.at(1)) {
     orders.zones.insert(zone.get<std::string>());
@@ -175,7 +192,8 @@
                     aMessage.configurationAge,
                     aMessage.crashes,
                     aMessage.era,
-                    aMessage.evacuations);
+                    aMessage.evacuations,
+                    aMessage.relay);
   };
   return tie(aLeft) == tie(aRight);
 }
@@ -216,10 +234,18 @@
                         crash.trials });
   }
   value.push_back(crashes);
-  constexpr size_t kOverheadBytes = 16; // Of the orders without their zones.
+  // Of the orders without their zones, and of the field after them.
+  constexpr size_t kOverheadBytes = 18;
   auto used = json::to_msgpack(value).size() + kOverheadBytes;
-  if (aMessage.evacuations.version != 0 && used <= kMaxDatagramBytes) {
+  bool announces =
+    aMessage.evacuations.version != 0 && used <= kMaxDatagramBytes;
+  if (announces) {
     value.push_back(ToJson(aMessage.evacuations, kMaxDatagramBytes - used));
+  } else if (aMessage.relay) {
+    value.push_back(json());
+  }
+  if (aMessage.relay) {
+    value.push_back(static_cast<int>(*aMessage.relay));
   }
   auto bytes = json::to_msgpack(value);
   return { bytes.begin(), bytes.end() };
@@ -249,13 +275,15 @@
       ReadLoad(value.at(7)),
       std::chrono::milliseconds(
         ReadInteger(value.at(8), -kMaxMilliseconds, kMaxMilliseconds)),
-      // Earlier releases do not send the last five.
+      // Earlier releases do not send the last ones.
       value.size() > 9 ? ReadVersion(value.at(9)) : 0,
       value.size() > 11 ? ParseAge(value.at(11)) : std::nullopt,
       value.size() > 12 ? ParseCrashes(value.at(12))
                         : std::vector<CrashRecord>(),
       value.size() > 10 ? ToUnsigned(value.at(10), "era", kMaxStoreEra) : 0,
-      value.size() > 13 ? ReadEvacuations(value.at(13)) : EvacuationOrders()
+      value.size() > 13 ? ReadEvacuations(value.at(13)) : EvacuationOrders(),
+      value.size() > kRelayIndex ? ReadRelay(value.at(kRelayIndex))
+                                 : std::nullopt
     };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/cluster/peermessage.h
+++ b/src/cluster/peermessage.h
@@ -25,6 +25,13 @@
     Crashes,        ///< Servers that ended under requests.
   };
 
+  /** What its release knows of passing on rows. */
+  enum class Relay
+  {
+    Able,      ///< The sender passes on rows if it is asked to.
+    Requested, ///< The receiver is to pass the rows on in its own zone.
+  };
+
   Kind kind = Kind::Renew;
   MemberId from;
   MemberId to;
@@ -46,6 +53,8 @@
   StoreEra era = 0;
   /** Zones under evacuation as the sender knows them. */
   EvacuationOrders evacuations;
+  /** Whether rows are passed on; empty from releases that pass on none. */
+  std::optional<Relay> relay;
 
   friend bool operator==(const PeerMessage& aLeft, const PeerMessage& aRight);
 };
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -147,6 +147,7 @@
   std::optional<size_t> runningRequests;
   Time nextEraReadAt; ///< Next call because of another daemon's era.
   Time refusedAt;     ///< First refused connection to the server; Time(): none.
+  ZoneByAddress zones;
   bool stopping = false;
 };
 
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -9,6 +9,7 @@
 
 #include "admission/admission.h"
 #include "base/base.h"
+#include "fescuetillerd/zonetraffic.h"
 
 namespace fescuetiller {
 
@@ -56,6 +57,23 @@
 
   void SetGauge(const std::string& aName, double aValue);
 
+  /** Counts parts of the messages of one request to another zone. */
+  void CountZoneTraffic(const std::string& aZone,
+                        ZonePurpose aPurpose,
+                        ZoneTraffic::Parts aParts);
+
+  /** Counts an answered request without a key by where it ran. */
+  void CountZoneChoice(const std::string& aClass, bool aOtherZone);
+
+  /** Counts a datagram to another zone. */
+  void CountZoneDatagram(const std::string& aZone,
+                         PeerMessage::Kind aKind,
+                         uint64_t aBytes);
+
+  /** Totals of the traffic with all other zones together, for the log: the
+   * bytes by purpose and part, and the number of requests and responses. */
+  Event MakeZoneTrafficEvent() const;
+
   /** Formats all metrics for a Prometheus scrape. */
   std::string FormatText() const;
 
@@ -77,6 +95,9 @@
   SlotTimes slotTimes;
   /** By what they do and table. */
   std::map<std::pair<std::string, std::string>, uint64_t> storeCalls;
+  ZoneTraffic zoneTraffic;
+  /** By class and whether they ran in another zone. */
+  std::map<std::pair<std::string, bool>, uint64_t> zoneChoices;
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -1,5 +1,7 @@
 #include "fescuetillerd/ingress.h"
 
+#include <iterator>
+
 #include "fescuetillerd/callerapi.h"
 #include "fescuetillerd/ingressrequest.h"
 
@@ -25,6 +27,9 @@
   , counters(aCounters)
   , pool(aContext)
   , view(std::make_shared<ClusterView>())
+  , zoneChoice([this] {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  })
   , random(std::random_device()())
 {
   this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
@@ -51,6 +56,12 @@
   }
 }
 
+void
+Ingress::SetTransferCost(std::optional<Duration> aCost)
+{
+  this->settings.transferCost = aCost;
+}
+
 void
 Ingress::SetConfiguration(std::shared_ptr<const Configuration> aConfiguration)
 {
@@ -62,6 +73,11 @@
 {
   this->view = std::move(aView);
   this->self = std::move(aSelf);
+  auto& compact = this->compactMembers;
+  for (auto member = compact.begin(); member != compact.end();) {
+    member = this->view->FindMember(*member) == nullptr ? compact.erase(member)
+                                                        : std::next(member);
+  }
 }
 
 void
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kPeriodicInterval = std::chrono::milliseconds(500);
 /** Interval between log lines on the use of the server's slots. */
 constexpr Duration kSlotUsageLogInterval = std::chrono::seconds(2);
+/** Interval between log lines on the traffic with other zones. */
+constexpr Duration kZoneTrafficLogInterval = std::chrono::seconds(5);
 /** Longer than other daemons keep their idle connections to this one, so that
  * the calling side closes them first. */
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
@@ -47,7 +49,8 @@
             executor,
             { aSettings.service,
               aSettings.zone,
-              aSettings.retryRatio * kRetryRatioFraction },
+              aSettings.retryRatio * kRetryRatioFraction,
+              aSettings.transferCost },
             aLog,
             aCounters)
   , clientServer(aContext,
@@ -119,6 +122,7 @@
 {
   this->settings = aSettings;
   this->ingress.SetRetryRatio(aSettings.retryRatio * kRetryRatioFraction);
+  this->ingress.SetTransferCost(aSettings.transferCost);
   this->SetColdPolicy();
 }
 
@@ -229,8 +233,7 @@
 void
 TrafficNode::OnPeerRequest(const std::shared_ptr<Exchange>& aExchange)
 {
-  auto dispatch =
-    DecodeDispatch(std::string(aExchange->request[kDispatchField]));
+  auto dispatch = TakeDispatch(aExchange->request, this->settings.service);
   if (!dispatch) {
     aExchange->Respond(TextResponse(400, "no dispatch\n"));
     return;
@@ -292,6 +295,20 @@
   });
 }
 
+void
+TrafficNode::LogZoneTraffic(Time aNow)
+{
+  if (aNow < this->nextZoneTrafficLog) {
+    return;
+  }
+  this->nextZoneTrafficLog = aNow + kZoneTrafficLogInterval;
+  auto event = this->counters.MakeZoneTrafficEvent();
+  if (event.fields != this->loggedZoneTraffic) {
+    this->loggedZoneTraffic = event.fields;
+    this->log.Write(EventPriority::Summary, [&event] { return event; });
+  }
+}
+
 void
 TrafficNode::RunPeriodicTasks()
 {
@@ -324,6 +341,7 @@
                      this->executor.Slowness() });
   }
   this->LogSlotUsage(now);
+  this->LogZoneTraffic(now);
   this->timer.expires_after(kPeriodicInterval);
   this->timer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -157,6 +157,7 @@
   , broken(aBroken)
   , highest(kLastKey + 1, { 0, SIZE_MAX })
   , handovers(kLastKey + 1)
+  , pollInterval(kPollInterval)
 {
   this->CopyStore();
   for (size_t index = 0; index < aNodes; ++index) {
@@ -431,6 +432,7 @@
                                    const OutgoingMessage& aMessage)
 {
   auto& from = *this->nodes[aFrom];
+  this->CountRowDatagram(aFrom, aMessage);
   bool lost =
     this->now < from.peersUnreachableUntil ||
     (this->now < this->packetLossUntil && this->DrawChance(kLossShare));
@@ -456,8 +458,10 @@
       }
       for (auto& reply : target.agent->OnPeerMessage(
              this->now, *DecodePeerMessage(encoded))) {
-        this->SendPeerMessage(
-          index, { this->nodes[aFrom]->address + ":3", reply.message });
+        if (reply.address.empty()) {
+          reply.address = this->nodes[aFrom]->address + ":3";
+        }
+        this->SendPeerMessage(index, reply);
       }
     };
     this->Schedule(this->DrawDuration(milliseconds(1), milliseconds(4)),
@@ -465,6 +469,24 @@
   }
 }
 
+void
+ClusterSimulation::CountRowDatagram(size_t aFrom,
+                                    const OutgoingMessage& aMessage)
+{
+  if (aMessage.message.kind != PeerMessage::Kind::Rows) {
+    return;
+  }
+  PeerMessage content;
+  content.rows = aMessage.message.rows;
+  bool isNew = this->sentRows.insert(Encode(content)).second;
+  for (size_t index = 0; index < this->nodes.size(); ++index) {
+    bool isOther = ZoneOf(index) != ZoneOf(aFrom);
+    bool isReceiver = this->nodes[index]->address + ":3" == aMessage.address;
+    this->rowReceiversInOtherZones += isOther && isNew ? 1 : 0;
+    this->rowDatagramsBetweenZones += isOther && isReceiver ? 1 : 0;
+  }
+}
+
 bool
 ClusterSimulation::IsStoreResponding(size_t aNode) const
 {
@@ -506,7 +528,7 @@
     node.seenVersion = this->store.Version();
     node.agent->OnRowsComplete(WithEra(node.seenVersion, node.agent->Era()));
   }
-  this->Schedule(kPollInterval,
+  this->Schedule(this->pollInterval,
                  [this, aNode, aRun] { this->PollStore(aNode, aRun); });
 }
 
@@ -562,6 +584,7 @@
         this->UpdateEra(aNode);
       }
       target.agent->Transactions().OnResponse(this->now, aResponse);
+      this->DeliverOutput(aNode, target.agent->Tick(this->now));
       this->SendTransaction(aNode);
     };
   Error unknown{ ErrorCode::Unknown, "change", "store", "no response" };
@@ -1119,6 +1142,62 @@
   return text;
 }
 
+void
+ClusterSimulation::SetPollInterval(Duration aInterval)
+{
+  this->pollInterval = aInterval;
+}
+
+void
+ClusterSimulation::ReadStoredVersions()
+{
+  if (this->storedVersionsOf == this->store.Version()) {
+    return;
+  }
+  this->storedVersionsOf = this->store.Version();
+  this->storedRanges.clear();
+  auto era = this->store.Era();
+  auto stored = this->store.Read({ kClusterTable, kService, "" }).rows;
+  for (const auto& row : FromStored(stored, era)) {
+    if (auto range = ParseRange(row)) {
+      this->storedRanges[range->range.first] = WithEra(row.version, era);
+    }
+  }
+}
+
+std::set<size_t>
+ClusterSimulation::StaleNodes()
+{
+  this->ReadStoredVersions();
+  std::set<size_t> stale;
+  for (size_t index = 0; index < this->nodes.size(); ++index) {
+    const auto& node = *this->nodes[index];
+    if (!node.daemonUp || this->now < node.frozenUntil) {
+      continue;
+    }
+    const auto& ranges = node.agent->View().RangesOf(kService);
+    for (const auto& [first, version] : this->storedRanges) {
+      auto known = ranges.find(first);
+      if (known == ranges.end() || known->second.version < version) {
+        stale.insert(index);
+      }
+    }
+  }
+  return stale;
+}
+
+size_t
+ClusterSimulation::RowDatagramsBetweenZones() const
+{
+  return this->rowDatagramsBetweenZones;
+}
+
+size_t
+ClusterSimulation::RowReceiversInOtherZones() const
+{
+  return this->rowReceiversInOtherZones;
+}
+
 size_t
 ClusterSimulation::Nodes() const
 {
