Bound the memory that connections hold, and read bodies only if there is room

Bodies, header fields and trailers of clients were read without a bound on all connections together: 200 posts of 1 MiB, one byte short, took a daemon to 77 to 332 MB, and the memory was not returned.

RequestParser replaces Beast's parser and limits fields, trailers and chunks. Bodies are read in steps that the account grants; what does not fit is refused with 503 before the handler sees it. Bodies that nobody needs are not read. Slow connections are closed for others, also when descriptors run out. Unread responses time out. Free memory is returned after a crowd has gone.

--- a/bench/connections.cpp
+++ b/bench/connections.cpp
@@ -98,7 +98,7 @@
     });
   });
   if (aConcurrent) {
-    server.mayRunConcurrently = [](const HttpRequest&) { return true; };
+    server.rules.mayRunConcurrently = [](const HttpRequest&) { return true; };
   }
   if (!server.Listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0))) {
     return;
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <limits>
 
+#include "fescuetillerd/descriptorlimit.h"
+
 namespace fescuetiller {
 
 namespace {
@@ -102,6 +104,11 @@
       ToAgentSettings(aSettings),
       [this] { return RandomId(this->random); },
       [this] { return RandomFraction(this->random); })
+  , memory(std::make_shared<ConnectionMemory>(
+      aContext,
+      MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
+        .control))
+  , refusals(aLog, aCounters)
   , serverCallListener(aContext,
                        [this](const std::shared_ptr<Exchange>& aExchange) {
                          this->OnServerCall(aExchange);
@@ -169,6 +176,30 @@
   , configurationCheck([this] { return RandomFraction(this->random); })
 {
   this->store.onEra = [this](StoreEra aEra) { this->OnStoreEra(aEra); };
+  this->SetRules();
+}
+
+void
+ControlNode::SetRules()
+{
+  this->memory->onRefused =
+    [this](const auto& aListener, const auto& aAddress, RoomReason aReason) {
+      this->refusals.Count(aListener, aAddress, aReason);
+    };
+  this->serverCallListener.SetMemory(this->memory, "server-calls");
+  this->readinessListener.SetMemory(this->memory, "ready");
+  this->metricsListener.SetMemory(this->memory, "metrics");
+  this->peerReadListener.SetMemory(this->memory, "peer-reads");
+  this->serverCallListener.rules.needsBody = [](const HttpRequest& aRequest) {
+    auto call = ParseServerCall(std::string(aRequest.method_string()),
+                                std::string(aRequest.target()));
+    return call && call->kind == ServerCall::Kind::Heartbeat;
+  };
+  for (auto* server : { &this->readinessListener,
+                        &this->metricsListener,
+                        &this->peerReadListener }) {
+    server->rules.needsBody = [](const HttpRequest&) { return false; };
+  }
 }
 
 Result<void>
@@ -233,6 +264,8 @@
                         &this->peerReadListener }) {
     server->CloseTimedOut(now);
   }
+  this->memory->ReturnMemory(now);
+  this->refusals.LogSummary(now, this->memory->Account());
   this->CheckConfiguration(now);
   this->RunAgent();
   this->log.Flush();
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -8,6 +8,7 @@
 #include "cluster/cluster.h"
 #include "fescuetillerd/configurationcheck.h"
 #include "fescuetillerd/configurationsharing.h"
+#include "fescuetillerd/clientrefusals.h"
 #include "fescuetillerd/counters.h"
 #include "fescuetillerd/eventlog.h"
 #include "fescuetillerd/nodesettings.h"
@@ -67,6 +68,8 @@
 private:
   void Tick();
   void RunAgent();
+  /** Sets what the servers decide before they pass a request on. */
+  void SetRules();
   void OnServerCall(const std::shared_ptr<Exchange>& aExchange);
   void OnMetricsRequest(const std::shared_ptr<Exchange>& aExchange);
   void OnPeerRead(const std::shared_ptr<Exchange>& aExchange);
@@ -109,6 +112,8 @@
   StoreClient store;
   std::mt19937_64 random;
   OwnershipAgent agent;
+  std::shared_ptr<ConnectionMemory> memory;
+  ClientRefusals refusals;
   HttpServer serverCallListener; ///< For heartbeats of the backend server.
   HttpServer readinessListener;
   HttpServer metricsListener;
--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -57,6 +57,14 @@
   ++this->unexpectedData[{ aSender, aKind, aAccepted }];
 }
 
+void
+Counters::CountClientRefusal(const std::string& aListener,
+                             const std::string& aReason)
+{
+  std::lock_guard lock(this->mutex);
+  ++this->clientRefusals[{ aListener, aReason }];
+}
+
 void
 Counters::CountEvent(const std::string& aName)
 {
@@ -136,6 +144,14 @@
                    { "accepted", accepted ? "yes" : "no" } },
                  static_cast<double>(count));
   }
+  writer.Describe("fescuetiller_client_refusals_total",
+                  "counter",
+                  "Clients refused or disconnected for lack of room.");
+  for (const auto& [key, count] : this->clientRefusals) {
+    writer.Write("fescuetiller_client_refusals_total",
+                 { { "listener", key.first }, { "reason", key.second } },
+                 static_cast<double>(count));
+  }
   writer.Describe("fescuetiller_events_total",
                   "counter",
                   "Decisions and changes of state by name.");
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -44,6 +44,11 @@
                            const std::string& aKind,
                            bool aAccepted);
 
+  /** Counts a client that was refused or disconnected for lack of room, by
+   * listening address and reason. */
+  void CountClientRefusal(const std::string& aListener,
+                          const std::string& aReason);
+
   /** Counts a logged event by name. */
   void CountEvent(const std::string& aName);
 
@@ -68,6 +73,8 @@
   std::map<std::string, double> latencySums;  ///< Seconds, by request class.
   /** By sender, kind and whether it was accepted. */
   std::map<std::tuple<std::string, std::string, bool>, uint64_t> unexpectedData;
+  /** By listening address and reason. */
+  std::map<std::pair<std::string, std::string>, uint64_t> clientRefusals;
   std::map<std::string, uint64_t> events;
   std::map<std::string, double> gauges;
   SlotTimes slotTimes;
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -574,6 +574,14 @@
   return response;
 }
 
+void
+Executor::SetRefusalReport(http::fields& aFields, const std::string& aReason)
+{
+  this->SetReport(aFields,
+                  this->MakeStateReport(
+                    ExecutionOutcome::Refused, aReason, kDefaultRetryAfter));
+}
+
 void
 Executor::SetReport(http::fields& aFields, const ExecutionReport& aReport)
 {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -92,6 +92,9 @@
   /** Makes the final response to another daemon before this process exits: its
    * next request over the connection is refused and does not run. */
   HttpResponse MakeFinalResponse();
+  /** Adds to a refusal of a request that was not read that it is not run, for
+   * another daemon. */
+  void SetRefusalReport(http::fields& aFields, const std::string& aReason);
   /** Number of connections to the backend server opened so far. */
   uint64_t ConnectionsOpened() const;
   void CloseIdleConnections(Time aNow);
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "fescuetillerd/callerapi.h"
 #include "fescuetillerd/ingressrequest.h"
+#include "platform/headers.h"
 
 namespace fescuetiller {
 
@@ -75,6 +76,21 @@
   return route != nullptr && route->kind != RequestKind::NonIdempotent;
 }
 
+bool
+Ingress::NeedsBody(const HttpRequest& aRequest) const
+{
+  return this->routes != nullptr && !aRequest[headers::kRequestId].empty() &&
+         this->routes->Find(std::string(aRequest[http::field::host]),
+                            std::string(aRequest.target())) != nullptr;
+}
+
+bool
+Ingress::NeedsCallerBody(const HttpRequest& aRequest) const
+{
+  return this->routes != nullptr &&
+         ParseCallerRequest(aRequest, this->routes->Config()).has_value();
+}
+
 void
 Ingress::OnRequest(std::shared_ptr<Exchange> aExchange)
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -47,6 +47,10 @@
   /** Whether a request may run at the same time as others that its client sent
    * over the same connection: only if it is idempotent. */
   bool MayRunConcurrently(const HttpRequest& aRequest) const;
+  /** Whether the body of a request is needed to respond to it. */
+  bool NeedsBody(const HttpRequest& aRequest) const;
+  /** The same for a request to the router's own interface. */
+  bool NeedsCallerBody(const HttpRequest& aRequest) const;
   void OnRequest(std::shared_ptr<Exchange> aExchange);
   /** Handles a request to the router's own interface; see ParseCallerRequest.
    */
--- a/src/fescuetillerd/main.cpp
+++ b/src/fescuetillerd/main.cpp
@@ -1,6 +1,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <malloc.h>
+
 #include <boost/program_options.hpp>
 
 #include "fescuetillerd/nodeprocess.h"
@@ -10,6 +12,11 @@
 namespace options = boost::program_options;
 
 constexpr int kUsageError = 2;
+/** Blocks from this size on are returned to the system as soon as they are free.
+ * Unless it is set, the threshold rises with the sizes of freed blocks. */
+constexpr int kMappedBlockBytes = 256 * 1024;
+/** Free memory at the end of the heap that is kept. */
+constexpr int kKeptHeapBytes = 1024 * 1024;
 
 /** Returns the path of the settings file from the command line or from the
  * environment; empty without any. */
@@ -51,6 +58,8 @@
 int
 main(int aCount, char** aArguments)
 {
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes);
   options::options_description description(
     "Routes requests to servers that own keys.");
   auto add = description.add_options();
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -1,6 +1,9 @@
 #include "fescuetillerd/trafficnode.h"
 
+#include "fescuetillerd/callerapi.h"
+#include "fescuetillerd/descriptorlimit.h"
 #include "fescuetillerd/pacedresponse.h"
+#include "platform/headers.h"
 
 namespace fescuetiller {
 
@@ -21,6 +24,13 @@
  * applied the operator's limits. */
 constexpr uint64_t kMaxPeerBodyBytes = 256 * 1024 * 1024;
 constexpr uint32_t kMaxPeerHeaderBytes = 128 * 1024;
+/** Other daemons add a few fields to those of their clients. */
+constexpr uint32_t kMaxPeerFields = 220;
+/** The body is kept until the request has its response, since it may be sent
+ * again, and a copy of it is sent. */
+constexpr uint32_t kClientBodyCopies = 2;
+/** Reason of requests that were refused since there is no room for them. */
+constexpr const char* kNoRoomReason = "no-room";
 /** Number of crash records that are repeated to other daemons at each interval,
  * for those that missed them or were started since. */
 constexpr size_t kRepeatedCrashRecords = 8;
@@ -50,6 +60,11 @@
               aSettings.retryRatio * kRetryRatioFraction },
             aLog,
             aCounters)
+  , memory(std::make_shared<ConnectionMemory>(
+      aContext,
+      MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
+        .traffic))
+  , refusals(aLog, aCounters)
   , clientServer(aContext,
                  [this](std::shared_ptr<Exchange> aExchange) {
                    this->ingress.OnRequest(std::move(aExchange));
@@ -64,9 +79,7 @@
                })
   , timer(aContext)
 {
-  this->clientServer.mayRunConcurrently = [this](const HttpRequest& aRequest) {
-    return this->ingress.MayRunConcurrently(aRequest);
-  };
+  this->SetRules();
   this->executor.estimateLink = [this](const std::string& aClass) {
     return this->uplink.Estimate(aClass);
   };
@@ -93,12 +106,52 @@
   };
 }
 
+void
+TrafficNode::SetRules()
+{
+  this->memory->onRefused =
+    [this](const auto& aListener, const auto& aAddress, RoomReason aReason) {
+      this->refusals.Count(aListener, aAddress, aReason);
+    };
+  this->clientServer.SetMemory(this->memory, "clients");
+  this->callerServer.SetMemory(this->memory, "callers");
+  this->peerServer.SetMemory(this->memory, "peers");
+  auto& clients = this->clientServer.rules;
+  clients.mayRunConcurrently = [this](const HttpRequest& aRequest) {
+    return this->ingress.MayRunConcurrently(aRequest);
+  };
+  clients.needsBody = [this](const HttpRequest& aRequest) {
+    return this->ingress.NeedsBody(aRequest);
+  };
+  clients.onRefusal = [](const HttpRequest& aRequest, HttpResponse& aResponse) {
+    aResponse.set(headers::kRequestId, aRequest[headers::kRequestId]);
+  };
+  auto& callers = this->callerServer.rules;
+  callers.needsBody = [this](const HttpRequest& aRequest) {
+    return this->ingress.NeedsCallerBody(aRequest);
+  };
+  callers.onRefusal = [](const HttpRequest& aRequest, HttpResponse& aResponse) {
+    aResponse.set(headers::kRequestId, aRequest[headers::kRequestId]);
+    AddOutcome(aResponse, "refused");
+  };
+  auto& peers = this->peerServer.rules;
+  peers.needsBody = [](const HttpRequest& aRequest) {
+    return DecodeDispatch(std::string(aRequest[kDispatchField])).has_value();
+  };
+  peers.onRefusal = [this](const HttpRequest& aRequest,
+                           HttpResponse& aResponse) {
+    aResponse.set(headers::kRequestId, aRequest[headers::kRequestId]);
+    this->executor.SetRefusalReport(aResponse, kNoRoomReason);
+  };
+}
+
 Result<void>
 TrafficNode::Listen()
 {
   SessionLimits peerLimits;
   peerLimits.maxBodyBytes = kMaxPeerBodyBytes;
   peerLimits.maxHeaderBytes = kMaxPeerHeaderBytes;
+  peerLimits.maxFields = kMaxPeerFields;
   peerLimits.idleTimeout = kPeerIdleTimeout;
   this->peerServer.SetLimits(peerLimits);
   for (auto [server, text] :
@@ -110,6 +163,10 @@
       return listening;
     }
   }
+  SessionLimits clientLimits;
+  clientLimits.bodyCopies = kClientBodyCopies;
+  this->clientServer.SetLimits(clientLimits);
+  this->callerServer.SetLimits(clientLimits);
   this->RunPeriodicTasks();
   return {};
 }
@@ -131,6 +188,7 @@
   sessions.maxBodyBytes = limits.maxBodyBytes;
   sessions.headerTimeout = limits.headerTimeout;
   sessions.idleTimeout = limits.idleTimeout;
+  sessions.bodyCopies = kClientBodyCopies;
   this->clientServer.SetLimits(sessions);
   this->callerServer.SetLimits(sessions);
   this->ingress.SetConfiguration(std::move(aConfiguration));
@@ -272,6 +330,13 @@
   for (auto* server : this->HttpServers()) {
     server->CloseTimedOut(now);
   }
+  this->memory->ReturnMemory(now);
+  const auto& account = this->memory->Account();
+  this->refusals.LogSummary(now, account);
+  this->counters.SetGauge("fescuetiller_connection_bytes",
+                          static_cast<double>(account.HeldBytes()));
+  this->counters.SetGauge("fescuetiller_connections",
+                          static_cast<double>(account.ConnectionCount()));
   this->executor.CloseIdleConnections(now);
   this->ingress.CloseIdleConnections(now);
   this->uplink.DropExpired(now);
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 
+#include "fescuetillerd/clientrefusals.h"
 #include "fescuetillerd/ingress.h"
 #include "fescuetillerd/nodesettings.h"
 #include "fescuetillerd/uplink.h"
@@ -75,6 +76,8 @@
 
 private:
   std::array<HttpServer*, 3> HttpServers();
+  /** Sets what the servers decide before they pass a request on. */
+  void SetRules();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
   /** Logs and counts data that no request waited for.
@@ -91,6 +94,8 @@
   Executor executor;
   Uplink uplink;
   Ingress ingress;
+  std::shared_ptr<ConnectionMemory> memory;
+  ClientRefusals refusals;
   HttpServer clientServer;
   HttpServer callerServer; ///< Listens only if the settings name an address.
   HttpServer peerServer;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -2,6 +2,7 @@
 
 /** Public header of the HTTP library, an asynchronous server and client. */
 
+#include "http/connectionmemory.h"
 #include "http/connectionpool.h"
 #include "http/deflate.h"
 #include "http/fetch.h"
--- a/src/http/pendingresponse.h
+++ b/src/http/pendingresponse.h
@@ -36,6 +36,7 @@
   /** The client does not know chunked bodies (HTTP/1.0). */
   bool mustNotChunk = false;
   size_t waitedBytes = 0; ///< Size when it began to wait; 0 if it did not.
+  size_t requestBytes = 0; ///< What its request holds in the account.
 
   void SetWhole(HttpResponse aResponse);
   void Start(ResponseHeaders aHeaders);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,11 +4,30 @@
 
 namespace fescuetiller {
 
+namespace {
+
+/** Pause before connections are accepted again when there is no descriptor for
+ * another one. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+} // namespace
+
 HttpServer::HttpServer(asio::io_context& aContext, Handler aHandler)
   : context(aContext)
   , handler(std::move(aHandler))
   , acceptor(aContext)
+  , acceptTimer(aContext)
+  , memory(std::make_shared<ConnectionMemory>(aContext,
+                                              MakeNodeBudgets(0, 0).traffic))
+{
+}
+
+void
+HttpServer::SetMemory(std::shared_ptr<ConnectionMemory> aMemory,
+                      std::string aName)
 {
+  this->memory = std::move(aMemory);
+  this->name = std::move(aName);
 }
 
 Result<void>
@@ -155,8 +174,15 @@
       }
       if (!aError) {
         this->StartSession(std::move(aSocket));
+        this->Accept();
+        return;
       }
-      this->Accept();
+      this->acceptTimer.expires_after(kAcceptPause);
+      this->acceptTimer.async_wait([this](boost::system::error_code aStopped) {
+        if (!aStopped && this->acceptor.is_open()) {
+          this->Accept();
+        }
+      });
     });
 }
 
@@ -164,7 +190,8 @@
 HttpServer::StartSession(Tcp::socket aSocket)
 {
   auto session = std::make_shared<ServerSession>(
-    std::move(aSocket), this->handler, this->mayRunConcurrently, this->limits);
+    std::move(aSocket), this->handler, this->rules, this->limits, this->memory);
+  session->Open(this->name);
   this->sessions.insert(session);
   if (this->finalResponse) {
     session->Dismiss(*this->finalResponse);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,9 +22,12 @@
 
   HttpServer(asio::io_context& aContext, Handler aHandler);
 
-  /** Whether a request may run at the same time as others of its connection. If
-   * it is not set, each request waits for the response to the one before. */
-  ServerSession::ConcurrencyRule mayRunConcurrently;
+  SessionRules rules;
+
+  /** Lets the connections share an account with those of other servers of the
+   * thread. Without it, the server has one of its own.
+   * @param aName Name of the listening address. */
+  void SetMemory(std::shared_ptr<ConnectionMemory> aMemory, std::string aName);
 
   Result<void> Listen(const Tcp::endpoint& aAddress);
   /** Listens on an address in text form; does nothing if it is empty. */
@@ -75,6 +78,9 @@
   asio::io_context& context;
   Handler handler;
   Tcp::acceptor acceptor;
+  asio::steady_timer acceptTimer;
+  std::shared_ptr<ConnectionMemory> memory;
+  std::string name;
   SessionLimits limits;
   std::set<std::shared_ptr<ServerSession>> sessions;
   /** Response to the clients of new connections, if clients are dismissed. */
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -16,11 +16,21 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kNotRun = 503;
 /** Largest buffer that an idle connection keeps. */
 constexpr size_t kIdleBufferBytes = 4 * 1024;
 /** How much is read ahead of requests that have to wait. What exceeds it stays
  * with the client. */
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+/** Sizes of single reads: a usual head, and a part of a body. */
+constexpr size_t kHeaderReadBytes = 1024;
+constexpr size_t kBodyReadBytes = 32 * 1024;
+/** Most bytes of a chunk's header or of trailers that wait for their end. */
+constexpr size_t kMaxChunkHeadBytes = 8 * 1024;
+/** Bodies up to this size are read even if nobody needs them, so that the
+ * connection can be kept. */
+constexpr uint64_t kMaxUnneededBytes = 4 * 1024;
+constexpr const char* kRefusedForRoom = "no room for the request\n";
 
 } // namespace
 
@@ -112,14 +122,60 @@
 
 ServerSession::ServerSession(Tcp::socket aSocket,
                              const Handler& aHandler,
-                             const ConcurrencyRule& aMayRunConcurrently,
-                             const SessionLimits& aLimits)
+                             const SessionRules& aRules,
+                             const SessionLimits& aLimits,
+                             std::shared_ptr<ConnectionMemory> aMemory)
   : socket(std::move(aSocket))
   , handler(aHandler)
-  , mayRunConcurrently(aMayRunConcurrently)
+  , rules(aRules)
   , limits(aLimits)
+  , memory(std::move(aMemory))
   , since(BootClock::now())
 {
+  error_code ignored; // A lost connection is seen when it is read.
+  this->address = this->socket.remote_endpoint(ignored).address().to_string();
+}
+
+ServerSession::~ServerSession()
+{
+  this->memory->Close(this->id);
+}
+
+void
+ServerSession::Open(const std::string& aListener)
+{
+  this->listener = aListener;
+  this->id =
+    this->memory->Open(aListener, this->address, this->weak_from_this());
+}
+
+void
+ServerSession::UpdatePhase()
+{
+  auto phase = ConnectionPhase::Running;
+  if (this->pipeline.IsEmpty()) {
+    phase = this->input != Input::Nothing ? ConnectionPhase::Reading
+            : this->counted               ? ConnectionPhase::Idle
+                                          : ConnectionPhase::New;
+  }
+  this->memory->Account().SetPhase(BootClock::now(), this->id, phase);
+}
+
+void
+ServerSession::Withdraw(RoomReason aReason)
+{
+  if (this->state == State::Dismissed || this->input == Input::Nothing ||
+      this->parser == nullptr || !this->parser->is_header_done()) {
+    // Nothing of a request is known, or only its response is not read.
+    if (this->state == State::Dismissed || this->pipeline.IsEmpty()) {
+      if (this->memory->onRefused) {
+        this->memory->onRefused(this->listener, this->address, aReason);
+      }
+      this->Close();
+    }
+    return;
+  }
+  this->RefuseForRoom(aReason);
 }
 
 void
@@ -156,7 +212,16 @@
     this->input == Input::Part && elapsed > this->limits.headerTimeout;
   bool idle = this->input == Input::Nothing && this->pipeline.IsEmpty() &&
               elapsed > this->limits.idleTimeout;
-  if (slow && !this->pipeline.IsEmpty()) {
+  // Each write is a bounded part of a response.
+  bool unread =
+    this->writing &&
+    aNow - this->writeStartedAt >
+      this->limits.readGraceTime +
+        std::chrono::seconds(this->writeBytes /
+                             this->limits.minReadBytesPerSecond);
+  if (unread) {
+    this->Close();
+  } else if (slow && !this->pipeline.IsEmpty()) {
     this->pipeline.StopReading();
   } else if (slow || idle) {
     this->Close();
@@ -172,6 +237,14 @@
   this->state = State::Closed;
   error_code ignored; // The socket is closed in any case.
   this->socket.close(ignored);
+  for (size_t count = 0; count < this->responses.size(); ++count) {
+    this->memory->Shares().OnEnded(this->id, this->address);
+  }
+  this->memory->Close(this->id);
+  // Requests that still run keep this object, but need nothing of these.
+  this->parser.reset();
+  this->buffer = boost::beast::flat_buffer();
+  this->discarded = {};
   auto unanswered = std::move(this->responses);
   this->responses.clear();
   for (const auto& pending : unanswered) {
@@ -330,7 +403,8 @@
     return; // The pending read gets the data.
   }
   this->pipelined = this->pipelined || !this->pipeline.IsEmpty();
-  if (this->input == Input::Nothing && this->pipeline.MayRead()) {
+  if (this->input == Input::Nothing && this->pipeline.MayRead() &&
+      !this->memory->Account().ShouldWait(this->id)) {
     this->ReadHeader();
   } else {
     this->ReadAhead();
@@ -348,6 +422,10 @@
   auto count = ReadAvailable(this->socket, space);
   if (count > 0) {
     this->buffer.commit(static_cast<size_t>(count));
+    if (this->memory->SetInput(this->id, this->InputBytes()) !=
+        RoomReason::None) {
+      return; // What follows stays with the client until a response is written.
+    }
   } else if (count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
     this->Close();
     return;
@@ -363,15 +441,18 @@
     return;
   }
   if (this->input == Input::Held) {
-    if (this->pipeline.MayPassOn(this->concurrent)) {
+    if (this->MayPassOn()) {
       this->ReadBody();
+    } else {
+      this->WaitForData();
     }
     return;
   }
   if (this->input == Input::Part) {
     return;
   }
-  if (this->pipeline.MayRead() && this->buffer.size() > 0) {
+  if (this->pipeline.MayRead() && this->buffer.size() > 0 &&
+      !this->memory->Account().ShouldWait(this->id)) {
     this->pipelined = true;
     this->ReadHeader();
     return;
@@ -380,22 +461,58 @@
       this->buffer.capacity() > kIdleBufferBytes) {
     this->buffer = boost::beast::flat_buffer();
   }
+  this->memory->SetInput(this->id, this->InputBytes());
   this->WaitForData();
 }
 
+size_t
+ServerSession::InputBytes() const
+{
+  auto bytes = this->buffer.capacity();
+  if (this->parser == nullptr) {
+    // An idle connection keeps a small buffer.
+    return bytes > kIdleBufferBytes ? bytes : 0;
+  }
+  uint64_t body = this->parser->BodyBytes();
+  if (this->readingBody) {
+    auto stated = this->parser->content_length();
+    body = std::max<uint64_t>(body, stated ? *stated : 0);
+  }
+  return bytes + this->parser->FieldBytes() * this->limits.bodyCopies +
+         static_cast<size_t>(body) * this->limits.bodyCopies;
+}
+
+bool
+ServerSession::AccountInput()
+{
+  auto refused = this->memory->SetInput(this->id, this->InputBytes());
+  if (refused != RoomReason::None) {
+    this->RefuseForRoom(refused);
+  }
+  return refused == RoomReason::None;
+}
+
+size_t
+ServerSession::ReadSize() const
+{
+  auto room = this->buffer.capacity() - this->buffer.size();
+  if (!this->readingBody) {
+    return std::max(kHeaderReadBytes, std::min(room, kBodyReadBytes));
+  }
+  auto left = this->parser->content_length_remaining();
+  return std::clamp<size_t>(
+    left ? static_cast<size_t>(std::min<uint64_t>(*left, kBodyReadBytes))
+         : kBodyReadBytes,
+    kHeaderReadBytes,
+    kBodyReadBytes);
+}
+
 void
-ServerSession::ReadHeader()
+ServerSession::ReadSome()
 {
-  this->input = Input::Part;
-  this->since = BootClock::now();
-  this->parser = std::make_unique<Parser>();
-  this->parser->header_limit(this->limits.maxHeaderBytes);
-  this->parser->body_limit(this->limits.maxBodyBytes);
-  http::async_read_header(
-    this->socket,
-    this->buffer,
-    *this->parser,
-    [self = this->shared_from_this()](error_code aError, size_t) {
+  this->socket.async_read_some(
+    this->buffer.prepare(this->ReadSize()),
+    [self = this->shared_from_this()](error_code aError, size_t aSize) {
       if (self->state != State::Open || self->input != Input::Part) {
         return;
       }
@@ -403,10 +520,61 @@
         self->RejectRequest(aError);
         return;
       }
-      self->OnHeader();
+      self->buffer.commit(aSize);
+      self->memory->Account().OnReceived(self->id, aSize);
+      self->ParseInput();
     });
 }
 
+void
+ServerSession::ParseInput()
+{
+  error_code error = http::error::need_more;
+  if (this->buffer.size() > 0) {
+    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+  }
+  if (error && error != http::error::need_more) {
+    this->RejectRequest(error);
+    return;
+  }
+  if (this->readingBody && this->parser->is_done()) {
+    this->OnRequest();
+    return;
+  }
+  if (!this->readingBody && this->parser->is_header_done()) {
+    this->OnHeader();
+    return;
+  }
+  if (this->readingBody && this->buffer.size() > kMaxChunkHeadBytes) {
+    this->RejectRequest(http::error::header_limit);
+    return;
+  }
+  if (this->AccountInput()) {
+    this->ReadSome();
+  }
+}
+
+bool
+ServerSession::MayPassOn()
+{
+  bool within =
+    this->memory->Shares().MayRunBeside(this->id, this->address);
+  return this->pipeline.MayPassOn(this->concurrent && within);
+}
+
+void
+ServerSession::ReadHeader()
+{
+  this->input = Input::Part;
+  this->since = BootClock::now();
+  this->readingBody = false;
+  this->parser = std::make_unique<RequestParser>(this->limits.maxFields);
+  this->parser->header_limit(this->limits.maxHeaderBytes);
+  this->parser->body_limit(this->limits.maxBodyBytes);
+  this->UpdatePhase();
+  this->ParseInput();
+}
+
 void
 ServerSession::OnHeader()
 {
@@ -420,8 +588,8 @@
   // HTTP/1.0 has no requests before the response to the first one.
   this->concurrent =
     request.version() >= kHttp11 && request[http::field::expect].empty() &&
-    this->mayRunConcurrently && this->mayRunConcurrently(request);
-  if (!this->pipeline.MayPassOn(this->concurrent)) {
+    this->rules.mayRunConcurrently && this->rules.mayRunConcurrently(request);
+  if (!this->MayPassOn()) {
     this->input = Input::Held;
     this->WaitForData();
     return;
@@ -429,6 +597,17 @@
   this->ReadBody();
 }
 
+/** Whether the body of the request is not read: it is long, or its length is not
+ * known, and nobody needs it. */
+bool
+ServerSession::IsBodySkipped() const
+{
+  auto length = this->parser->content_length();
+  return !this->parser->is_done() && this->rules.needsBody &&
+         (!length || *length > kMaxUnneededBytes) &&
+         !this->rules.needsBody(this->parser->get());
+}
+
 void
 ServerSession::SendContinue()
 {
@@ -447,6 +626,18 @@
 {
   this->input = Input::Part;
   this->since = BootClock::now();
+  if (this->parser->is_done()) {
+    this->OnRequest();
+    return;
+  }
+  if (this->IsBodySkipped()) {
+    this->OnRequest();
+    return;
+  }
+  this->readingBody = true;
+  if (!this->AccountInput()) {
+    return;
+  }
   const auto& request = this->parser->get();
   if (request.version() >= kHttp11 &&
       request[http::field::expect] == "100-continue") {
@@ -455,24 +646,8 @@
   if (this->state != State::Open) {
     return;
   }
-  if (this->parser->is_done()) {
-    this->OnRequest();
-    return;
-  }
-  http::async_read(
-    this->socket,
-    this->buffer,
-    *this->parser,
-    [self = this->shared_from_this()](error_code aError, size_t) {
-      if (self->state != State::Open || self->input != Input::Part) {
-        return;
-      }
-      if (aError) {
-        self->RejectRequest(aError);
-        return;
-      }
-      self->OnRequest();
-    });
+  this->parser->eager(true);
+  this->ParseInput();
 }
 
 /** Drops the request that is being read if the connection is closed after the
@@ -487,6 +662,9 @@
   }
   this->pipeline.StopReading();
   this->input = Input::Nothing;
+  this->parser.reset();
+  this->readingBody = false;
+  this->memory->SetInput(this->id, this->InputBytes());
   this->WaitForData();
   return true;
 }
@@ -509,14 +687,58 @@
   if (this->DropRequestIfStopped()) {
     return;
   }
+  this->RespondInstead(TextResponse(status, aError.message() + "\n"));
+}
+
+void
+ServerSession::RefuseForRoom(RoomReason aReason)
+{
+  if (this->memory->onRefused) {
+    this->memory->onRefused(this->listener, this->address, aReason);
+  }
+  if (!this->parser->is_header_done()) {
+    // There may be no request yet that a response could belong to.
+    if (this->pipeline.IsEmpty()) {
+      this->Close();
+      return;
+    }
+    this->pipeline.StopReading();
+    this->input = Input::Nothing;
+    this->parser.reset();
+    this->memory->SetInput(this->id, this->InputBytes());
+    this->WaitForData();
+    return;
+  }
+  if (this->DropRequestIfStopped()) {
+    return;
+  }
+  auto response = TextResponse(kNotRun, kRefusedForRoom);
+  response.set(http::field::retry_after, "1");
+  this->RespondInstead(std::move(response));
+}
+
+/** Responds to the request that is being read without passing it on. The rest
+ * of it is not read, so the connection is closed after that. */
+void
+ServerSession::RespondInstead(HttpResponse aResponse)
+{
+  const auto& request = this->parser->get();
+  if (this->rules.onRefusal) {
+    this->rules.onRefusal(request, aResponse);
+  }
   this->input = Input::Nothing;
   auto pending = std::make_shared<PendingResponse>();
-  pending->headRequest = this->parser->get().method() == http::verb::head;
+  pending->headRequest = request.method() == http::verb::head;
+  this->parser.reset();
+  this->readingBody = false;
+  this->memory->SetInput(this->id, this->InputBytes());
   this->responses.push_back(pending);
+  this->memory->Shares().OnStarted(this->id, this->address);
   this->pipeline.OnPassedOn(false);
   this->pipeline.StopReading();
+  this->UpdatePhase();
   this->WaitForData();
-  this->Respond(pending, TextResponse(status, aError.message() + "\n"));
+  this->Respond(pending, std::move(aResponse));
 }
 
 void
@@ -532,16 +754,24 @@
   }
   this->input = Input::Nothing;
   this->since = BootClock::now();
-  auto request = this->parser->release();
+  bool wholeRequest = this->parser->is_done();
+  // The account knows what the request holds before it is passed on.
+  this->memory->SetInput(this->id, this->InputBytes());
+  auto request = this->parser->Release();
   this->parser.reset();
+  this->readingBody = false;
+  this->counted = true;
   auto pending = std::make_shared<PendingResponse>();
+  pending->requestBytes = this->memory->Account().OnRequestRead(this->id);
+  this->memory->Shares().OnStarted(this->id, this->address);
   pending->headRequest = request.method() == http::verb::head;
   pending->mustNotChunk = request.version() < kHttp11;
   this->responses.push_back(pending);
   this->pipeline.OnPassedOn(this->concurrent);
-  if (!request.keep_alive()) {
+  if (!request.keep_alive() || !wholeRequest) {
     this->pipeline.StopReading();
   }
+  this->UpdatePhase();
   auto current = std::make_shared<Exchange>(
     std::move(request), this->weak_from_this(), pending);
   current->receivedAt = this->headerReadAt;
@@ -570,6 +800,7 @@
   } else if (aPending->waitedBytes == 0) {
     aPending->waitedBytes = aPending->HeldBytes();
     this->pipeline.OnResponseWaiting(aPending->waitedBytes);
+    this->memory->Account().AddResponse(this->id, aPending->waitedBytes);
   }
 }
 
@@ -618,6 +849,8 @@
   }
   pending.SetKeepAlive(!this->pipeline.ClosesAfterNextResponse());
   this->writing = true;
+  this->writeStartedAt = BootClock::now();
+  this->writeBytes = pending.HeldBytes();
   auto onWritten =
     [self = this->shared_from_this(), written = this->responses.front(), step](
       error_code aError, size_t) { self->OnWritten(step, aError); };
@@ -653,10 +886,14 @@
 {
   const auto& written = *this->responses.front();
   this->pipeline.OnResponseWritten(written.waitedBytes);
+  this->memory->Account().RemoveRequest(this->id, written.requestBytes);
+  this->memory->Account().RemoveResponse(this->id, written.waitedBytes);
+  this->memory->Shares().OnEnded(this->id, this->address);
   if (written.EndsWithConnection()) {
     this->SetResetOnClose(false);
   }
   this->responses.pop_front();
+  this->UpdatePhase();
   if (this->input != Input::Part) {
     this->since = BootClock::now();
   }
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -6,8 +6,10 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "http/connectionmemory.h"
 #include "http/messages.h"
 #include "http/pendingresponse.h"
+#include "http/requestparser.h"
 #include "http/requestpipeline.h"
 
 namespace fescuetiller {
@@ -17,6 +19,14 @@
 {
   uint32_t maxHeaderBytes = 16 * 1024;
   uint64_t maxBodyBytes = 1024 * 1024;
+  /** Header fields and trailer fields of a request. Each takes some 100 bytes
+   * of memory, however short it is. */
+  uint32_t maxFields = 200;
+  /** Copies of a body that exist while its request runs. */
+  uint32_t bodyCopies = 1;
+  /** A client must read responses at this rate, after the time below. */
+  uint32_t minReadBytesPerSecond = 4 * 1024;
+  Duration readGraceTime = std::chrono::seconds(10);
   /** For receiving a whole request, headers and body. */
   Duration headerTimeout = std::chrono::seconds(3);
   Duration idleTimeout = std::chrono::seconds(60);
@@ -27,6 +37,21 @@
   bool closeAfterResponse = false;
 };
 
+/** What the server of a listening address decides about requests. All may be
+ * empty. */
+struct SessionRules
+{
+  /** Whether a request may run at the same time as others of its connection. If
+   * it is not set, each request waits for the response to the one before. */
+  std::function<bool(const HttpRequest&)> mayRunConcurrently;
+  /** Whether the handler needs the body of a request. A long one that it does
+   * not need is not read, and its connection is closed after the response. */
+  std::function<bool(const HttpRequest&)> needsBody;
+  /** Completes the response to a request that is refused before it is passed
+   * on. */
+  std::function<void(const HttpRequest&, HttpResponse&)> onRefusal;
+};
+
 class ServerSession;
 
 /**
@@ -83,19 +108,24 @@
  * it has the response to the first one run at the same time, if the concurrency
  * rule allows it; others wait until the responses before theirs are written.
  */
-class ServerSession : public std::enable_shared_from_this<ServerSession>
+class ServerSession
+  : public AccountedConnection
+  , public std::enable_shared_from_this<ServerSession>
 {
 public:
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
-  /** Whether a request may run at the same time as others of its connection. */
-  using ConcurrencyRule = std::function<bool(const HttpRequest&)>;
 
   ServerSession(Tcp::socket aSocket,
                 const Handler& aHandler,
-                const ConcurrencyRule& aMayRunConcurrently,
-                const SessionLimits& aLimits);
+                const SessionRules& aRules,
+                const SessionLimits& aLimits,
+                std::shared_ptr<ConnectionMemory> aMemory);
+  ~ServerSession() override;
 
+  /** @param aListener Name of the listening address. */
+  void Open(const std::string& aListener);
   void Start();
+  void Withdraw(RoomReason aReason) override;
   /** Closes the connection if it exceeded the idle timeout, the timeout for
    * receiving a request or the linger time. */
   void CloseIfTimedOut(Time aNow);
@@ -132,18 +162,32 @@
     Part, ///< It is being read.
     Held, ///< Its headers; the rest waits for the responses before it.
   };
-  using Parser = http::request_parser<http::string_body>;
-
   void WaitForData();
   void OnReadable();
   void ReadAhead();
   void ReadNext();
   void ReadHeader();
   void OnHeader();
+  /** Reads the next part of a request. */
+  void ReadSome();
+  /** Parses what has arrived, and continues with the request or reads more. */
+  void ParseInput();
+  /** Updates the account. @return Whether there is room. */
+  bool AccountInput();
+  /** Memory that the request that is being read holds. */
+  size_t InputBytes() const;
+  size_t ReadSize() const;
+  /** Whether the rest of the request can be read now. */
+  bool MayPassOn();
   void SendContinue();
   void ReadBody();
   void OnRequest();
   void RejectRequest(const boost::system::error_code& aError);
+  /** Refuses the request that is being read, which has not run. */
+  void RefuseForRoom(RoomReason aReason);
+  void RespondInstead(HttpResponse aResponse);
+  bool IsBodySkipped() const;
+  void UpdatePhase();
   bool DropRequestIfStopped();
 
   void Respond(const std::shared_ptr<PendingResponse>& aPending,
@@ -164,11 +208,17 @@
 
   Tcp::socket socket;
   const Handler& handler;
-  const ConcurrencyRule& mayRunConcurrently;
+  const SessionRules& rules;
   const SessionLimits& limits;
+  std::shared_ptr<ConnectionMemory> memory;
+  ConnectionMemory::Id id = 0; ///< In the account; 0 once it is closed.
+  std::string listener;
+  std::string address; ///< The client's.
   boost::beast::flat_buffer buffer;
   std::string discarded; ///< Buffer for data that is not handled.
-  std::unique_ptr<Parser> parser;
+  std::unique_ptr<RequestParser> parser;
+  bool readingBody = false;
+  bool counted = false; ///< Whether a whole request has been read.
   RequestPipeline pipeline;
   /** Responses of the pipeline, in the order of their requests. */
   std::deque<std::shared_ptr<PendingResponse>> responses;
@@ -177,6 +227,8 @@
   Input input = Input::Nothing;
   Time since; ///< When the state or the input last changed.
   Time headerReadAt;
+  Time writeStartedAt;
+  size_t writeBytes = 0;
   bool waitingForData = false; ///< An asynchronous wait is pending.
   bool writing = false;
   bool pipelined = false;  ///< Requests were sent before earlier responses.
--- a/tests/http/pipelinetest.cpp
+++ b/tests/http/pipelinetest.cpp
@@ -20,7 +20,7 @@
 {
   PipelineFixture()
   {
-    this->server.mayRunConcurrently = [](const HttpRequest& aRequest) {
+    this->server.rules.mayRunConcurrently = [](const HttpRequest& aRequest) {
       return aRequest.method() == http::verb::get;
     };
   }
