Let requests wait that clients send ahead of ones that must run alone

Such requests are marked, start after all others and don't count as offered load. What responses in chunks hold is in the account, input after the last request that is read is dropped, and reloaded settings change the budgets.

--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace fescuetiller {
@@ -56,12 +57,17 @@
 
 constexpr uint32_t kNestedRank = 0;
 constexpr uint32_t kStarvedRank = 1;
+constexpr uint32_t kSentAheadRank = std::numeric_limits<uint32_t>::max();
 
 /** Rank that follows from the request alone; a lower rank is more urgent. */
 uint32_t
 BaseRank(const SlotRequest& aRequest)
 {
-  return aRequest.nested ? kNestedRank : aRequest.priority + kStarvedRank + 1;
+  if (aRequest.nested) {
+    return kNestedRank;
+  }
+  return aRequest.sentAhead ? kSentAheadRank
+                            : aRequest.priority + kStarvedRank + 1;
 }
 
 /** Lengthens a delay by id, so that clients refused at the same time retry at
@@ -141,7 +147,8 @@
                        const SlotRequest& aRight) const
 {
   auto order = [&](const SlotRequest& aRequest) {
-    return std::tuple(!this->CanMeetTarget(aNow, aRequest),
+    return std::tuple(aRequest.sentAhead,
+                      !this->CanMeetTarget(aNow, aRequest),
                       this->EffectiveRank(aNow, aRequest),
                       this->StartedShareStep(aRequest.requestClass),
                       aRequest.arrivedAt - aRequest.sinceFirstAttempt,
@@ -278,8 +285,8 @@
 uint32_t
 SlotQueue::EffectiveRank(Time aNow, const SlotRequest& aRequest) const
 {
-  bool starved =
-    !aRequest.nested && this->IsStarved(aNow, aRequest.requestClass);
+  bool starved = !aRequest.nested && !aRequest.sentAhead &&
+                 this->IsStarved(aNow, aRequest.requestClass);
   return starved ? kStarvedRank : BaseRank(aRequest);
 }
 
@@ -300,9 +307,12 @@
 SlotQueue::Offer(Time aNow, const SlotRequest& aRequest)
 {
   auto usual = this->EstimateServiceTime(aRequest);
-  this->AddOfferedWork(aNow, aRequest, usual);
-  this->DecayClassShare(aNow, aRequest.requestClass).offered += aRequest.weight;
-  this->sendShare.OnOffered(aNow, aRequest.requestClass, aRequest.weight);
+  if (!aRequest.sentAhead) {
+    this->AddOfferedWork(aNow, aRequest, usual);
+    this->DecayClassShare(aNow, aRequest.requestClass).offered +=
+      aRequest.weight;
+    this->sendShare.OnOffered(aNow, aRequest.requestClass, aRequest.weight);
+  }
   bool inTime = this->CanMeetTarget(aNow, aRequest);
   auto untilGranted = Duration(aRequest.notBefore - aNow);
   auto wait = std::max(this->EstimateWait(aNow, &aRequest), untilGranted);
@@ -363,8 +373,10 @@
       break;
     }
     started.push_back(best->id);
-    this->DecayClassShare(aNow, best->requestClass).started += 1;
-    this->sendShare.OnStarted(aNow, best->requestClass);
+    if (!best->sentAhead) {
+      this->DecayClassShare(aNow, best->requestClass).started += 1;
+      this->sendShare.OnStarted(aNow, best->requestClass);
+    }
     this->running[best->id] = { *best, aNow };
     this->limit.OnSent(aNow);
     this->waiting.erase(best);
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -19,6 +19,9 @@
   std::string requestClass;
   uint32_t priority = 0; ///< 0 is the highest priority.
   bool nested = false;   ///< Sent by a request that occupies a slot meanwhile.
+  /** Its client sends further requests behind ones that must run alone, without
+   * waiting for their responses. It starts after all others. */
+  bool sentAhead = false;
   Time arrivedAt;
   /** Time since the client's first attempt arrived, if this is a later one.
    * Equally urgent requests start in the order of the first attempts. */
@@ -58,11 +61,12 @@
  * nested requests, requests of starved classes, then by priority, by the share
  * of the class's requests that were started recently (lowest first), and by
  * arrival. Requests that will miss their target time start only after all of
- * these. A request that is not expected to finish before its deadline is
- * refused at once; under overload, so is one that is expected to miss its
- * target time. While the server states a request limit, no more requests start
- * than it accepts, and what exceeds that counts as overload. Does no I/O and
- * reads no clock; not thread-safe.
+ * these, and requests that are sent ahead last. The latter don't count as
+ * offered load, so that they do not displace others. A request that is not
+ * expected to finish before its deadline is refused at once; under overload, so
+ * is one that is expected to miss its target time. While the server states a
+ * request limit, no more requests start than it accepts, and what exceeds that
+ * counts as overload. Does no I/O and reads no clock; not thread-safe.
  */
 class SlotQueue
 {
--- a/src/fescuetillerd/clientrefusals.cpp
+++ b/src/fescuetillerd/clientrefusals.cpp
@@ -33,14 +33,14 @@
   }
   this->nextLogAt = aNow + kLogInterval;
   for (const auto& [key, sum] : this->sums) {
-    this->log.Write({ "clients-refused",
-                      { { "listener", key.first },
-                        { "reason", ToString(key.second) },
-                        { "count", std::to_string(sum.count) },
-                        { "last_client", sum.lastAddress },
-                        { "held_bytes", std::to_string(aAccount.HeldBytes()) },
-                        { "connections",
-                          std::to_string(aAccount.ConnectionCount()) } } });
+    this->log.Write(
+      { "clients-refused",
+        { { "listener", key.first },
+          { "reason", ToString(key.second) },
+          { "count", std::to_string(sum.count) },
+          { "last_client", sum.lastAddress },
+          { "held_bytes", std::to_string(aAccount.HeldBytes()) },
+          { "connections", std::to_string(aAccount.ConnectionCount()) } } });
   }
   this->sums.clear();
 }
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -248,6 +248,9 @@
 ControlNode::SetSettings(const NodeSettings& aSettings)
 {
   this->settings = aSettings;
+  this->memory->Account().SetBudget(
+    MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
+      .control);
   this->agent.SetBounds(aSettings.maxGrantTime, aSettings.drainTime);
   this->store.SetAddress(
     ParseEndpoint(aSettings.storeAddress).value_or(Tcp::endpoint()));
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -6,9 +6,9 @@
 #include <random>
 
 #include "cluster/cluster.h"
+#include "fescuetillerd/clientrefusals.h"
 #include "fescuetillerd/configurationcheck.h"
 #include "fescuetillerd/configurationsharing.h"
-#include "fescuetillerd/clientrefusals.h"
 #include "fescuetillerd/counters.h"
 #include "fescuetillerd/eventlog.h"
 #include "fescuetillerd/nodesettings.h"
--- a/src/fescuetillerd/dispatch.cpp
+++ b/src/fescuetillerd/dispatch.cpp
@@ -20,6 +20,7 @@
 /** Prefixes of parts that are absent if they have their usual value. */
 constexpr const char* kSinceFirstPrefix = "f=";
 constexpr const char* kWeightPrefix = "w=";
+constexpr const char* kSentAheadPrefix = "a=";
 constexpr const char* kSharePrefix = "s=";
 /** Bounds what one request of a faulty sender counts for. */
 constexpr double kMaxWeight = 100;
@@ -67,6 +68,7 @@
                     aDispatch.priority,
                     aDispatch.kind,
                     aDispatch.nested,
+                    aDispatch.sentAhead,
                     aDispatch.untilTarget,
                     aDispatch.untilDeadline,
                     aDispatch.sinceFirstAttempt,
@@ -105,6 +107,9 @@
     text << ' ' << kSinceFirstPrefix
          << ToMilliseconds(aDispatch.sinceFirstAttempt);
   }
+  if (aDispatch.sentAhead) {
+    text << ' ' << kSentAheadPrefix << 1;
+  }
   if (aDispatch.weight != 1) {
     text << ' ' << kWeightPrefix << ToThousandths(aDispatch.weight);
   }
@@ -131,6 +136,8 @@
   while (text >> option) {
     if (auto since = ReadOption(option, kSinceFirstPrefix)) {
       dispatch.sinceFirstAttempt = Milliseconds(*since);
+    } else if (ReadOption(option, kSentAheadPrefix)) {
+      dispatch.sentAhead = true;
     } else if (auto weight = ReadOption(option, kWeightPrefix)) {
       dispatch.weight = std::clamp(
         static_cast<double>(*weight) / kThousandths, 1.0, kMaxWeight);
--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -28,6 +28,8 @@
   RequestKind kind = RequestKind::NonIdempotent;
   /** Sent by a running request, which holds a slot until this one ends. */
   bool nested = false;
+  /** Its client sends requests ahead that must run alone; see SlotRequest. */
+  bool sentAhead = false;
   /** Until the target time; negative once that has passed. */
   Duration untilTarget = Duration(0);
   Duration untilDeadline = Duration(0);
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -408,6 +408,7 @@
   slot.requestClass = aDispatch.requestClass;
   slot.priority = aDispatch.priority;
   slot.nested = aDispatch.nested;
+  slot.sentAhead = aDispatch.sentAhead && !aDispatch.nested;
   slot.arrivedAt = now;
   slot.sinceFirstAttempt = aDispatch.sinceFirstAttempt;
   slot.weight = aDispatch.weight;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -223,6 +223,7 @@
   this->dispatch.requestClass = this->route.name;
   this->dispatch.priority = this->route.priority;
   this->dispatch.kind = this->route.kind;
+  this->dispatch.sentAhead = this->exchange->sentAhead;
   auto parentIdEnd = this->requestId.find(headers::kCallSeparator);
   this->dispatch.nested =
     parentIdEnd != std::string::npos &&
--- a/src/fescuetillerd/main.cpp
+++ b/src/fescuetillerd/main.cpp
@@ -12,8 +12,9 @@
 namespace options = boost::program_options;
 
 constexpr int kUsageError = 2;
-/** Blocks from this size on are returned to the system as soon as they are free.
- * Unless it is set, the threshold rises with the sizes of freed blocks. */
+/** Blocks from this size on are returned to the system as soon as they are
+ * free. Unless it is set, the threshold rises with the sizes of freed blocks.
+ */
 constexpr int kMappedBlockBytes = 256 * 1024;
 /** Free memory at the end of the heap that is kept. */
 constexpr int kKeptHeapBytes = 1024 * 1024;
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -175,6 +175,9 @@
 TrafficNode::SetSettings(const NodeSettings& aSettings)
 {
   this->settings = aSettings;
+  this->memory->Account().SetBudget(
+    MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
+      .traffic);
   this->ingress.SetRetryRatio(aSettings.retryRatio * kRetryRatioFraction);
 }
 
--- a/src/http/connectionmemory.cpp
+++ b/src/http/connectionmemory.cpp
@@ -39,8 +39,7 @@
                        std::weak_ptr<AccountedConnection> aConnection)
 {
   std::vector<Id> closed;
-  auto id =
-    this->account.Open(BootClock::now(), aListener, aAddress, closed);
+  auto id = this->account.Open(BootClock::now(), aListener, aAddress, closed);
   this->connections[id] = std::move(aConnection);
   this->Withdraw(closed, RoomReason::Descriptors);
   return id;
@@ -66,12 +65,11 @@
 {
   for (auto id : aIds) {
     // Posted, since the caller is in the middle of a request of its own.
-    asio::post(this->context,
-               [connection = this->connections[id], aReason] {
-                 if (auto open = connection.lock()) {
-                   open->Withdraw(aReason);
-                 }
-               });
+    asio::post(this->context, [connection = this->connections[id], aReason] {
+      if (auto open = connection.lock()) {
+        open->Withdraw(aReason);
+      }
+    });
   }
 }
 
--- a/src/http/pendingresponse.h
+++ b/src/http/pendingresponse.h
@@ -35,8 +35,9 @@
   bool headRequest = false;         ///< The request's method is HEAD.
   /** The client does not know chunked bodies (HTTP/1.0). */
   bool mustNotChunk = false;
-  size_t waitedBytes = 0; ///< Size when it began to wait; 0 if it did not.
+  size_t waitedBytes = 0;  ///< Size when it began to wait; 0 if it did not.
   size_t requestBytes = 0; ///< What its request holds in the account.
+  size_t heldBytes = 0;    ///< What the response itself holds there.
 
   void SetWhole(HttpResponse aResponse);
   void Start(ResponseHeaders aHeaders);
--- a/src/http/requestpipeline.cpp
+++ b/src/http/requestpipeline.cpp
@@ -56,6 +56,12 @@
   return this->stopped;
 }
 
+bool
+RequestPipeline::IsExclusive() const
+{
+  return this->exclusive;
+}
+
 bool
 RequestPipeline::IsEmpty() const
 {
--- a/src/http/requestpipeline.h
+++ b/src/http/requestpipeline.h
@@ -39,6 +39,8 @@
   bool ClosesAfterNextResponse() const;
   /** Whether no further request is read. */
   bool IsStopped() const;
+  /** Whether a request that must run alone has no response yet. */
+  bool IsExclusive() const;
   bool IsEmpty() const;
 
 private:
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -30,6 +30,9 @@
 /** Bodies up to this size are read even if nobody needs them, so that the
  * connection can be kept. */
 constexpr uint64_t kMaxUnneededBytes = 4 * 1024;
+/** A response in chunks holds one of them, and another that its server has
+ * sent. */
+constexpr size_t kStreamBytes = 64 * 1024;
 constexpr const char* kRefusedForRoom = "no room for the request\n";
 
 } // namespace
@@ -65,6 +68,9 @@
 {
   this->responseStarted = true;
   this->response->Start(std::move(aHeaders));
+  if (auto open = this->session.lock()) {
+    open->AccountResponse(*this->response, kStreamBytes);
+  }
 }
 
 void
@@ -213,12 +219,11 @@
   bool idle = this->input == Input::Nothing && this->pipeline.IsEmpty() &&
               elapsed > this->limits.idleTimeout;
   // Each write is a bounded part of a response.
-  bool unread =
-    this->writing &&
-    aNow - this->writeStartedAt >
-      this->limits.readGraceTime +
-        std::chrono::seconds(this->writeBytes /
-                             this->limits.minReadBytesPerSecond);
+  bool unread = this->writing &&
+                aNow - this->writeStartedAt >
+                  this->limits.readGraceTime +
+                    std::chrono::seconds(this->writeBytes /
+                                         this->limits.minReadBytesPerSecond);
   if (unread) {
     this->Close();
   } else if (slow && !this->pipeline.IsEmpty()) {
@@ -403,6 +408,9 @@
     return; // The pending read gets the data.
   }
   this->pipelined = this->pipelined || !this->pipeline.IsEmpty();
+  // A closed connection is readable, too.
+  this->sentAhead = this->sentAhead || (this->pipeline.IsExclusive() &&
+                                        PeekByte(this->socket) > 0);
   if (this->input == Input::Nothing && this->pipeline.MayRead() &&
       !this->memory->Account().ShouldWait(this->id)) {
     this->ReadHeader();
@@ -415,12 +423,15 @@
 void
 ServerSession::ReadAhead()
 {
-  if (this->buffer.size() >= kMaxReadAheadBytes) {
+  if (this->buffer.size() + this->discardedBytes >= kMaxReadAheadBytes) {
     return;
   }
   auto space = this->buffer.prepare(kIdleBufferBytes);
   auto count = ReadAvailable(this->socket, space);
-  if (count > 0) {
+  if (count > 0 && this->pipeline.IsStopped()) {
+    this->pipelined = true;
+    this->discardedBytes += static_cast<size_t>(count);
+  } else if (count > 0) {
     this->buffer.commit(static_cast<size_t>(count));
     if (this->memory->SetInput(this->id, this->InputBytes()) !=
         RoomReason::None) {
@@ -457,9 +468,11 @@
     this->ReadHeader();
     return;
   }
-  if (this->pipeline.IsEmpty() && this->buffer.size() == 0 &&
-      this->buffer.capacity() > kIdleBufferBytes) {
-    this->buffer = boost::beast::flat_buffer();
+  if (this->pipeline.IsEmpty() && this->buffer.size() == 0) {
+    this->sentAhead = false;
+    if (this->buffer.capacity() > kIdleBufferBytes) {
+      this->buffer = boost::beast::flat_buffer();
+    }
   }
   this->memory->SetInput(this->id, this->InputBytes());
   this->WaitForData();
@@ -557,8 +570,7 @@
 bool
 ServerSession::MayPassOn()
 {
-  bool within =
-    this->memory->Shares().MayRunBeside(this->id, this->address);
+  bool within = this->memory->Shares().MayRunBeside(this->id, this->address);
   return this->pipeline.MayPassOn(this->concurrent && within);
 }
 
@@ -597,8 +609,8 @@
   this->ReadBody();
 }
 
-/** Whether the body of the request is not read: it is long, or its length is not
- * known, and nobody needs it. */
+/** Whether the body of the request is not read: it is long, or its length is
+ * not known, and nobody needs it. */
 bool
 ServerSession::IsBodySkipped() const
 {
@@ -717,6 +729,15 @@
   this->RespondInstead(std::move(response));
 }
 
+/** Drops what has arrived of requests that are not read. */
+void
+ServerSession::DropInput()
+{
+  this->pipelined = this->pipelined || this->buffer.size() > 0;
+  this->buffer = boost::beast::flat_buffer();
+  this->memory->SetInput(this->id, this->InputBytes());
+}
+
 /** Responds to the request that is being read without passing it on. The rest
  * of it is not read, so the connection is closed after that. */
 void
@@ -731,7 +752,7 @@
   pending->headRequest = request.method() == http::verb::head;
   this->parser.reset();
   this->readingBody = false;
-  this->memory->SetInput(this->id, this->InputBytes());
+  this->DropInput();
   this->responses.push_back(pending);
   this->memory->Shares().OnStarted(this->id, this->address);
   this->pipeline.OnPassedOn(false);
@@ -771,10 +792,14 @@
   if (!request.keep_alive() || !wholeRequest) {
     this->pipeline.StopReading();
   }
+  if (!wholeRequest) {
+    this->DropInput();
+  }
   this->UpdatePhase();
   auto current = std::make_shared<Exchange>(
     std::move(request), this->weak_from_this(), pending);
   current->receivedAt = this->headerReadAt;
+  current->sentAhead = this->sentAhead && !this->concurrent;
   pending->exchange = current;
   this->handler(std::move(current));
   this->ReadNext();
@@ -788,6 +813,15 @@
   this->OnResponseChanged(aPending);
 }
 
+void
+ServerSession::AccountResponse(PendingResponse& aPending, size_t aBytes)
+{
+  if (this->state == State::Open) {
+    aPending.heldBytes += aBytes;
+    this->memory->Account().AddResponse(this->id, aBytes);
+  }
+}
+
 void
 ServerSession::OnResponseChanged(
   const std::shared_ptr<PendingResponse>& aPending)
@@ -800,7 +834,9 @@
   } else if (aPending->waitedBytes == 0) {
     aPending->waitedBytes = aPending->HeldBytes();
     this->pipeline.OnResponseWaiting(aPending->waitedBytes);
-    this->memory->Account().AddResponse(this->id, aPending->waitedBytes);
+    if (aPending->heldBytes == 0) {
+      this->AccountResponse(*aPending, aPending->waitedBytes);
+    }
   }
 }
 
@@ -885,9 +921,11 @@
 ServerSession::FinishResponse()
 {
   const auto& written = *this->responses.front();
+  this->sentAhead = this->sentAhead ||
+                    (this->pipeline.IsExclusive() && this->buffer.size() > 0);
   this->pipeline.OnResponseWritten(written.waitedBytes);
   this->memory->Account().RemoveRequest(this->id, written.requestBytes);
-  this->memory->Account().RemoveResponse(this->id, written.waitedBytes);
+  this->memory->Account().RemoveResponse(this->id, written.heldBytes);
   this->memory->Shares().OnEnded(this->id, this->address);
   if (written.EndsWithConnection()) {
     this->SetResetOnClose(false);
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -70,6 +70,9 @@
 
   HttpRequest request;
   Time receivedAt;
+  /** The client sends further requests behind ones that must run alone, without
+   * waiting for their responses. */
+  bool sentAhead = false;
   std::function<void()> onClientDisconnect; ///< Called at most once.
   /** Adds headers to the response; called with the outcome as it is logged. */
   std::function<void(http::fields&, const std::string&)> onResponseHeaders;
@@ -186,12 +189,15 @@
   /** Refuses the request that is being read, which has not run. */
   void RefuseForRoom(RoomReason aReason);
   void RespondInstead(HttpResponse aResponse);
+  void DropInput();
   bool IsBodySkipped() const;
   void UpdatePhase();
   bool DropRequestIfStopped();
 
   void Respond(const std::shared_ptr<PendingResponse>& aPending,
                HttpResponse aResponse);
+  /** Adds what a response holds to the account. */
+  void AccountResponse(PendingResponse& aPending, size_t aBytes);
   /** A further part of a response is known. */
   void OnResponseChanged(const std::shared_ptr<PendingResponse>& aPending);
   void Abort(const std::shared_ptr<PendingResponse>& aPending);
@@ -227,6 +233,8 @@
   Input input = Input::Nothing;
   Time since; ///< When the state or the input last changed.
   Time headerReadAt;
+  size_t discardedBytes = 0; ///< Arrived after the last request that is read.
+  bool sentAhead = false;    ///< See Exchange.
   Time writeStartedAt;
   size_t writeBytes = 0;
   bool waitingForData = false; ///< An asynchronous wait is pending.
--- a/src/memory/connectionaccount.cpp
+++ b/src/memory/connectionaccount.cpp
@@ -116,8 +116,8 @@
         entry.phase == ConnectionPhase::Idle, entry.since, id);
     }
   }
-  auto count = std::min(candidates.size(),
-                        1 + this->budget.connections / kCloseDivisor);
+  auto count =
+    std::min(candidates.size(), 1 + this->budget.connections / kCloseDivisor);
   auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
   std::partial_sort(candidates.begin(), end, candidates.end());
   for (auto candidate = candidates.begin(); candidate != end; ++candidate) {
@@ -230,8 +230,8 @@
   };
   auto large = this->entries.find(this->large);
   auto exceptLarge = [&](size_t aSum, std::string Entry::*aName) {
-    bool same = large != this->entries.end() &&
-                large->second.*aName == aEntry.*aName;
+    bool same =
+      large != this->entries.end() && large->second.*aName == aEntry.*aName;
     return aSum - (same ? large->second.Held() : 0);
   };
   if (exceptLarge(sumOf(this->addressBytes, aEntry.address), &Entry::address) +
@@ -312,8 +312,7 @@
   if (decision.refused == RoomReason::Memory) {
     // More than needed now, so that the search is rare. What others hold until
     // they are closed comes on top of the budget for that time.
-    auto wanted =
-      std::max(growth, this->budget.total / kFreeDivisor);
+    auto wanted = std::max(growth, this->budget.total / kFreeDivisor);
     auto expected = this->ChooseSlow(aNow, aId, wanted, decision.close);
     if (expected >= growth) {
       decision.refused = RoomReason::None;
@@ -326,7 +325,8 @@
   return decision;
 }
 
-/** Chooses the large connection if it is not done and others need the memory. */
+/** Chooses the large connection if it is not done and others need the memory.
+ */
 void
 ConnectionAccount::ChooseLarge(std::vector<Id>& aClose)
 {
--- a/src/memory/connectionaccount.h
+++ b/src/memory/connectionaccount.h
@@ -60,8 +60,8 @@
 
   void SetBudget(const ConnectionBudget& aBudget);
 
-  /** Adds a connection. @param aClose Set to the connections that must be closed
-   * since too many are open. */
+  /** Adds a connection. @param aClose Set to the connections that must be
+   * closed since too many are open. */
   Id Open(Time aNow,
           const std::string& aListener,
           const std::string& aAddress,
@@ -83,8 +83,8 @@
   void RemoveRequest(Id aId, size_t aBytes);
   void RemoveResponse(Id aId, size_t aBytes);
 
-  /** Whether requests that a connection sends ahead should wait, since responses
-   * that it has not read take up what others need. */
+  /** Whether requests that a connection sends ahead should wait, since
+   * responses that it has not read take up what others need. */
   bool ShouldWait(Id aId) const;
 
   size_t HeldBytes() const;
@@ -102,8 +102,8 @@
     size_t input = 0;
     size_t requests = 0;
     size_t responses = 0;
-    size_t received = 0; ///< Of the request that is being read.
-    Time since;          ///< Start of the phase.
+    size_t received = 0;  ///< Of the request that is being read.
+    Time since;           ///< Start of the phase.
     bool closing = false; ///< It was among the connections to close.
 
     size_t Held() const { return input + requests + responses; }
--- a/tests/admission/slotqueuetest.cpp
+++ b/tests/admission/slotqueuetest.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -476,3 +477,64 @@
   CHECK(queue.OfferedLoad(kStart) >= 0);
   CHECK(queue.Start(kStart) == std::vector<uint64_t>{ 1 });
 }
+
+// Guards against clients that keep a server busy with requests that they send
+// ahead: requests of classes that are less urgent were displaced by them.
+SCENARIO("Requests that are sent ahead start after all others",
+         "[admission][pure]")
+{
+  SlotQueue queue(AlwaysStart);
+  queue.SetSlots(2);
+  LearnTime(queue, "book", kStart, milliseconds(10));
+  LearnTime(queue, "look", kStart, milliseconds(10));
+  auto now = kStart + seconds(20);
+  uint64_t id = 1;
+  size_t answered = 0;
+  size_t refused = 0;
+  std::set<uint64_t> ordinary;
+  std::map<uint64_t, Time> running;
+  size_t crowdRuns = 0;
+  // 40 connections send bookings, each as soon as the one before has ended; 50
+  // lookups a second come from others. The server manages 200 a second.
+  size_t idleCrowd = 40;
+  for (int step = 0; step < 4000; ++step) {
+    now += milliseconds(1);
+    for (auto entry = running.begin(); entry != running.end();) {
+      if (entry->second > now) {
+        ++entry;
+        continue;
+      }
+      queue.OnFinished(now, entry->first, true);
+      bool own = ordinary.count(entry->first) > 0;
+      answered += own ? 1 : 0;
+      crowdRuns += own ? 0 : 1;
+      idleCrowd += own ? 0 : 1;
+      entry = running.erase(entry);
+    }
+    std::vector<SlotRefusal> refusals;
+    for (; idleCrowd > 0; --idleCrowd) {
+      auto request = MakeRequest(id++, "book", now, 1);
+      request.sentAhead = true;
+      auto refusal = queue.Offer(now, request);
+      refusals.insert(refusals.end(), refusal.begin(), refusal.end());
+    }
+    if (step % 20 == 0) {
+      ordinary.insert(id);
+      auto refusal = queue.Offer(now, MakeRequest(id++, "look", now, 2));
+      refusals.insert(refusals.end(), refusal.begin(), refusal.end());
+    }
+    auto expired = queue.Expire(now);
+    refusals.insert(refusals.end(), expired.begin(), expired.end());
+    for (const auto& refusal : refusals) {
+      bool own = ordinary.count(refusal.id) > 0;
+      refused += own ? 1 : 0;
+      idleCrowd += own ? 0 : 1;
+    }
+    for (auto started : queue.Start(now)) {
+      running[started] = now + milliseconds(10);
+    }
+  }
+  CHECK(refused == 0);
+  CHECK(answered >= 195);
+  CHECK(crowdRuns > 400); // Free slots are still used.
+}
--- a/tests/daemon/misbehaving.sh
+++ b/tests/daemon/misbehaving.sh
@@ -18,6 +18,8 @@
 rest_bound=$((8 * 1024))
 least_served=${LEAST_SERVED:-0.99}
 crowd_address=127.0.8.1
+limits=',"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,
+"header-timeout":"3s","idle-timeout":"60s"}'
 
 # crowd KIND CONNECTIONS PORT PATH: starts a crowd at the first daemon.
 crowd() {
--- a/tests/daemon/nodetest.cpp
+++ b/tests/daemon/nodetest.cpp
@@ -107,6 +107,8 @@
   dispatch.weight = 2.5;
   CHECK(DecodeDispatch(Encode(dispatch)) == dispatch);
   // A faulty sender must not count for any number of requests.
+  dispatch.sentAhead = true;
+  CHECK(DecodeDispatch(Encode(dispatch)) == dispatch);
   CHECK(DecodeDispatch("huvo r-a 1 0 0 1 1 w=4000000000")->weight == 100);
   CHECK(DecodeDispatch("huvo r-a 1 0 0 1 1 w=0 f=-1 new")->weight == 1);
   CHECK_FALSE(DecodeDispatch(""));
