--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "cluster/cluster.h"
+#include "fescuetillerd/clientrefusals.h"
 #include "fescuetillerd/configurationcheck.h"
 #include "fescuetillerd/configurationsharing.h"
 #include "fescuetillerd/counters.h"
@@ -70,6 +71,8 @@
 private:
   void Tick();
   void RunAgent();
+  /** Sets what the servers decide before they pass a request on. */
+  void SetRules();
   void OnServerCall(const std::shared_ptr<Exchange>& aExchange);
   void OnMetricsRequest(const std::shared_ptr<Exchange>& aExchange);
   void OnPeerRead(const std::shared_ptr<Exchange>& aExchange);
@@ -121,6 +124,8 @@
   StoreClient store;
   std::mt19937_64 random;
   OwnershipAgent agent;
+  std::shared_ptr<ConnectionMemory> memory;
+  ClientRefusals refusals;
   HttpServer serverCallListener; ///< For heartbeats of the backend server.
   HttpServer readinessListener;
   HttpServer metricsListener;
--- a/src/fescuetillerd/dispatch.cpp
+++ b/src/fescuetillerd/dispatch.cpp
@@ -23,6 +23,7 @@
 /** Prefixes of parts that are absent if they have their usual value. */
 constexpr const char* kSinceFirstPrefix = "f=";
 constexpr const char* kWeightPrefix = "w=";
+constexpr const char* kSentAheadPrefix = "a=";
 constexpr const char* kSharePrefix = "s=";
 constexpr const char* kCompactReportPrefix = "c=";
 /** Prefixes of optional parts of compact encodings only. */
@@ -99,6 +100,9 @@
     aText << ' ' << kSinceFirstPrefix
           << ToMilliseconds(aDispatch.sinceFirstAttempt);
   }
+  if (aDispatch.sentAhead) {
+    aText << ' ' << kSentAheadPrefix << 1;
+  }
   if (aDispatch.weight != 1) {
     aText << ' ' << kWeightPrefix << ToThousandths(aDispatch.weight);
   }
@@ -110,6 +114,8 @@
 {
   if (auto since = ReadOption(aOption, kSinceFirstPrefix)) {
     aDispatch.sinceFirstAttempt = Milliseconds(*since);
+  } else if (ReadOption(aOption, kSentAheadPrefix)) {
+    aDispatch.sentAhead = true;
   } else if (auto weight = ReadOption(aOption, kWeightPrefix)) {
     aDispatch.weight =
       std::clamp(static_cast<double>(*weight) / kThousandths, 1.0, kMaxWeight);
@@ -185,6 +191,7 @@
                     aDispatch.priority,
                     aDispatch.kind,
                     aDispatch.nested,
+                    aDispatch.sentAhead,
                     aDispatch.untilTarget,
                     aDispatch.untilDeadline,
                     aDispatch.sinceFirstAttempt,
@@ -268,6 +275,13 @@
   }
 }
 
+bool
+HasDispatch(const http::fields& aFields)
+{
+  return DecodeDispatch(std::string(aFields[kDispatchField])) ||
+         aFields.find(kCompactDispatchField) != aFields.end();
+}
+
 std::optional<Dispatch>
 TakeDispatch(http::fields& aFields, const std::string& aOwnService)
 {
--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -34,6 +34,8 @@
   RequestKind kind = RequestKind::NonIdempotent;
   /** Sent by a running request, which holds a slot until this one ends. */
   bool nested = false;
+  /** Its client sends requests ahead that must run alone; see SlotRequest. */
+  bool sentAhead = false;
   /** Until the target time; negative once that has passed. */
   Duration untilTarget = Duration(0);
   Duration untilDeadline = Duration(0);
@@ -59,6 +61,10 @@
             const std::string& aSenderService,
             bool aCompact);
 
+/** Whether the headers of a request carry a dispatch in either encoding. */
+bool
+HasDispatch(const http::fields& aFields);
+
 /** Removes the dispatch, in either encoding, from the headers of a request. Of
  * a compact one, restores the header field with the sender's service.
  * @param aOwnService Service of the receiver; a compact dispatch contains only
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -558,6 +558,7 @@
   slot.requestClass = aDispatch.requestClass;
   slot.priority = aDispatch.priority;
   slot.nested = aDispatch.nested;
+  slot.sentAhead = aDispatch.sentAhead && !aDispatch.nested;
   slot.arrivedAt = now;
   slot.sinceFirstAttempt = aDispatch.sinceFirstAttempt;
   slot.weight = aDispatch.weight;
@@ -736,6 +737,15 @@
   return response;
 }
 
+void
+Executor::SetRefusalReport(http::fields& aFields, const std::string& aReason)
+{
+  this->AddState(aFields,
+                 this->MakeStateReport(
+                   ExecutionOutcome::Refused, aReason, kDefaultRetryAfter),
+                 false);
+}
+
 void
 Executor::AddState(http::fields& aFields,
                    const ExecutionReport& aReport,
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 
+#include "fescuetillerd/clientrefusals.h"
 #include "fescuetillerd/ingress.h"
 #include "fescuetillerd/nodesettings.h"
 #include "fescuetillerd/uplink.h"
@@ -86,6 +87,8 @@
 
 private:
   std::array<HttpServer*, 3> HttpServers();
+  /** Sets what the servers decide before they pass a request on. */
+  void SetRules();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
   /** Passes on to the executor how cold servers are treated. */
@@ -107,6 +110,8 @@
   Executor executor;
   Uplink uplink;
   Ingress ingress;
+  std::shared_ptr<ConnectionMemory> memory;
+  ClientRefusals refusals;
   HttpServer clientServer;
   HttpServer callerServer; ///< Listens only if the settings name an address.
   HttpServer peerServer;
--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -7,6 +7,8 @@
 bounds=${bounds:-}
 heartbeat=${heartbeat:-300ms}
 pairs=4
+# Further members of the configuration, with a comma before each.
+limits=
 . "$here/../standins/waiting.sh"
 folder=$(mktemp -d)
 trap 'kill -KILL $(jobs -p) 2>/dev/null; wait 2>/dev/null; rm -rf "$folder"' EXIT
@@ -77,7 +79,7 @@
 "look":{"host":"a.example","prefix":"/look/","kind":"safe","timeout":"800ms",
 "target-latency":"200ms","priority":2,"service":"agenda","attempts":2}},
 "services":{"agenda":{"health-check":"/h","max-connections":100,
-"protocol":"h1","tls":false,"sharded":true$service_fields}}}
+"protocol":"h1","tls":false,"sharded":true$service_fields}}$limits}
 JSON
 
   for number in $(seq $pairs); do
