Don't end a call by a timer that was set again before it was handled

If a process lost the processor for longer than a connection may take to open, the open connection and the expired timer were handled in the same step, the connection first. It set the timer again and wrote the request; then the wait that had ended before was handled, without an error. The call failed as timed out after its request was sent: the peer's run was cut, and a request that may not run twice was answered with 502 although its server was at work. After a restart all connections to a daemon are new, so this can happen there most.

--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -146,12 +146,15 @@
 UpstreamCall::ArmTimer(Duration aTimeout, const char* aOperation)
 {
   this->timer.expires_after(aTimeout);
-  this->timer.async_wait(
-    [self = this->shared_from_this(), aOperation](error_code aError) {
-      if (!aError && !self->ended) {
-        self->Fail(aOperation, asio::error::timed_out);
-      }
-    });
+  this->timer.async_wait([self = this->shared_from_this(),
+                          aOperation](error_code aError) {
+    // A wait that had ended before the timer was set again, but was not
+    // handled yet, ends without an error.
+    bool isDue = self->timer.expiry() <= asio::steady_timer::clock_type::now();
+    if (!aError && isDue && !self->ended) {
+      self->Fail(aOperation, asio::error::timed_out);
+    }
+  });
 }
 
 void
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -648,6 +648,45 @@
   CHECK(call->failure->stage == CallStage::Sent);
 }
 
+// Guards against requests that were cut although their peer was at work: the
+// process had lost the processor for longer than the connection may take, so
+// the timer that the open connection had ended was handled after the request
+// was written.
+SCENARIO("A call goes on if its time to connect passed while the process had "
+         "no processor",
+         "[http][stall]")
+{
+  Fixture fixture;
+  CallOptions options;
+  auto collected = std::make_shared<CollectedResponse>();
+
+  GIVEN("a connection that is open when the process runs again")
+  {
+    options.connectTimeout = milliseconds(20);
+    ScriptedPeer peer(fixture.context, { ResponseText("1", "one") });
+    UpstreamCall::Start(
+      fixture.pool, peer.Address(), RequestOf("1"), options, collected);
+    fixture.context.poll_one(); // Begins to connect.
+    std::this_thread::sleep_for(milliseconds(100));
+    fixture.RunUntil([&] { return collected->IsComplete(); });
+    CHECK_FALSE(collected->failure);
+    REQUIRE(collected->response);
+    CHECK(collected->response->body() == "one");
+  }
+  GIVEN("a response that never comes")
+  {
+    ScriptedPeer peer(fixture.context, { "" });
+    options.timeout = milliseconds(100);
+    UpstreamCall::Start(
+      fixture.pool, peer.Address(), RequestOf("1"), options, collected);
+    fixture.context.poll_one();
+    std::this_thread::sleep_for(milliseconds(50));
+    fixture.RunUntil([&] { return collected->IsComplete(); });
+    REQUIRE(collected->failure);
+    CHECK(collected->failure->timedOut);
+  }
+}
+
 // Guards against a process that ends: memory for the length that a response
 // states was allocated, although no body follows.
 SCENARIO("The stated length of a response without a body has no effect",
