Lose no request in the stop of a daemon that was sent before it

Five ways were found in which the stop, or an idle timeout, reset a request:

- An asynchronous accept had taken a connection, and its handler ran after the server had stopped accepting.
The server now waits until connections can be accepted, and accepts them where their sessions start.
- Closing the listening socket reset connections that other daemons had just made or were making.
Their senders have to report that the request may have run.
After all connections are closed the kernel now ignores further attempts (a filter for SYN), and those that were made get the final response for another 100 ms before the exit.
- A request of which a part had arrived was cut.
The process now waits for the rest for up to 500 ms after it stops accepting.
- Calls of requests that the server runs were refused, since the daemon accepted no connections.
It now accepts them until the requests that had arrived before the stop have ended.
- The idle timeout closed a connection whose next request had arrived, but had not been read.

--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -635,6 +635,14 @@
   return this->executions.empty();
 }
 
+bool
+Executor::HasRequestsFrom(Time aBefore) const
+{
+  // In the order of their arrival.
+  return !this->executions.empty() &&
+         this->executions.begin()->second->arrivedAt < aBefore;
+}
+
 uint64_t
 Executor::ConnectionsOpened() const
 {
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -89,6 +89,8 @@
   /** What the backend server's slots were used for so far. */
   SlotTimes SlotTotals() const;
   bool IsIdle() const;
+  /** Whether a request that arrived before a time is in progress. */
+  bool HasRequestsFrom(Time aBefore) const;
   /** Makes the final response to another daemon before this process exits: its
    * next request over the connection is refused and does not run. */
   HttpResponse MakeFinalResponse();
--- a/src/fescuetillerd/nodeprocess.cpp
+++ b/src/fescuetillerd/nodeprocess.cpp
@@ -28,6 +28,9 @@
 /** Longest wait for the output of the log before the exit. */
 constexpr Duration kLogFlushTimeout = milliseconds(200);
 constexpr Duration kIdleCheckInterval = milliseconds(20);
+/** Time from the close of all connections to the exit, in which other daemons
+ * that were just connecting get the final response: many round trips. */
+constexpr Duration kLateConnectionTime = milliseconds(100);
 
 } // namespace
 
@@ -213,11 +216,15 @@
   asio::post(this->traffic, [this] {
     bool idle = this->trafficNode.CloseIfIdle();
     asio::post(this->control, [this, idle] {
-      bool changesDone =
-        this->controlNode.HasNoPendingChange() ||
-        BootClock::now() >= this->stopSignalAt + kLastChangeTimeout;
-      bool done = idle && changesDone;
-      if (done || BootClock::now() >= this->exitDeadline) {
+      auto now = BootClock::now();
+      if (idle && this->closedAt == Time()) {
+        this->closedAt = now;
+      }
+      bool changesDone = this->controlNode.HasNoPendingChange() ||
+                         now >= this->stopSignalAt + kLastChangeTimeout;
+      bool done =
+        idle && changesDone && now >= this->closedAt + kLateConnectionTime;
+      if (done || now >= this->exitDeadline) {
         this->StopControlThread();
         return;
       }
--- a/src/fescuetillerd/nodeprocess.h
+++ b/src/fescuetillerd/nodeprocess.h
@@ -47,6 +47,7 @@
   asio::steady_timer reloadTimer;
   Time stopSignalAt; ///< Time() before the first stop signal.
   Time exitDeadline; ///< The process exits by then, even with open requests.
+  Time closedAt;     ///< When the connections were closed; Time(): not yet.
 };
 
 } // namespace fescuetiller
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -15,7 +15,8 @@
  * the calling side closes them first. */
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
 /** How long other daemons may take to read the final response before the
- * process exits: many times a round trip, and the delay of a busy link. */
+ * process exits, and clients to send the rest of a request: many times a round
+ * trip, and the delay of a busy link. */
 constexpr Duration kDismissalTime = std::chrono::milliseconds(500);
 /** Size limits for requests from other daemons, whose ingress has already
  * applied the operator's limits. */
@@ -171,21 +172,33 @@
 void
 TrafficNode::StopAccepting()
 {
-  this->clientServer.StopAccepting();
-  this->callerServer.StopAccepting();
+  this->stoppedAt = BootClock::now();
+  this->dismissedUntil = this->stoppedAt + kDismissalTime;
   this->peerServer.DismissClients(this->executor.MakeFinalResponse());
-  this->dismissedUntil = BootClock::now() + kDismissalTime;
+  this->StopAcceptingClients();
+}
+
+void
+TrafficNode::StopAcceptingClients()
+{
+  if (!this->executor.HasRequestsFrom(this->stoppedAt)) {
+    this->clientServer.StopAccepting();
+    this->callerServer.StopAccepting();
+  }
 }
 
 bool
 TrafficNode::CloseIfIdle()
 {
+  this->StopAcceptingClients();
   bool responding = false;
+  bool reading = false;
   for (auto* server : this->HttpServers()) {
     responding = responding || server->HasPendingResponses();
+    reading = reading || server->HasPartialRequests();
   }
   // Connections of clients are closed after the linger time at the latest.
-  bool dismissing = (this->peerServer.HasDismissedClients() &&
+  bool dismissing = ((reading || this->peerServer.HasDismissedClients()) &&
                      BootClock::now() < this->dismissedUntil) ||
                     this->clientServer.HasDismissedClients() ||
                     this->callerServer.HasDismissedClients();
@@ -193,9 +206,11 @@
       !this->executor.IsIdle()) {
     return false;
   }
-  for (auto* server : this->HttpServers()) {
-    server->CloseAll();
-  }
+  this->clientServer.CloseAll();
+  this->callerServer.CloseAll();
+  // Closing the listening socket would reset connections that others make now.
+  this->peerServer.IgnoreNewConnections();
+  this->peerServer.CloseConnections();
   return true;
 }
 
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -65,16 +65,22 @@
 
   /** From now on, every response closes its connection. */
   void AnnounceClose();
-  /** Accepts no new connections. */
+  /** Runs no further requests of other daemons, and accepts no new connections
+   * of clients once the requests in progress have ended: these may make calls.
+   */
   void StopAccepting();
   /** Closes all connections if no request is in progress, every response has
    * been written and other daemons had time to read the final one, so that no
-   * further request arrives before the process exits.
+   * further request runs before the process exits. Other daemons that are just
+   * connecting get the final response as long as this context runs.
    * @return Whether it closed them. */
   bool CloseIfIdle();
 
 private:
   std::array<HttpServer*, 3> HttpServers();
+  /** Accepts no new connections of clients, unless requests that arrived before
+   * the stop are in progress. */
+  void StopAcceptingClients();
   void OnPeerRequest(const std::shared_ptr<Exchange>& aExchange);
   void RunPeriodicTasks();
   /** Logs and counts data that no request waited for.
@@ -97,6 +103,7 @@
   asio::steady_timer timer;
   Time nextSlotUsageLog;
   SlotTimes loggedSlotTotals; ///< Totals in the last log line.
+  Time stoppedAt;             ///< When requests of other daemons were stopped.
   Time dismissedUntil; ///< Until when others may read the final response.
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "http/socketstate.h"
+
 namespace fescuetiller {
 
 HttpServer::HttpServer(asio::io_context& aContext, Handler aHandler)
@@ -65,12 +67,15 @@
 {
   boost::system::error_code error;
   this->acceptor.non_blocking(true, error);
-  while (!error && this->acceptor.is_open()) {
+  bool mayBeMore = !error && this->acceptor.is_open();
+  while (mayBeMore) {
     Tcp::socket socket(this->context);
     this->acceptor.accept(socket, error);
     if (!error) {
       this->StartSession(std::move(socket));
     }
+    // Its client has left; others may still wait.
+    mayBeMore = !error || error == asio::error::connection_aborted;
   }
 }
 
@@ -117,17 +122,38 @@
     });
 }
 
+bool
+HttpServer::HasPartialRequests() const
+{
+  return std::any_of(
+    this->sessions.begin(), this->sessions.end(), [](const auto& aSession) {
+      return aSession->IsReadingRequest();
+    });
+}
+
 void
-HttpServer::CloseAll()
+HttpServer::IgnoreNewConnections()
+{
+  DropConnectionAttempts(this->acceptor);
+}
+
+void
+HttpServer::CloseConnections()
 {
-  boost::system::error_code ignored; // The socket is closed in any case.
-  this->acceptor.close(ignored);
   auto open = this->sessions;
   for (const auto& session : open) {
     session->Close();
   }
 }
 
+void
+HttpServer::CloseAll()
+{
+  boost::system::error_code ignored; // The socket is closed in any case.
+  this->acceptor.close(ignored);
+  this->CloseConnections();
+}
+
 void
 HttpServer::CloseTimedOut(Time aNow)
 {
@@ -147,17 +173,15 @@
 void
 HttpServer::Accept()
 {
-  this->acceptor.async_accept(
-    this->context,
-    [this](boost::system::error_code aError, Tcp::socket aSocket) {
-      if (!this->acceptor.is_open()) {
-        return;
-      }
-      if (!aError) {
-        this->StartSession(std::move(aSocket));
-      }
-      this->Accept();
-    });
+  // An asynchronous accept could take a connection whose handler runs only
+  // after the server has stopped, and would have to reset it.
+  this->acceptor.async_wait(Tcp::acceptor::wait_read,
+                            [this](boost::system::error_code) {
+                              if (this->acceptor.is_open()) {
+                                this->AcceptPending();
+                                this->Accept();
+                              }
+                            });
 }
 
 void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -56,7 +56,17 @@
    * is being written. */
   bool HasPendingResponses() const;
 
+  /** Whether a part of a request has been read, and the rest is missing. */
+  bool HasPartialRequests() const;
+
+  /** Makes the kernel ignore attempts to connect from now on. Connections that
+   * clients have made, or are just making, are still accepted. */
+  void IgnoreNewConnections();
+
   /** Closes all connections, even those that received a part of a request. */
+  void CloseConnections();
+
+  /** Closes all connections and accepts no new ones. */
   void CloseAll();
 
   /** Closes connections that exceeded the idle timeout or the timeout for
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -142,6 +142,12 @@
   return this->state == State::Open && !this->pipeline.IsEmpty();
 }
 
+bool
+ServerSession::IsReadingRequest() const
+{
+  return this->state == State::Open && this->input != Input::Nothing;
+}
+
 void
 ServerSession::CloseIfTimedOut(Time aNow)
 {
@@ -155,7 +161,7 @@
   bool slow =
     this->input == Input::Part && elapsed > this->limits.headerTimeout;
   bool idle = this->input == Input::Nothing && this->pipeline.IsEmpty() &&
-              elapsed > this->limits.idleTimeout;
+              elapsed > this->limits.idleTimeout && !this->HasUnreadData();
   if (slow && !this->pipeline.IsEmpty()) {
     this->pipeline.StopReading();
   } else if (slow || idle) {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -102,6 +102,8 @@
   bool IsClosed() const;
   /** Whether a request has no response yet or the response is being written. */
   bool IsBusy() const;
+  /** Whether a part of a request has been read, and the rest is missing. */
+  bool IsReadingRequest() const;
   /** Whether data has arrived that belongs to a request and was not read yet.
    */
   bool HasUnreadData();
--- a/src/http/socketstate.h
+++ b/src/http/socketstate.h
@@ -24,4 +24,10 @@
 uint64_t
 BytesInFlight(Tcp::socket& aSocket);
 
+/** Makes the kernel drop further attempts to connect to a listening socket.
+ * Their clients repeat them, and find the address closed in the end. Those that
+ * have been replied to are completed. */
+void
+DropConnectionAttempts(Tcp::acceptor& aAcceptor);
+
 } // namespace fescuetiller
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <atomic>
 #include <random>
 #include <thread>
 
@@ -1222,6 +1223,87 @@
   }
 }
 
+// Guards against a request that is cut: its client had sent it before the stop,
+// but not all of it had arrived.
+SCENARIO(
+  "A stopping daemon reads the rest of a request that has arrived in part",
+  "[path][stop]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  const std::string kRequest =
+    "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n"
+    "X-Timeout-Ms: 3000\r\nX-Shard-Key: 7\r\nContent-Length: 4\r\n\r\nbody";
+  const auto kFirst = kRequest.size() - 2;
+  Tcp::socket client(fixture.context);
+  client.connect(fixture.clientAddress);
+  asio::write(client, asio::buffer(kRequest, kFirst));
+  fixture.context.run_for(milliseconds(30));
+  fixture.node->AnnounceClose();
+  fixture.node->StopAccepting();
+  CHECK_FALSE(fixture.node->CloseIfIdle());
+
+  boost::system::error_code error;
+  asio::write(client, asio::buffer(kRequest.substr(kFirst)), error);
+  fixture.context.restart();
+  fixture.context.run_for(milliseconds(50));
+  boost::beast::flat_buffer buffer;
+  HttpResponse response;
+  http::read(client, buffer, response, error);
+  REQUIRE_FALSE(error);
+  CHECK(response.result_int() == 200);
+  CHECK_FALSE(response.keep_alive());
+  fixture.context.restart();
+  fixture.context.run_for(milliseconds(50));
+  CHECK(fixture.node->CloseIfIdle());
+}
+
+// Guards against requests that fail in a planned stop, since the calls that
+// they make are refused while they run.
+SCENARIO("A stopping daemon serves the calls of requests that its server runs",
+         "[path][stop]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  fixture.serverActions = { ServerAction::Hang };
+  auto requestOf = [](const std::string& aId) {
+    return "GET /look/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + aId +
+           "\r\nX-Timeout-Ms: 2000\r\nX-Shard-Key: 7\r\n\r\n";
+  };
+  Tcp::socket parent(fixture.context);
+  parent.connect(fixture.clientAddress);
+  asio::write(parent, asio::buffer(requestOf("r1")));
+  fixture.context.run_for(milliseconds(30));
+  REQUIRE(fixture.pendingExchanges.size() == 1);
+  fixture.node->AnnounceClose();
+  fixture.node->StopAccepting();
+  CHECK_FALSE(fixture.node->CloseIfIdle());
+
+  Tcp::socket call(fixture.context);
+  boost::system::error_code error;
+  call.connect(fixture.clientAddress, error);
+  REQUIRE_FALSE(error);
+  asio::write(call, asio::buffer(requestOf("r1.1")));
+  fixture.context.run_for(milliseconds(50));
+  boost::beast::flat_buffer buffer;
+  HttpResponse response;
+  http::read(call, buffer, response, error);
+  REQUIRE_FALSE(error);
+  CHECK(response.result_int() == 200);
+
+  THEN("no connections are accepted once the request has ended")
+  {
+    auto answer = TextResponse(200, "answer");
+    answer.set(headers::kRequestId, "r1");
+    fixture.pendingExchanges[0]->Respond(answer);
+    fixture.context.run_for(milliseconds(50));
+    fixture.node->CloseIfIdle();
+    Tcp::socket late(fixture.context);
+    late.connect(fixture.clientAddress, error);
+    CHECK(error == asio::error::connection_refused);
+  }
+}
+
 SCENARIO("A stopping daemon refuses a request that crosses the close of its "
          "connection",
          "[path]")
@@ -1273,6 +1355,109 @@
   }
 }
 
+namespace {
+
+/** Other daemons that send requests over new connections without a pause. */
+class SteadyDaemons
+{
+public:
+  SteadyDaemons(const Tcp::endpoint& aAddress, const std::string& aRequest)
+    : address(aAddress)
+    , request(aRequest)
+  {
+    constexpr int kThreads = 4;
+    for (int count = 0; count < kThreads; ++count) {
+      this->threads.emplace_back([this] { this->Run(); });
+    }
+  }
+
+  ~SteadyDaemons() { this->Stop(); }
+
+  void Stop()
+  {
+    this->stopped = true;
+    for (auto& thread : this->threads) {
+      thread.join();
+    }
+    this->threads.clear();
+  }
+
+  std::atomic<int> answered{ 0 }; ///< Requests with any response.
+  std::atomic<int> lost{ 0 };     ///< Sent, but without a response.
+
+private:
+  void Run()
+  {
+    while (!this->stopped) {
+      asio::io_context context;
+      Tcp::socket socket(context);
+      boost::system::error_code error;
+      socket.connect(this->address, error);
+      if (error) {
+        return; // No further connection can be made.
+      }
+      asio::write(socket, asio::buffer(this->request), error);
+      if (error) {
+        continue; // The receiver did not read it.
+      }
+      boost::beast::flat_buffer buffer;
+      HttpResponse response;
+      http::read(socket, buffer, response, error);
+      ++(error ? this->lost : this->answered);
+    }
+  }
+
+  Tcp::endpoint address;
+  std::string request;
+  std::atomic<bool> stopped{ false };
+  std::vector<std::thread> threads;
+};
+
+} // namespace
+
+// Guards against requests between daemons that are reset by the exit of the
+// receiver, and whose senders have to report that they may have run: their
+// connections had been made, but not been accepted yet.
+SCENARIO("A daemon that exits resets no connection that others have made",
+         "[path][stop]")
+{
+  constexpr int kRounds = 5;
+  int answered = 0;
+  int lost = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    auto fixture = std::make_unique<RequestPathFixture>();
+    fixture->Configure();
+    Dispatch dispatch;
+    dispatch.service = "agenda";
+    dispatch.requestClass = "book";
+    dispatch.untilDeadline = milliseconds(500);
+    SteadyDaemons daemons(fixture->peerAddress,
+                          "POST /book/1 HTTP/1.1\r\nX-Request-Id: r1\r\n"
+                          "X-Shard-Key: 7\r\nContent-Length: 0\r\n" +
+                            std::string(kDispatchField) + ": " +
+                            Encode(dispatch) + "\r\n\r\n");
+    fixture->context.run_for(milliseconds(40));
+    fixture->node->AnnounceClose();
+    fixture->node->StopAccepting();
+    auto end = BootClock::now() + seconds(5);
+    while (!fixture->node->CloseIfIdle() && BootClock::now() < end) {
+      fixture->context.run_for(milliseconds(20));
+    }
+    auto run = fixture->serverRequests.size();
+    for (int check = 0; check < 5; ++check) { // As NodeProcess does.
+      fixture->context.run_for(milliseconds(20));
+      fixture->node->CloseIfIdle();
+    }
+    CHECK(fixture->serverRequests.size() == run);
+    fixture.reset(); // The process exits.
+    daemons.Stop();
+    answered += daemons.answered;
+    lost += daemons.lost;
+  }
+  CHECK(answered > 0);
+  CHECK(lost == 0);
+}
+
 SCENARIO("Responses of the router's own interface carry the outcome", "[path]")
 {
   RequestPathFixture fixture;
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -1098,6 +1098,29 @@
       }
     }
   }
+  // Guards against a connection that is reset although its request was sent
+  // before the stop: it had been accepted, but its session had not started.
+  GIVEN("a connection that is accepted in the step in which the server stops")
+  {
+    Tcp::socket late(fixture.context);
+    late.connect(fixture.server.Address());
+    asio::write(
+      late, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    fixture.context.poll_one();
+    fixture.server.StopAccepting();
+    THEN("its request is read and answered")
+    {
+      fixture.Run();
+      REQUIRE(fixture.exchanges.size() == 1);
+      fixture.exchanges[0]->Respond(TextResponse(200, "two"));
+      fixture.Run();
+      std::string received;
+      boost::system::error_code error;
+      asio::read(late, asio::dynamic_buffer(received), error);
+      CHECK(error == asio::error::eof);
+      CHECK(received.find("two") != std::string::npos);
+    }
+  }
   GIVEN("a connection that has not been accepted when the server stops")
   {
     fixture.Run();
@@ -1128,6 +1151,24 @@
       CHECK(error == asio::error::connection_refused);
     }
   }
+  // Guards against requests that are reset by the idle timeout of their
+  // connection: they had arrived, but the process had not read them yet.
+  GIVEN("a request that has not been read when the idle timeout has passed")
+  {
+    fixture.Run();
+    asio::write(
+      fixture.client,
+      asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    fixture.server.CloseTimedOut(BootClock::now() + seconds(61));
+    THEN("it is read and answered")
+    {
+      CHECK(fixture.Run());
+      REQUIRE(fixture.exchanges.size() == 1);
+      fixture.exchanges[0]->Respond(TextResponse(200, "one"));
+      fixture.Run();
+      CHECK(fixture.received.find("one") != std::string::npos);
+    }
+  }
   GIVEN("a long response to a client that reads slowly")
   {
     constexpr size_t kLong = 32 * 1024 * 1024;
