Send a new request in each round of the test of servers that refuse

The test sent the same request again at once after its refusal. Each round now sends another request, and checks that the server gets it. As strict as before: the same outcome is required.

--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1643,7 +1643,12 @@
         fixture.serverActions.end(),
         fixture.configuration->routes["book"].attempts,
         ServerAction::Refuse);
-      CHECK(fixture.Post("/book/2").result_int() == 503);
+      // Another request each time: the same one would be a retry that comes too
+      // early, and not reach the server.
+      auto before = fixture.serverRequests.size();
+      auto path = "/book/" + std::to_string(2 + number);
+      CHECK(fixture.Post(path).result_int() == 503);
+      CHECK(fixture.serverRequests.size() > before);
       fixture.RestartServer();
     }
     THEN("it reaches the server")
