--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -118,6 +118,8 @@
   /** Requests that run on the backend server now. */
   size_t RunningCount() const;
   bool IsIdle() const;
+  /** Whether a request that arrived before a time is in progress. */
+  bool HasRequestsFrom(Time aBefore) const;
   /** Makes the final response to another daemon before this process exits: its
    * next request over the connection is refused and does not run. */
   HttpResponse MakeFinalResponse();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -59,7 +59,17 @@
    * is being written. */
   bool HasPendingResponses() const;
 
+  /** Whether a part of a request has been read, and the rest is missing. */
+  bool HasPartialRequests() const;
+
+  /** Makes the kernel ignore attempts to connect from now on. Connections that
+   * clients have made, or are just making, are still accepted. */
+  void IgnoreNewConnections();
+
   /** Closes all connections, even those that received a part of a request. */
+  void CloseConnections();
+
+  /** Closes all connections and accepts no new ones. */
   void CloseAll();
 
   /** Closes connections that exceeded the idle timeout or the timeout for
@@ -71,8 +81,9 @@
 
 private:
   void Accept();
-  /** Accepts the connections that clients have already made. */
-  void AcceptPending();
+  /** Accepts the connections that clients have already made.
+   * @return Whether no more of them wait. */
+  bool AcceptPending();
   void StartSession(Tcp::socket aSocket);
 
   asio::io_context& context;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -204,6 +204,12 @@
   return this->state == State::Open && !this->pipeline.IsEmpty();
 }
 
+bool
+ServerSession::IsReadingRequest() const
+{
+  return this->state == State::Open && this->input != Input::Nothing;
+}
+
 void
 ServerSession::CloseIfTimedOut(Time aNow)
 {
@@ -217,7 +223,7 @@
   bool slow =
     this->input == Input::Part && elapsed > this->limits.headerTimeout;
   bool idle = this->input == Input::Nothing && this->pipeline.IsEmpty() &&
-              elapsed > this->limits.idleTimeout;
+              elapsed > this->limits.idleTimeout && !this->HasUnreadData();
   // Each write is a bounded part of a response.
   bool unread = this->writing &&
                 aNow - this->writeStartedAt >
