--- a/src/platform/serverheaders.cpp
+++ b/src/platform/serverheaders.cpp
@@ -3,7 +3,6 @@
 #include <cmath>
 #include <vector>
 
-#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
@@ -63,7 +62,8 @@
     return malformed();
   }
   std::vector<std::string> figures;
-  boost::split(figures, aText, boost::is_any_of(","));
+  boost::split(
+    figures, aText, [](char aCharacter) { return aCharacter == ','; });
   for (auto& figure : figures) {
     boost::trim(figure);
   }
--- a/tests/fuzz/parsertest.cpp
+++ b/tests/fuzz/parsertest.cpp
@@ -317,6 +317,23 @@
   }
 }
 
+TEST_CASE("Mutated header fields of servers are refused or read", "[fuzz]")
+{
+  Mutator mutator(14);
+  for (int round = 0; round < kRounds; ++round) {
+    if (auto load = ParseServerLoad(mutator.Mutate("3,1,5,140"), "i-1");
+        load && *load && (*load)->slowness) {
+      CHECK(*(*load)->slowness > 0);
+    }
+    if (auto time = ParseColdTime(mutator.Mutate("1200"), "i-1");
+        time && *time) {
+      CHECK(**time >= Duration(0));
+    }
+    ParseServerLoad(mutator.Noise(), "i-1");
+    ParseColdTime(mutator.Noise(), "i-1");
+  }
+}
+
 TEST_CASE("Mutated rows of every table are ignored or parsed", "[fuzz]")
 {
   MemberRecord member{ "m1",         "agenda", "a",     "10.0.0.1:2",
