--- a/src/fescuetillerd/statuscheck.cpp
+++ b/src/fescuetillerd/statuscheck.cpp
@@ -40,7 +40,7 @@
   Fetch(aPool,
         aServer,
         std::move(request),
-        std::move(options),
+        options,
         [self = this->shared_from_this()](const Result<HttpResponse>& aResult) {
           self->onEnd(aResult ? &*aResult : nullptr);
         });
