--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -139,8 +139,9 @@
   std::string currentAddress; ///< Of that member, if it is another one.
   /** Zone of that member; nothing if it is the own one. */
   std::optional<std::string> otherZone;
-  Time sentAt;                            ///< Start of the last attempt.
-  uint32_t attempts = 0;                  ///< Attempts so far, without pauses.
+  Time sentAt;            ///< Start of the last attempt.
+  uint32_t attempts = 0;  ///< Attempts so far, without pauses.
+  uint64_t bodyBytes = 0; ///< Of the request and of what of its response came.
   std::optional<ResponseHeaders> headers; ///< Not sent to the client yet.
   std::set<std::string> triedMembers;
   std::shared_ptr<UpstreamCall> remoteCall;    ///< Attempt at another daemon.
--- a/src/routing/peertable.cpp
+++ b/src/routing/peertable.cpp
@@ -185,7 +185,7 @@
     estimate.time += measured ? times->second.overhead : Duration(0);
   }
   estimate.time += kInFlightTime * static_cast<int>(peer.inFlight);
-  estimate.time += aNow < peer.avoidUntil ? kFailingPeerCost : Duration(0);
+  estimate.failing = aNow < peer.avoidUntil;
   if (aNow - peer.reportedAt < kMaxReportAge) {
     estimate.load = peer.load;
   }
@@ -206,8 +206,10 @@
     Duration cost = candidate.zone == aCriteria.ownZone
                       ? Duration(0)
                       : aCriteria.zonePreference;
-    cost +=
-      this->EstimateOf(aNow, candidate.member, aCriteria.requestClass).time;
+    auto estimate =
+      this->EstimateOf(aNow, candidate.member, aCriteria.requestClass);
+    cost += estimate.time;
+    cost += estimate.failing ? kFailingPeerCost : Duration(0);
     if (cost < least) {
       least = cost;
       best = candidate.member;
--- a/src/routing/peertable.h
+++ b/src/routing/peertable.h
@@ -113,9 +113,9 @@
   /** What is expected of the next request of a class at a peer. */
   struct Estimate
   {
-    /** Until its response; counted as an hour for failing peers. */
-    Duration time = Duration(0);
-    std::optional<double> load; ///< Empty if it is unknown or outdated.
+    Duration time = Duration(0); ///< Until its response.
+    bool failing = false;        ///< It should be sent nothing for now.
+    std::optional<double> load;  ///< Empty if it is unknown or outdated.
   };
   /** An unknown peer counts as one without any wait. */
   Estimate EstimateOf(Time aNow,
--- a/src/routing/zonechoice.cpp
+++ b/src/routing/zonechoice.cpp
@@ -55,6 +55,17 @@
   mean = mean == 0 ? bytes : mean + (bytes - mean) * kSizeWeight;
 }
 
+void
+ZoneChoice::RemoveFailing(std::vector<Option>& aOptions)
+{
+  aOptions.erase(std::remove_if(aOptions.begin(),
+                                aOptions.end(),
+                                [](const Option& aOption) {
+                                  return aOption.estimate.failing;
+                                }),
+                 aOptions.end());
+}
+
 const ZoneChoice::Option*
 ZoneChoice::DrawBetter(const std::vector<Option>& aOptions)
 {
@@ -115,14 +126,20 @@
 {
   std::vector<Option> own;
   std::vector<Option> others;
+  bool anyWorks = false;
   for (const auto& candidate : aCandidates) {
     if (aCriteria.tried.count(candidate.member) == 0) {
       auto& options = candidate.zone == aCriteria.ownZone ? own : others;
       options.push_back(
         { &candidate,
           aPeers.EstimateOf(aNow, candidate.member, aCriteria.requestClass) });
+      anyWorks = anyWorks || !options.back().estimate.failing;
     }
   }
+  if (anyWorks) {
+    RemoveFailing(own);
+    RemoveFailing(others);
+  }
   auto byTime = [](const Option& aLeft, const Option& aRight) {
     return aLeft.estimate.time < aRight.estimate.time;
   };
--- a/src/routing/zonechoice.h
+++ b/src/routing/zonechoice.h
@@ -64,6 +64,7 @@
     PeerTable::Estimate estimate;
   };
 
+  static void RemoveFailing(std::vector<Option>& aOptions);
   /** Returns the better one of two that are drawn at random; nullptr if there
    * is none. Always taking the best one would send the requests of all daemons
    * to the same member until it reports again. */
--- a/tests/fuzz/parsertest.cpp
+++ b/tests/fuzz/parsertest.cpp
@@ -308,6 +308,18 @@
     if (auto read = DecodeDispatch(mutator.Mutate(Encode(dispatch)))) {
       CHECK(DecodeDispatch(Encode(*read)));
     }
+    if (auto read =
+          DecodeCompactReport(mutator.Mutate(EncodeCompact(report)))) {
+      CHECK(DecodeCompactReport(EncodeCompact(*read)));
+    }
+    http::fields fields;
+    SetDispatch(fields, dispatch, "desk", true);
+    auto compact = std::string(fields[kCompactDispatchField]);
+    fields.set(kCompactDispatchField, mutator.Mutate(compact));
+    if (auto read = TakeDispatch(fields, dispatch.service)) {
+      SetDispatch(fields, *read, "desk", true);
+      CHECK(TakeDispatch(fields, read->service));
+    }
     if (auto read = DecodeExecutionReport(mutator.Mutate(Encode(report)))) {
       CHECK(DecodeExecutionReport(Encode(*read)));
     }
--- a/tests/routing/zonechoicetest.cpp
+++ b/tests/routing/zonechoicetest.cpp
@@ -615,3 +615,34 @@
   criteria.tried = { "near", "far" };
   CHECK(chosen(milliseconds(10), milliseconds(10)).empty());
 }
+
+SCENARIO("A member that fails is avoided as long as another one works",
+         "[zonechoice]")
+{
+  // Guards against requests that are refused because a member that fails was
+  // drawn, although all others are only slow.
+  std::mt19937_64 random(1);
+  PeerTable peers;
+  ZoneChoice choice(
+    [&] { return std::uniform_real_distribution<double>(0, 1)(random); });
+  constexpr Time kNow = Time(seconds(100));
+  std::vector<PeerCandidate> candidates{
+    { "near-1", "a" }, { "near-2", "a" }, { "near-3", "a" }, { "far", "b" }
+  };
+  for (const auto& candidate : candidates) {
+    peers.OnReport(kNow, candidate.member, kClass, 2, 3 * kTarget, Duration(0));
+  }
+  ZoneCriteria criteria;
+  criteria.requestClass = kClass;
+  criteria.ownZone = "a";
+  criteria.target = kTarget;
+  peers.OnFailure(kNow, "near-2");
+  for (int count = 0; count < 100; ++count) {
+    CHECK(choice.Choose(kNow, candidates, criteria, peers) != "near-2");
+  }
+  peers.OnFailure(kNow, "near-1");
+  peers.OnFailure(kNow, "near-3");
+  CHECK(choice.Choose(kNow, candidates, criteria, peers) == "far");
+  peers.OnFailure(kNow, "far");
+  CHECK_FALSE(choice.Choose(kNow, candidates, criteria, peers).empty());
+}
