--- a/src/routing/zonechoice.cpp
+++ b/src/routing/zonechoice.cpp
@@ -20,6 +20,10 @@
  * about a second and arrive up to a second later; several times that keeps the
  * share from swinging. */
 constexpr double kShareRate = 0.3;
+/** Attempts in the own zone after which another zone that has room is
+ * preferred: the reports of the own zone are wrong, and attempts are limited.
+ */
+constexpr size_t kNearAttempts = 2;
 /** Longest time for which one update counts. */
 constexpr double kMaxUpdateSeconds = 1;
 /** Weight of the newest size in the moving mean. */
@@ -185,6 +189,8 @@
     auto margin = Part(aCriteria.target, kMissedMargin);
     useFar =
       farHasRoom || far->estimate.time + price + margin < near->estimate.time;
+  } else if (aCriteria.tried.size() >= kNearAttempts) {
+    useFar = farHasRoom;
   } else if (pays || ownTime > filled) {
     bool isSurplus =
       !aCriteria.tried.empty() || this->random() < state.outShare;
--- a/tests/routing/zonechoicetest.cpp
+++ b/tests/routing/zonechoicetest.cpp
@@ -646,3 +646,26 @@
   peers.OnFailure(kNow, "far");
   CHECK_FALSE(choice.Choose(kNow, candidates, criteria, peers).empty());
 }
+
+SCENARIO("The last attempt of a request goes where there is room",
+         "[zonechoice]")
+{
+  // Guards against requests that use up their attempts in the own zone, whose
+  // reports are outdated, while another zone has room.
+  PeerTable peers;
+  ZoneChoice choice([] { return 0.0; });
+  constexpr Time kNow = Time(seconds(100));
+  std::vector<PeerCandidate> candidates{
+    { "near-1", "a" }, { "near-2", "a" }, { "near-3", "a" }, { "far", "b" }
+  };
+  ZoneCriteria criteria;
+  criteria.requestClass = kClass;
+  criteria.ownZone = "a";
+  criteria.target = kTarget;
+  criteria.tried = { "near-1" };
+  CHECK(choice.Choose(kNow, candidates, criteria, peers) != "far");
+  criteria.tried = { "near-1", "near-2" };
+  CHECK(choice.Choose(kNow, candidates, criteria, peers) == "far");
+  peers.OnReport(kNow, "far", kClass, 1.5, kWork, Duration(0));
+  CHECK(choice.Choose(kNow, candidates, criteria, peers) == "near-3");
+}
