--- a/src/routing/zonechoice.cpp
+++ b/src/routing/zonechoice.cpp
@@ -20,6 +20,10 @@
  * about a second and arrive up to a second later; several times that keeps the
  * share from swinging. */
 constexpr double kShareRate = 0.3;
+/** Attempts in the own zone after which another zone that has room is
+ * preferred: the reports of the own zone are wrong, and attempts are limited.
+ */
+constexpr size_t kNearAttempts = 2;
 /** Longest time for which one update counts. */
 constexpr double kMaxUpdateSeconds = 1;
 /** Weight of the newest size in the moving mean. */
@@ -55,6 +59,17 @@
   mean = mean == 0 ? bytes : mean + (bytes - mean) * kSizeWeight;
 }
 
+void
+ZoneChoice::RemoveFailing(std::vector<Option>& aOptions)
+{
+  aOptions.erase(std::remove_if(aOptions.begin(),
+                                aOptions.end(),
+                                [](const Option& aOption) {
+                                  return aOption.estimate.failing;
+                                }),
+                 aOptions.end());
+}
+
 const ZoneChoice::Option*
 ZoneChoice::DrawBetter(const std::vector<Option>& aOptions)
 {
@@ -115,14 +130,20 @@
 {
   std::vector<Option> own;
   std::vector<Option> others;
+  bool anyWorks = false;
   for (const auto& candidate : aCandidates) {
     if (aCriteria.tried.count(candidate.member) == 0) {
       auto& options = candidate.zone == aCriteria.ownZone ? own : others;
       options.push_back(
         { &candidate,
           aPeers.EstimateOf(aNow, candidate.member, aCriteria.requestClass) });
+      anyWorks = anyWorks || !options.back().estimate.failing;
     }
   }
+  if (anyWorks) {
+    RemoveFailing(own);
+    RemoveFailing(others);
+  }
   auto byTime = [](const Option& aLeft, const Option& aRight) {
     return aLeft.estimate.time < aRight.estimate.time;
   };
@@ -168,6 +189,8 @@
     auto margin = Part(aCriteria.target, kMissedMargin);
     useFar =
       farHasRoom || far->estimate.time + price + margin < near->estimate.time;
+  } else if (aCriteria.tried.size() >= kNearAttempts) {
+    useFar = farHasRoom;
   } else if (pays || ownTime > filled) {
     bool isSurplus =
       !aCriteria.tried.empty() || this->random() < state.outShare;
