Count only clients' requests in the shares, and close no more than is short

Requests of other daemons and of callers took up the space that is divided among clients that send ahead. A request that lacked a few bytes closed two slow connections instead of one.

--- a/src/fescuetillerd/dispatch.h
+++ b/src/fescuetillerd/dispatch.h
@@ -28,8 +28,6 @@
   RequestKind kind = RequestKind::NonIdempotent;
   /** Sent by a running request, which holds a slot until this one ends. */
   bool nested = false;
-  /** Its client sends requests ahead that must run alone; see SlotRequest. */
-  bool sentAhead = false;
   /** Until the target time; negative once that has passed. */
   Duration untilTarget = Duration(0);
   Duration untilDeadline = Duration(0);
@@ -38,6 +36,8 @@
   /** Number of requests that this one stands for: the sender has refused the
    * others itself, as ExecutionReport::sendShare demands. */
   double weight = 1;
+  /** Its client sends more requests ahead than its share; see SlotRequest. */
+  bool sentAhead = false;
 
   friend bool operator==(const Dispatch& aLeft, const Dispatch& aRight);
 };
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -240,7 +240,11 @@
   this->state = State::Closed;
   error_code ignored; // The socket is closed in any case.
   this->socket.close(ignored);
-  for (size_t count = 0; count < this->responses.size(); ++count) {
+  // Only requests that may run beside others share a space: those of other
+  // daemons have their share where they come from.
+  for (size_t count = 0;
+       this->rules.mayRunConcurrently && count < this->responses.size();
+       ++count) {
     this->memory->Shares().OnEnded(this->id, this->address);
   }
   this->memory->Close(this->id);
@@ -754,7 +758,9 @@
   this->readingBody = false;
   this->DropInput();
   this->responses.push_back(pending);
-  this->memory->Shares().OnStarted(this->id, this->address);
+  if (this->rules.mayRunConcurrently) {
+    this->memory->Shares().OnStarted(this->id, this->address);
+  }
   this->pipeline.OnPassedOn(false);
   this->pipeline.StopReading();
   this->UpdatePhase();
@@ -784,7 +790,9 @@
   this->counted = true;
   auto pending = std::make_shared<PendingResponse>();
   pending->requestBytes = this->memory->Account().OnRequestRead(this->id);
-  this->memory->Shares().OnStarted(this->id, this->address);
+  if (this->rules.mayRunConcurrently) {
+    this->memory->Shares().OnStarted(this->id, this->address);
+  }
   pending->headRequest = request.method() == http::verb::head;
   pending->mustNotChunk = request.version() < kHttp11;
   this->responses.push_back(pending);
@@ -929,7 +937,9 @@
   this->pipeline.OnResponseWritten(written.waitedBytes);
   this->memory->Account().RemoveRequest(this->id, written.requestBytes);
   this->memory->Account().RemoveResponse(this->id, written.heldBytes);
-  this->memory->Shares().OnEnded(this->id, this->address);
+  if (this->rules.mayRunConcurrently) {
+    this->memory->Shares().OnEnded(this->id, this->address);
+  }
   if (written.EndsWithConnection()) {
     this->SetResetOnClose(false);
   }
--- a/src/memory/connectionaccount.cpp
+++ b/src/memory/connectionaccount.cpp
@@ -312,9 +312,12 @@
   if (decision.refused == RoomReason::Memory) {
     // More than needed now, so that the search is rare. What others hold until
     // they are closed comes on top of the budget for that time.
-    auto wanted = std::max(growth, this->budget.total / kFreeDivisor);
+    bool small = entry.Held() + growth <= this->budget.smallBytes;
+    auto shortage = this->OrdinaryBytes() + growth - this->budget.total -
+                    (small ? this->budget.reserve : 0);
+    auto wanted = std::max(shortage, this->budget.total / kFreeDivisor);
     auto expected = this->ChooseSlow(aNow, aId, wanted, decision.close);
-    if (expected >= growth) {
+    if (expected >= shortage) {
       decision.refused = RoomReason::None;
     }
   }
--- a/tests/http/limitstest.cpp
+++ b/tests/http/limitstest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "http/http.h"
@@ -362,6 +364,16 @@
     CHECK(fixture.exchanges.size() <= 130);
     CHECK(fixture.exchanges.size() >= 30);
   }
+  THEN("those that exceed the shares are marked, and no ordinary request is")
+  {
+    auto unmarked = std::count_if(
+      fixture.exchanges.begin(),
+      fixture.exchanges.end(),
+      [](const auto& aExchange) { return !aExchange->sentAhead; });
+    CHECK(unmarked <= 96);
+    fixture.Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK_FALSE(fixture.exchanges.back()->sentAhead);
+  }
   THEN("all of them run in the end")
   {
     for (size_t next = 0; next < 900; ++next) {
