--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -230,12 +230,10 @@
                   this->limits.readGraceTime +
                     std::chrono::seconds(this->writeBytes /
                                          this->limits.minReadBytesPerSecond);
-  if (unread) {
+  if (unread || idle || (slow && this->pipeline.IsEmpty())) {
     this->Close();
-  } else if (slow && !this->pipeline.IsEmpty()) {
+  } else if (slow) {
     this->pipeline.StopReading();
-  } else if (slow || idle) {
-    this->Close();
   }
 }
 
@@ -248,7 +246,11 @@
   this->state = State::Closed;
   error_code ignored; // The socket is closed in any case.
   this->socket.close(ignored);
-  for (size_t count = 0; count < this->responses.size(); ++count) {
+  // Only requests that may run beside others share a space: those of other
+  // daemons have their share where they come from.
+  for (size_t count = 0;
+       this->rules.mayRunConcurrently && count < this->responses.size();
+       ++count) {
     this->memory->Shares().OnEnded(this->id, this->address);
   }
   this->memory->Close(this->id);
@@ -493,7 +495,9 @@
     return bytes > kIdleBufferBytes ? bytes : 0;
   }
   uint64_t body = this->parser->BodyBytes();
-  if (this->readingBody) {
+  if (this->readingBody && !this->parser->is_done()) {
+    // What the next read adds, so that there is room before it.
+    bytes = std::max(bytes, this->buffer.size() + this->ReadSize());
     auto stated = this->parser->content_length();
     body = std::max<uint64_t>(body, stated ? *stated : 0);
   }
@@ -760,7 +764,9 @@
   this->readingBody = false;
   this->DropInput();
   this->responses.push_back(pending);
-  this->memory->Shares().OnStarted(this->id, this->address);
+  if (this->rules.mayRunConcurrently) {
+    this->memory->Shares().OnStarted(this->id, this->address);
+  }
   this->pipeline.OnPassedOn(false);
   this->pipeline.StopReading();
   this->UpdatePhase();
@@ -790,7 +796,9 @@
   this->counted = true;
   auto pending = std::make_shared<PendingResponse>();
   pending->requestBytes = this->memory->Account().OnRequestRead(this->id);
-  this->memory->Shares().OnStarted(this->id, this->address);
+  if (this->rules.mayRunConcurrently) {
+    this->memory->Shares().OnStarted(this->id, this->address);
+  }
   pending->headRequest = request.method() == http::verb::head;
   pending->mustNotChunk = request.version() < kHttp11;
   this->responses.push_back(pending);
@@ -805,7 +813,10 @@
   auto current = std::make_shared<Exchange>(
     std::move(request), this->weak_from_this(), pending);
   current->receivedAt = this->headerReadAt;
-  current->sentAhead = this->sentAhead && !this->concurrent;
+  bool othersWait = this->buffer.size() > 0 || this->responses.size() > 1;
+  bool beyondShare =
+    othersWait && !this->memory->Shares().MayRunBeside(this->id, this->address);
+  current->sentAhead = beyondShare || (this->sentAhead && !this->concurrent);
   pending->exchange = current;
   this->handler(std::move(current));
   this->ReadNext();
@@ -932,7 +943,9 @@
   this->pipeline.OnResponseWritten(written.waitedBytes);
   this->memory->Account().RemoveRequest(this->id, written.requestBytes);
   this->memory->Account().RemoveResponse(this->id, written.heldBytes);
-  this->memory->Shares().OnEnded(this->id, this->address);
+  if (this->rules.mayRunConcurrently) {
+    this->memory->Shares().OnEnded(this->id, this->address);
+  }
   if (written.EndsWithConnection()) {
     this->SetResetOnClose(false);
   }
