--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -127,7 +127,7 @@
   Time nextZoneTrafficLog;
   /** Fields of the last log line on it. */
   decltype(Event::fields) loggedZoneTraffic;
-  Time stoppedAt;             ///< When requests of other daemons were stopped.
+  Time stoppedAt;      ///< When requests of other daemons were stopped.
   Time dismissedUntil; ///< Until when others may read the final response.
 };
 
