Return to sending everything once most of what arrives gets a slot

After a burst the share rose by half at most with each half-life, although the server could start all that it was sent. sendsharetest shows it (0.37 in place of 1 after 1.5 s).

--- a/src/admission/sendshare.cpp
+++ b/src/admission/sendshare.cpp
@@ -8,10 +8,13 @@
 namespace {
 
 /** Half-life of the counts. A burst begins and ends within seconds. */
-constexpr Duration kHalfLife = std::chrono::milliseconds(700);
+constexpr Duration kHalfLife = std::chrono::milliseconds(500);
 /** Requests that are sent for each one that starts. The excess covers uneven
  * arrivals, and lets the server choose the more urgent ones. */
 constexpr double kSupply = 1.5;
+/** Share of the requests that arrived from which on there is room for more:
+ * with kSupply, only two thirds of them start while there is none. */
+constexpr double kRoomShare = 0.8;
 /** With fewer requests than this within the half-life, the share that started
  * is left to chance. */
 constexpr double kMinOffered = 6;
@@ -32,6 +35,7 @@
 {
   auto& entry = this->counts[aClass];
   double factor = DecayFactor(aNow, entry.decayedAt);
+  entry.arrived *= factor;
   entry.offered *= factor;
   entry.started *= factor;
   entry.decayedAt = aNow;
@@ -41,7 +45,9 @@
 void
 SendShare::OnOffered(Time aNow, const std::string& aClass, double aWeight)
 {
-  this->Decay(aNow, aClass).offered += aWeight;
+  auto& entry = this->Decay(aNow, aClass);
+  entry.arrived += 1;
+  entry.offered += aWeight;
 }
 
 void
@@ -60,6 +66,9 @@
     return 1;
   }
   const auto& entry = found->second;
+  if (entry.started >= entry.arrived * kRoomShare) {
+    return 1;
+  }
   return std::clamp(kSupply * entry.started / entry.offered, kMinShare, 1.0);
 }
 
--- a/src/admission/sendshare.h
+++ b/src/admission/sendshare.h
@@ -34,7 +34,8 @@
   /** Requests, counted with exponential decay. */
   struct Counts
   {
-    double offered = 0;
+    double arrived = 0;
+    double offered = 0; ///< With what the requests stand for.
     double started = 0;
     Time decayedAt;
   };
