--- a/tests/daemon/zonetraffictest.cpp
+++ b/tests/daemon/zonetraffictest.cpp
@@ -77,6 +77,7 @@
     settings.server = ToString(this->server.Address());
     settings.clientAddress = ToString(this->ports.Reserve());
     settings.peerAddress = ToString(this->ports.Reserve());
+    settings.transferCost = milliseconds(2);
     this->clientAddress = this->node == nullptr
                             ? *ParseEndpoint(settings.clientAddress)
                             : this->clientAddress;
@@ -88,7 +89,7 @@
   }
 
   /** Makes the daemon at an address the owner of all keys. */
-  void SetOwner(const std::string& aAddress)
+  void SetOwner(const std::string& aAddress, bool aOwnsKeys = true)
   {
     auto configuration = std::make_shared<Configuration>();
     Route route;
@@ -103,7 +104,7 @@
     configuration->routes[route.name] = route;
     Service service;
     service.name = "agenda";
-    service.ownsKeys = true;
+    service.ownsKeys = aOwnsKeys;
     configuration->version = 1;
     configuration->services["agenda"] = service;
     ClusterView view;
@@ -375,3 +376,19 @@
   // What stays in the zone costs nothing.
   CHECK(fixture.otherCounters.MakeZoneTrafficEvent().fields.empty());
 }
+
+SCENARIO("A service without keys is served by another zone if it must be",
+         "[zonetraffic]")
+{
+  // Guards against a transfer cost that leaves requests without a member where
+  // the own zone has none.
+  TwoZonesFixture fixture;
+  fixture.serving.ownsKeys = false;
+  fixture.owner->SetServing(fixture.serving);
+  fixture.SetOwner(ToString(fixture.ownerAddress), false);
+  CHECK(fixture.Post().result_int() == 200);
+  auto text = fixture.counters.FormatText();
+  INFO(text);
+  CHECK(text.find("fescuetiller_zone_choices_total{class=\"plan-view\","
+                  "zone=\"other\"} 1") != std::string::npos);
+}
