Leave the message order of small simulated clusters as it was

The simulation sent changes at once instead of with the next tick, and drawing relays used random numbers in zones too small for relays. Only the dissemination cases send at once now, and zones of two members draw nothing.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -1501,6 +1501,9 @@
                              const std::vector<MemberId>& aMembers,
                              const std::set<MemberId>& aPreferred) const
 {
+  if (aMembers.size() <= kRelaysPerZone) {
+    return {};
+  }
   // In a random order, those that get the rows anyway first.
   std::multimap<std::pair<bool, double>, MemberId> able;
   for (const auto& id : aMembers) {
@@ -1509,7 +1512,7 @@
     }
   }
   std::vector<MemberId> chosen;
-  if (able.size() >= kRelaysPerZone && aMembers.size() > kRelaysPerZone) {
+  if (able.size() >= kRelaysPerZone) {
     for (const auto& [rank, id] : able) {
       chosen.push_back(id);
       if (chosen.size() == kRelaysPerZone) {
--- a/tests/cluster/clustersimulation.cpp
+++ b/tests/cluster/clustersimulation.cpp
@@ -554,7 +554,9 @@
         this->UpdateEra(aNode);
       }
       target.agent->Transactions().OnResponse(this->now, aResponse);
-      this->DeliverOutput(aNode, target.agent->Tick(this->now));
+      if (this->promptSending) {
+        this->DeliverOutput(aNode, target.agent->Tick(this->now));
+      }
       this->SendTransaction(aNode);
     };
   Error unknown{ ErrorCode::Unknown, "change", "store", "no response" };
@@ -1027,6 +1029,12 @@
   }
 }
 
+void
+ClusterSimulation::SetPromptSending()
+{
+  this->promptSending = true;
+}
+
 std::set<size_t>
 ClusterSimulation::StaleNodes()
 {
--- a/tests/cluster/clustersimulation.h
+++ b/tests/cluster/clustersimulation.h
@@ -97,6 +97,9 @@
 
   /** Changes how often daemons read changes from the store. */
   void SetPollInterval(Duration aInterval);
+  /** From now on, daemons send what a change requires at once, as real ones do,
+   * and not with the next tick. */
+  void SetPromptSending();
   /** Nodes whose daemons run and do not know all ranges as they are in the
    * store now. */
   std::set<size_t> StaleNodes();
@@ -178,6 +181,7 @@
   size_t releases = 0;
   size_t coldKeys = 0;
   Duration pollInterval;
+  bool promptSending = false;
   size_t rowDatagramsBetweenZones = 0;
   size_t rowReceiversInOtherZones = 0;
   std::set<std::string> sentRows;  ///< Rows of the datagrams so far, encoded.
--- a/tests/cluster/disseminationtest.cpp
+++ b/tests/cluster/disseminationtest.cpp
@@ -26,6 +26,7 @@
   {
     this->RunFor(seconds(12));
     this->SetPollInterval(kNoPolls);
+    this->SetPromptSending();
     this->RunFor(seconds(1));
     REQUIRE(this->StaleNodes().empty());
   }
