Close a connection whose memory is withdrawn while a read is pending

Refusing the request freed the buffer that the pending read still used. Seen once in tests/daemon/misbehaving.sh build 8 7 body endless: the attacked daemon aborted with "corrupted double-linked list". The connection is closed now, after an attempt to write the 503.

--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <sstream>
 
 #include "http/socketstate.h"
 
@@ -170,18 +171,30 @@
 void
 ServerSession::Withdraw(RoomReason aReason)
 {
-  if (this->state == State::Dismissed || this->input == Input::Nothing ||
-      this->parser == nullptr || !this->parser->is_header_done()) {
-    // Nothing of a request is known, or only its response is not read.
-    if (this->state == State::Dismissed || this->pipeline.IsEmpty()) {
-      if (this->memory->onRefused) {
-        this->memory->onRefused(this->listener, this->address, aReason);
-      }
-      this->Close();
-    }
-    return;
+  if (this->state == State::Closed || !this->pipeline.IsEmpty()) {
+    return; // Its request has been read in the meantime.
   }
-  this->RefuseForRoom(aReason);
+  if (this->memory->onRefused) {
+    this->memory->onRefused(this->listener, this->address, aReason);
+  }
+  if (this->state == State::Open && this->parser != nullptr &&
+      this->parser->is_header_done()) {
+    // The pending read uses the buffer, so what is held can be released only by
+    // closing the socket. The client may not get this response, then.
+    auto response = TextResponse(kNotRun, kRefusedForRoom);
+    response.set(http::field::retry_after, "1");
+    if (this->rules.onRefusal) {
+      this->rules.onRefusal(this->parser->get(), response);
+    }
+    response.keep_alive(false);
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    error_code ignored; // The client is disconnected in any case.
+    this->socket.non_blocking(true, ignored);
+    this->socket.write_some(asio::buffer(text.str()), ignored);
+  }
+  this->Close();
 }
 
 void
