Take the orders of a store without any change as known

A store has version 0 before its first change, which also stood for unknown orders. What is known has a field of its own now.

--- a/src/cluster/evacuations.cpp
+++ b/src/cluster/evacuations.cpp
@@ -85,6 +85,9 @@
 void
 Evacuations::OnAnnounced(Time aNow, const EvacuationOrders& aOrders)
 {
+  if (aOrders.version == 0) {
+    return; // The sender knows nothing yet, or a store without changes.
+  }
   if (!aOrders.truncated) {
     this->Update(aNow, aOrders, kPeerSource);
     return;
@@ -114,7 +117,7 @@
                     EvacuationOrders aOrders,
                     const std::string& aSource)
 {
-  if (aOrders.version <= this->orders.version) {
+  if (this->known && aOrders.version <= this->orders.version) {
     return;
   }
   this->DropEmptyZone(aOrders.zones);
@@ -140,6 +143,7 @@
     this->Begin(aNow, zone, aSource);
   }
   this->orders = std::move(aOrders);
+  this->known = true;
 }
 
 void
@@ -200,7 +204,7 @@
 bool
 Evacuations::IsKnown() const
 {
-  return this->orders.version != 0;
+  return this->known;
 }
 
 std::set<std::string>
--- a/src/cluster/evacuations.h
+++ b/src/cluster/evacuations.h
@@ -21,7 +21,7 @@
  * version of the store. Of two sets, the newer one is valid. */
 struct EvacuationOrders
 {
-  RowVersion version = 0; ///< 0: nothing is known.
+  RowVersion version = 0; ///< In a message, 0: nothing is known.
   std::set<std::string> zones;
   /** Whether some zones are missing, since they do not fit into a datagram. */
   bool truncated = false;
@@ -119,6 +119,8 @@
   std::string ownZone;
   Duration bound;
   EvacuationOrders orders;
+  /** Whether all orders are known. A store without any change has version 0. */
+  bool known = false;
   std::map<std::string, Evacuation> inForce; ///< By zone.
   std::map<std::string, Time> endedAt;       ///< By zone.
   Time confirmedAt;
--- a/tests/cluster/evacuationstest.cpp
+++ b/tests/cluster/evacuationstest.cpp
@@ -68,6 +68,25 @@
   Time now(seconds(100));
   Evacuations evacuations("a", kBound);
 
+  // Guards against daemons that wait for the first change of a new store before
+  // they serve anything.
+  GIVEN("a store without any change, which has version 0")
+  {
+    evacuations.OnRead(now, 0, {});
+    CHECK(evacuations.IsKnown());
+    CHECK(evacuations.SendUntil(true) == Time::max());
+    AND_WHEN("the first change is an order")
+    {
+      evacuations.OnConfirmed(now);
+      evacuations.OnChanges(now, 1, { { "a", 1, false } });
+      CHECK(evacuations.IsOwnZoneEvacuated());
+    }
+  }
+  GIVEN("another daemon that knows nothing")
+  {
+    evacuations.OnAnnounced(now, {});
+    CHECK_FALSE(evacuations.IsKnown());
+  }
   GIVEN("no orders that are known")
   {
     // Guards against requests to a server of an evacuated zone by a daemon that
