Give the test of misbehaving clients a network of its own, and the compact dispatch all fields

The script and faultyservers.sh used the same loopback addresses, so both failed when they ran at the same time: requests reached the servers of the other one. The dispatch has one more field since the parts were merged, which the test of the compact encoding left out.

--- a/tests/daemon/misbehaving.sh
+++ b/tests/daemon/misbehaving.sh
@@ -12,7 +12,7 @@
 seed=${3:-1}
 shift $(($# < 3 ? $# : 3))
 here=$(cd "$(dirname "$0")" && pwd)
-network=127.0.7
+network=127.0.10
 . "$here/deployment.sh"
 # The plan's bound for peaks, and how much above the idle level memory may stay.
 peak_bound=$((64 * 1024))
--- a/tests/daemon/zonetraffictest.cpp
+++ b/tests/daemon/zonetraffictest.cpp
@@ -318,6 +318,7 @@
                      milliseconds(700),
                      milliseconds(240),
                      2.5,
+                     true,
                      true };
   http::fields fields;
   SetDispatch(fields, dispatch, "desk", true);
