Serve each repeated piece with one function, and name settings in our terms

Decay by half-life, the budgets of a process, the counting of refusals, the figures of both report encodings and the refusal report stood in two to five places each; DecayFactor, BudgetsOf, ClientRefusals::Follow, WriteFigures and SetRefusalReport now serve them. The fixture of daemons over a slow link and the shell functions that count runs are shared by their tests, whose assertions are unchanged.

The settings cold-overage, cold-slack and evacuation, which no release has, are now cold-factor, cold-margin and evacuation-time: the earlier names were the platform's, which only src/platform/ and the template of deploy/ may use.

--- a/src/admission/coldlimit.cpp
+++ b/src/admission/coldlimit.cpp
@@ -25,12 +25,12 @@
 
 void
 ColdLimit::SetRate(std::optional<double> aPerSecond,
-                   double aOverage,
-                   double aSlack)
+                   double aFactor,
+                   double aMargin)
 {
   this->perSecond = aPerSecond;
-  this->overage = aOverage;
-  this->slack = aSlack;
+  this->factor = aFactor;
+  this->margin = aMargin;
 }
 
 void
@@ -98,7 +98,7 @@
   if (!this->perSecond) {
     return std::nullopt;
   }
-  return *this->perSecond * this->overage + this->slack;
+  return *this->perSecond * this->factor + this->margin;
 }
 
 size_t
@@ -106,7 +106,7 @@
 {
   // At least one, since a server that gets no requests would never answer any.
   return static_cast<size_t>(std::max(
-    1.0, std::floor(*this->perSecond * this->overage + kRoundingError)));
+    1.0, std::floor(*this->perSecond * this->factor + kRoundingError)));
 }
 
 std::optional<double>
--- a/src/admission/coldlimit.h
+++ b/src/admission/coldlimit.h
@@ -21,13 +21,13 @@
 public:
   /** Sets what a cold server tolerates.
    * @param aPerSecond Empty if cold servers of the service have no limit.
-   * @param aOverage Factor by which the rate may be exceeded.
-   * @param aSlack Requests beyond that in a second. They are not planned with:
+   * @param aFactor Factor by which the rate may be exceeded.
+   * @param aMargin Requests beyond that in a second. They are not planned with:
    * they are the margin for requests that arrive closer together than they were
    * sent. */
   void SetRate(std::optional<double> aPerSecond,
-               double aOverage,
-               double aSlack);
+               double aFactor,
+               double aMargin);
 
   /** Sets from when on all sent requests have been counted. An earlier process
    * may have sent as many as allowed shortly before. */
@@ -105,8 +105,8 @@
                      Duration aWindow) const;
 
   std::optional<double> perSecond;
-  double overage = 1;
-  double slack = 0;
+  double factor = 1;
+  double margin = 0;
   Time countedSince;
   Time heardAt;
   Time coldUntilByHeartbeat;
--- a/src/admission/linkload.cpp
+++ b/src/admission/linkload.cpp
@@ -160,8 +160,7 @@
 void
 LinkLoad::Learn(Time aNow, double aBytes, double aSeconds)
 {
-  double decay =
-    std::exp2(-ToSeconds(aNow - this->learnedAt) / ToSeconds(kSpeedHalfLife));
+  double decay = DecayFactor(aNow - this->learnedAt, kSpeedHalfLife);
   this->learnedBytes = this->learnedBytes * decay + aBytes;
   this->learnedSeconds = this->learnedSeconds * decay + aSeconds;
   this->learnedAt = aNow;
--- a/src/admission/sendshare.cpp
+++ b/src/admission/sendshare.cpp
@@ -1,7 +1,6 @@
 #include "admission/sendshare.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace fescuetiller {
 
@@ -21,20 +20,13 @@
 /** Lowest share, so that each daemon keeps hearing of the server. */
 constexpr double kMinShare = 0.05;
 
-double
-DecayFactor(Time aNow, Time aSince)
-{
-  return std::exp2(-static_cast<double>((aNow - aSince).count()) /
-                   static_cast<double>(kHalfLife.count()));
-}
-
 } // namespace
 
 SendShare::Counts&
 SendShare::Decay(Time aNow, const std::string& aClass)
 {
   auto& entry = this->counts[aClass];
-  double factor = DecayFactor(aNow, entry.decayedAt);
+  double factor = DecayFactor(aNow - entry.decayedAt, kHalfLife);
   entry.arrived *= factor;
   entry.offered *= factor;
   entry.started *= factor;
@@ -61,7 +53,8 @@
 {
   auto found = this->counts.find(aClass);
   if (found == this->counts.end() ||
-      found->second.offered * DecayFactor(aNow, found->second.decayedAt) <
+      found->second.offered *
+          DecayFactor(aNow - found->second.decayedAt, kHalfLife) <
         kMinOffered) {
     return 1;
   }
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -89,14 +89,6 @@
   return std::chrono::duration_cast<Duration>(aDelay * (1 + spread));
 }
 
-/** Decay factor for the counts of a class over the given time. */
-double
-ShareDecay(Time aNow, Time aSince)
-{
-  return std::exp2(-static_cast<double>((aNow - aSince).count()) /
-                   static_cast<double>(kShareHalfLife.count()));
-}
-
 /** The integral of the decay function: a constant load of one slot makes the
  * decaying sum of slot seconds converge to this. */
 double
@@ -252,9 +244,7 @@
 double
 SlotQueue::OfferedDecay(Time aNow) const
 {
-  return std::exp2(
-    -static_cast<double>((aNow - this->offeredDecayedAt).count()) /
-    static_cast<double>(kOfferedHalfLife.count()));
+  return DecayFactor(aNow - this->offeredDecayedAt, kOfferedHalfLife);
 }
 
 void
@@ -292,7 +282,7 @@
 SlotQueue::DecayClassShare(Time aNow, const std::string& aClass)
 {
   auto& share = this->shares[aClass];
-  double factor = ShareDecay(aNow, share.decayedAt);
+  double factor = DecayFactor(aNow - share.decayedAt, kShareHalfLife);
   share.offered *= factor;
   share.started *= factor;
   share.decayedAt = aNow;
@@ -307,7 +297,7 @@
   ClassShare all;
   ClassShare own;
   for (const auto& [name, share] : this->shares) {
-    double factor = ShareDecay(aNow, share.decayedAt);
+    double factor = DecayFactor(aNow - share.decayedAt, kShareHalfLife);
     all.offered += share.offered * factor;
     all.started += share.started * factor;
     if (name == aClass) {
--- a/src/cluster/keyload.cpp
+++ b/src/cluster/keyload.cpp
@@ -1,6 +1,6 @@
 #include "cluster/keyload.h"
 
-#include <cmath>
+#include <iterator>
 
 namespace fescuetiller {
 
@@ -26,8 +26,7 @@
     return;
   }
   this->decayedAt = aNow;
-  double factor = std::exp2(-static_cast<double>(passed.count()) /
-                            static_cast<double>(this->halfLife.count()));
+  double factor = DecayFactor(passed, this->halfLife);
   for (auto entry = this->weights.begin(); entry != this->weights.end();) {
     entry->second *= factor;
     entry = entry->second < kMinWeight ? this->weights.erase(entry)
--- a/src/fescuetillerctl/statuscommand.cpp
+++ b/src/fescuetillerctl/statuscommand.cpp
@@ -1,6 +1,7 @@
 #include <map>
 #include <set>
 
+#include <boost/algorithm/string/join.hpp>
 #include <nlohmann/json.hpp>
 
 #include "fescuetillerctl/deployment.h"
@@ -44,15 +45,20 @@
   double ownedShare = 0; ///< Share of the keys whose owner is a member.
 };
 
+/** The members of a service in a zone that operators evacuate. */
+struct EvacuatedService
+{
+  std::vector<std::string> members; ///< Addresses.
+  std::vector<std::string> drained; ///< Addresses that operators drained.
+  double keyShare = 0; ///< Share of the service's keys that they still own.
+};
+
 /** A zone that operators evacuate. */
 struct EvacuationStatus
 {
   std::string zone;
-  StoreKey row;                     ///< By which the evacuation is ordered.
-  std::vector<std::string> members; ///< Addresses of the members there.
-  /** Share of its keys that members there still own, by service. */
-  std::map<std::string, double> keyShares;
-  std::vector<std::string> drained; ///< Addresses that operators drained.
+  StoreKey row; ///< By which the evacuation is ordered.
+  std::map<std::string, EvacuatedService> services; ///< By name.
 };
 
 /** Summary of a deployment, as the status command prints it. */
@@ -125,11 +131,12 @@
       if (member.record.zone != evacuation.zone) {
         continue;
       }
-      evacuation.members.push_back(member.record.address);
-      evacuation.keyShares[member.record.service] += member.keyShare;
+      auto& service = evacuation.services[member.record.service];
+      service.members.push_back(member.record.address);
+      service.keyShare += member.keyShare;
       keys += member.keyShare;
       if (member.drained) {
-        evacuation.drained.push_back(member.record.address);
+        service.drained.push_back(member.record.address);
       }
     }
     auto line = "zone " + evacuation.zone + " is evacuated by row " +
@@ -189,7 +196,7 @@
   for (const auto& row : rows->rows) {
     auto zone = ParseEvacuationKey(row.key);
     if (zone && !zone->empty()) {
-      evacuations.push_back({ *zone, row.key, {}, {}, {} });
+      evacuations.push_back({ *zone, row.key, {} });
     }
   }
   return evacuations;
@@ -247,11 +254,21 @@
   }
   json evacuations = json::array();
   for (const auto& evacuation : aStatus.evacuations) {
+    std::vector<std::string> members;
+    json shares = json::object();
+    std::vector<std::string> drained;
+    for (const auto& [name, service] : evacuation.services) {
+      members.insert(
+        members.end(), service.members.begin(), service.members.end());
+      shares[name] = service.keyShare;
+      drained.insert(
+        drained.end(), service.drained.begin(), service.drained.end());
+    }
     evacuations.push_back({ { "zone", evacuation.zone },
                             { "row", ToString(evacuation.row) },
-                            { "members", evacuation.members },
-                            { "key_shares", evacuation.keyShares },
-                            { "drained", evacuation.drained } });
+                            { "members", members },
+                            { "key_shares", shares },
+                            { "drained", drained } });
   }
   return { { "configuration", aStatus.configuration },
            { "services", services },
@@ -270,26 +287,16 @@
     { "EVACUATED ZONE", "ROW", "SERVICE", "MEMBERS", "KEYS LEFT", "DRAINED" });
   for (const auto& evacuation : aStatus.evacuations) {
     for (const auto& service : aStatus.services) {
-      std::string addresses;
-      size_t members = 0;
-      for (const auto& member : aStatus.members) {
-        if (member.record.zone != evacuation.zone ||
-            member.record.service != service.name) {
-          continue;
-        }
-        ++members;
-        if (member.drained) {
-          addresses += (addresses.empty() ? "" : " ") + member.record.address;
-        }
-      }
-      auto share = evacuation.keyShares.find(service.name);
-      auto left = share == evacuation.keyShares.end() ? 0 : share->second;
-      table.Add({ evacuation.zone,
-                  ToString(evacuation.row),
-                  service.name,
-                  std::to_string(members),
-                  service.ownsKeys ? FormatNumber(left * kPercent) + "%" : "-",
-                  addresses.empty() ? "-" : addresses });
+      auto found = evacuation.services.find(service.name);
+      auto left =
+        found == evacuation.services.end() ? EvacuatedService() : found->second;
+      table.Add(
+        { evacuation.zone,
+          ToString(evacuation.row),
+          service.name,
+          std::to_string(left.members.size()),
+          service.ownsKeys ? FormatNumber(left.keyShare * kPercent) + "%" : "-",
+          left.drained.empty() ? "-" : boost::join(left.drained, " ") });
     }
   }
   aOut << "\n";
--- a/src/fescuetillerd/clientrefusals.cpp
+++ b/src/fescuetillerd/clientrefusals.cpp
@@ -14,6 +14,15 @@
 {
 }
 
+void
+ClientRefusals::Follow(ConnectionMemory& aMemory)
+{
+  aMemory.onRefused =
+    [this](const auto& aListener, const auto& aAddress, RoomReason aReason) {
+      this->Count(aListener, aAddress, aReason);
+    };
+}
+
 void
 ClientRefusals::Count(const std::string& aListener,
                       const std::string& aAddress,
--- a/src/fescuetillerd/clientrefusals.h
+++ b/src/fescuetillerd/clientrefusals.h
@@ -17,9 +17,8 @@
 public:
   ClientRefusals(EventLog& aLog, Counters& aCounters);
 
-  void Count(const std::string& aListener,
-             const std::string& aAddress,
-             RoomReason aReason);
+  /** Counts what the connections of an account report. */
+  void Follow(ConnectionMemory& aMemory);
   /** Logs what was counted since the last line, at intervals. */
   void LogSummary(Time aNow, const ConnectionAccount& aAccount);
 
@@ -30,6 +29,10 @@
     std::string lastAddress;
   };
 
+  void Count(const std::string& aListener,
+             const std::string& aAddress,
+             RoomReason aReason);
+
   EventLog& log;
   Counters& counters;
   /** By listening address and reason. */
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -4,7 +4,7 @@
 #include <iterator>
 #include <limits>
 
-#include "fescuetillerd/descriptorlimit.h"
+#include "fescuetillerd/nodebudgets.h"
 
 namespace fescuetiller {
 
@@ -107,10 +107,8 @@
       ToAgentSettings(aSettings),
       [this] { return RandomId(this->random); },
       [this] { return RandomFraction(this->random); })
-  , memory(std::make_shared<ConnectionMemory>(
-      aContext,
-      MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
-        .control))
+  , memory(std::make_shared<ConnectionMemory>(aContext,
+                                              BudgetsOf(aSettings).control))
   , refusals(aLog, aCounters)
   , serverCallListener(aContext,
                        [this](const std::shared_ptr<Exchange>& aExchange) {
@@ -186,10 +184,7 @@
 void
 ControlNode::SetRules()
 {
-  this->memory->onRefused =
-    [this](const auto& aListener, const auto& aAddress, RoomReason aReason) {
-      this->refusals.Count(aListener, aAddress, aReason);
-    };
+  this->refusals.Follow(*this->memory);
   this->serverCallListener.SetMemory(this->memory, "server-calls");
   this->readinessListener.SetMemory(this->memory, "ready");
   this->metricsListener.SetMemory(this->memory, "metrics");
@@ -252,9 +247,7 @@
 ControlNode::SetSettings(const NodeSettings& aSettings)
 {
   this->settings = aSettings;
-  this->memory->Account().SetBudget(
-    MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
-      .control);
+  this->memory->Account().SetBudget(BudgetsOf(aSettings).control);
   this->agent.SetBounds(
     aSettings.maxGrantTime, aSettings.drainTime, aSettings.evacuationTime);
   this->store.SetAddress(
--- a/src/fescuetillerd/dispatch.cpp
+++ b/src/fescuetillerd/dispatch.cpp
@@ -180,6 +180,50 @@
   return dispatch;
 }
 
+/** Writes the figures that both encodings of a report contain. */
+void
+WriteFigures(std::ostream& aText, const ExecutionReport& aReport)
+{
+  aText << static_cast<int64_t>(aReport.load * kLoadUnit) << ' '
+        << ToMilliseconds(aReport.expectedTime) << ' '
+        << ToMilliseconds(aReport.untilHeartbeat) << ' '
+        << ToMilliseconds(aReport.elapsed);
+}
+
+void
+ReadFigures(std::istream& aText, ExecutionReport& aReport)
+{
+  int64_t load = 0;
+  int64_t expected = 0;
+  int64_t heartbeat = 0;
+  int64_t elapsed = 0;
+  aText >> load >> expected >> heartbeat >> elapsed;
+  aReport.load = static_cast<double>(load) / kLoadUnit;
+  aReport.expectedTime = Milliseconds(expected);
+  aReport.untilHeartbeat = Milliseconds(heartbeat);
+  aReport.elapsed = Milliseconds(elapsed);
+}
+
+void
+WriteSendShare(std::ostream& aText, const ExecutionReport& aReport)
+{
+  if (aReport.sendShare < 1) {
+    aText << ' ' << kSharePrefix << ToThousandths(aReport.sendShare);
+  }
+}
+
+/** @return Whether the optional part is a share. */
+bool
+ReadSendShare(ExecutionReport& aReport, const std::string& aOption)
+{
+  auto share = ReadOption(aOption, kSharePrefix);
+  if (share) {
+    aReport.sendShare =
+      std::min(static_cast<double>(*share) / kThousandths, 1.0);
+  }
+  return share.has_value();
+}
+
 } // namespace
 
 bool
@@ -323,17 +367,13 @@
   std::ostringstream text;
   text << static_cast<int>(aReport.outcome) << ' '
        << (aReport.reason.empty() ? "-" : aReport.reason) << ' '
-       << ToMilliseconds(aReport.retryAfter) << ' '
-       << static_cast<int64_t>(aReport.load * kLoadUnit) << ' '
-       << ToMilliseconds(aReport.expectedTime) << ' '
-       << ToMilliseconds(aReport.untilHeartbeat) << ' '
-       << ToMilliseconds(aReport.elapsed) << ' ' << aReport.reachedServer;
+       << ToMilliseconds(aReport.retryAfter) << ' ';
+  WriteFigures(text, aReport);
+  text << ' ' << aReport.reachedServer;
   if (!aReport.owner.empty()) {
     text << ' ' << aReport.owner;
   }
-  if (aReport.sendShare < 1) {
-    text << ' ' << kSharePrefix << ToThousandths(aReport.sendShare);
-  }
+  WriteSendShare(text, aReport);
   return text.str();
 }
 
@@ -344,30 +384,20 @@
   ExecutionReport report;
   int outcome = 0;
   int64_t retry = 0;
-  int64_t load = 0;
-  int64_t expected = 0;
-  int64_t heartbeat = 0;
-  int64_t elapsed = 0;
-  text >> outcome >> report.reason >> retry >> load >> expected >> heartbeat >>
-    elapsed >> report.reachedServer;
+  text >> outcome >> report.reason >> retry;
+  ReadFigures(text, report);
+  text >> report.reachedServer;
   if (!text || outcome < 0 || outcome > kLastOutcome) {
     return std::nullopt;
   }
   std::string option;
   while (text >> option) {
-    if (auto share = ReadOption(option, kSharePrefix)) {
-      report.sendShare =
-        std::min(static_cast<double>(*share) / kThousandths, 1.0);
-    } else {
+    if (!ReadSendShare(report, option)) {
       report.owner = option;
     }
   }
   report.outcome = static_cast<ExecutionOutcome>(outcome);
   report.retryAfter = Milliseconds(retry);
-  report.load = static_cast<double>(load) / kLoadUnit;
-  report.expectedTime = Milliseconds(expected);
-  report.untilHeartbeat = Milliseconds(heartbeat);
-  report.elapsed = Milliseconds(elapsed);
   return report;
 }
 
@@ -375,10 +405,7 @@
 EncodeCompact(const ExecutionReport& aReport)
 {
   std::ostringstream text;
-  text << static_cast<int64_t>(aReport.load * kLoadUnit) << ' '
-       << ToMilliseconds(aReport.expectedTime) << ' '
-       << ToMilliseconds(aReport.untilHeartbeat) << ' '
-       << ToMilliseconds(aReport.elapsed);
+  WriteFigures(text, aReport);
   if (aReport.outcome != ExecutionOutcome::Answered) {
     text << ' ' << kOutcomePrefix << static_cast<int>(aReport.outcome);
   }
@@ -394,9 +421,7 @@
   if (!aReport.owner.empty()) {
     text << ' ' << kOwnerPrefix << aReport.owner;
   }
-  if (aReport.sendShare < 1) {
-    text << ' ' << kSharePrefix << ToThousandths(aReport.sendShare);
-  }
+  WriteSendShare(text, aReport);
   return text.str();
 }
 
@@ -405,11 +430,7 @@
 {
   std::istringstream text(aText);
   ExecutionReport report;
-  int64_t load = 0;
-  int64_t expected = 0;
-  int64_t heartbeat = 0;
-  int64_t elapsed = 0;
-  text >> load >> expected >> heartbeat >> elapsed;
+  ReadFigures(text, report);
   if (!text) {
     return std::nullopt;
   }
@@ -430,15 +451,10 @@
       report.reachedServer = *reached > 0;
     } else if (auto owner = ReadTextOption(option, kOwnerPrefix)) {
       report.owner = *owner;
-    } else if (auto share = ReadOption(option, kSharePrefix)) {
-      report.sendShare =
-        std::min(static_cast<double>(*share) / kThousandths, 1.0);
+    } else {
+      ReadSendShare(report, option); // Unknown ones are ignored.
     }
   }
-  report.load = static_cast<double>(load) / kLoadUnit;
-  report.expectedTime = Milliseconds(expected);
-  report.untilHeartbeat = Milliseconds(heartbeat);
-  report.elapsed = Milliseconds(elapsed);
   return report;
 }
 
--- a/src/fescuetillerd/executor.cpp
+++ b/src/fescuetillerd/executor.cpp
@@ -101,7 +101,7 @@
 Executor::SetColdPolicy(const ColdPolicy& aPolicy)
 {
   this->coldPolicy = aPolicy;
-  this->queue.Cold().SetRate(aPolicy.perSecond, aPolicy.overage, aPolicy.slack);
+  this->queue.Cold().SetRate(aPolicy.perSecond, aPolicy.factor, aPolicy.margin);
   this->UpdateColdState(BootClock::now());
 }
 
@@ -728,18 +728,14 @@
 Executor::MakeFinalResponse()
 {
   auto response = TextResponse(503, "stopping\n");
-  // Releases that do not know the compact encoding may receive it.
-  this->AddState(response,
-                 this->MakeStateReport(ExecutionOutcome::Refused,
-                                       kStoppingReason,
-                                       kDefaultRetryAfter),
-                 false);
+  this->SetRefusalReport(response, kStoppingReason);
   return response;
 }
 
 void
 Executor::SetRefusalReport(http::fields& aFields, const std::string& aReason)
 {
+  // Releases that do not know the compact encoding may receive it.
   this->AddState(aFields,
                  this->MakeStateReport(
                    ExecutionOutcome::Refused, aReason, kDefaultRetryAfter),
--- a/src/fescuetillerd/executor.h
+++ b/src/fescuetillerd/executor.h
@@ -29,8 +29,8 @@
 {
   /** See ColdLimit::SetRate. */
   std::optional<double> perSecond;
-  double overage = 1;
-  double slack = 0;
+  double factor = 1;
+  double margin = 0;
   std::string healthPath; ///< Path of status checks; empty: none are sent.
   /** Usual interval of the server's heartbeats. */
   Duration heartbeat = std::chrono::seconds(1);
--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -28,9 +28,7 @@
   , counters(aCounters)
   , pool(aContext)
   , view(std::make_shared<ClusterView>())
-  , zoneChoice([this] {
-    return std::uniform_real_distribution<double>(0, 1)(this->random);
-  })
+  , zoneChoice([this] { return this->RandomFraction(); })
   , random(std::random_device()())
 {
   this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
@@ -40,6 +38,12 @@
   };
 }
 
+double
+Ingress::RandomFraction()
+{
+  return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
 RetryBudget&
 Ingress::RetryBudgetFor(const std::string& aService)
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -72,6 +72,8 @@
   friend class IngressRequest;
 
   RetryBudget& RetryBudgetFor(const std::string& aService);
+  /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
+  double RandomFraction();
 
   asio::io_context& context;
   Executor& executor;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -330,8 +330,7 @@
   }
   auto wanted = this->ingress.peers.ShareToSend(
     BootClock::now(), aOwner, this->dispatch.requestClass);
-  std::uniform_real_distribution<double> fraction(0, 1);
-  if (wanted.share < 1 && fraction(this->ingress.random) >= wanted.share) {
+  if (wanted.share < 1 && this->ingress.RandomFraction() >= wanted.share) {
     this->heldBackFor = wanted.retryAfter;
     return true;
   }
--- a/src/fescuetillerd/descriptorlimit.cpp
+++ b/src/fescuetillerd/nodebudgets.cpp
@@ -1,4 +1,4 @@
-#include "fescuetillerd/descriptorlimit.h"
+#include "fescuetillerd/nodebudgets.h"
 
 #include <algorithm>
 #include <limits>
@@ -7,6 +7,8 @@
 
 namespace fescuetiller {
 
+namespace {
+
 uint32_t
 DescriptorLimit(const NodeSettings& aSettings)
 {
@@ -21,4 +23,12 @@
            : std::min(limit, aSettings.maxDescriptors);
 }
 
+} // namespace
+
+NodeBudgets
+BudgetsOf(const NodeSettings& aSettings)
+{
+  return MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings));
+}
+
 } // namespace fescuetiller
--- a/src/fescuetillerd/nodesettings.cpp
+++ b/src/fescuetillerd/nodesettings.cpp
@@ -12,8 +12,8 @@
 using Setters = IniSetters<NodeSettings>;
 
 constexpr uint64_t kMaxPort = 65535;
-constexpr double kMaxColdOverage = 100;
-constexpr uint64_t kMaxColdSlack = 100000;
+constexpr double kMaxColdFactor = 100;
+constexpr uint64_t kMaxColdMargin = 100000;
 constexpr uint64_t kMinMemoryMegabytes = 32;
 constexpr uint64_t kMaxMemoryMegabytes = 1024 * 1024;
 /** Below this, a daemon cannot keep a connection to each of a few others. */
@@ -73,13 +73,13 @@
 }
 
 Result<void>
-SetColdOverage(const IniEntry& aEntry, NodeSettings& aSettings)
+SetColdFactor(const IniEntry& aEntry, NodeSettings& aSettings)
 {
-  auto factor = ParseFraction(aEntry, 0, kMaxColdOverage);
+  auto factor = ParseFraction(aEntry, 0, kMaxColdFactor);
   if (!factor) {
     return tl::unexpected(factor.error());
   }
-  aSettings.coldOverage = *factor;
+  aSettings.coldFactor = *factor;
   return {};
 }
 
@@ -131,10 +131,11 @@
         { "drain-time", DurationSetter(&NodeSettings::drainTime) },
         { "stop-time", DurationSetter(&NodeSettings::stopTime) },
         { "retry-ratio", SetRetryRatio },
-        { "cold-overage", SetColdOverage },
-        { "cold-slack",
-          NumberSetter(&NodeSettings::coldSlack, 0, kMaxColdSlack) },
-        { "evacuation", DurationSetter(&NodeSettings::evacuationTime) } } },
+        { "cold-factor", SetColdFactor },
+        { "cold-margin",
+          NumberSetter(&NodeSettings::coldMargin, 0, kMaxColdMargin) },
+        { "evacuation-time",
+          DurationSetter(&NodeSettings::evacuationTime) } } },
     { "limits",
       { { "memory",
           NumberSetter(&NodeSettings::memoryMegabytes,
@@ -206,8 +207,8 @@
                     aSettings.drainTime,
                     aSettings.stopTime,
                     aSettings.retryRatio,
-                    aSettings.coldOverage,
-                    aSettings.coldSlack,
+                    aSettings.coldFactor,
+                    aSettings.coldMargin,
                     aSettings.evacuationTime,
                     aSettings.memoryMegabytes,
                     aSettings.maxDescriptors,
--- a/src/fescuetillerd/nodesettings.h
+++ b/src/fescuetillerd/nodesettings.h
@@ -41,9 +41,9 @@
   Duration stopTime = std::chrono::seconds(6);
   double retryRatio = 0.2; ///< Retries per request, over all daemons.
   /** Requests that a cold server may get in a second: what it tolerates times
-   * the factor, plus the slack. */
-  double coldOverage = 1;
-  uint32_t coldSlack = 0;
+   * the factor, plus the margin. */
+  double coldFactor = 1;
+  uint32_t coldMargin = 0;
   /** Time from the order to evacuate a zone until its servers get no more
    * requests. */
   Duration evacuationTime = std::chrono::seconds(5);
--- a/src/fescuetillerd/settingsreload.cpp
+++ b/src/fescuetillerd/settingsreload.cpp
@@ -49,9 +49,9 @@
   apply("drain-time", &NodeSettings::drainTime);
   apply("stop-time", &NodeSettings::stopTime);
   apply("retry-ratio", &NodeSettings::retryRatio);
-  apply("cold-overage", &NodeSettings::coldOverage);
-  apply("cold-slack", &NodeSettings::coldSlack);
-  apply("evacuation", &NodeSettings::evacuationTime);
+  apply("cold-factor", &NodeSettings::coldFactor);
+  apply("cold-margin", &NodeSettings::coldMargin);
+  apply("evacuation-time", &NodeSettings::evacuationTime);
   apply("memory", &NodeSettings::memoryMegabytes);
   apply("descriptors", &NodeSettings::maxDescriptors);
   apply("transfer-cost", &NodeSettings::transferCost);
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -1,7 +1,7 @@
 #include "fescuetillerd/trafficnode.h"
 
 #include "fescuetillerd/callerapi.h"
-#include "fescuetillerd/descriptorlimit.h"
+#include "fescuetillerd/nodebudgets.h"
 #include "fescuetillerd/pacedresponse.h"
 #include "platform/headers.h"
 
@@ -64,10 +64,8 @@
               aSettings.transferCost },
             aLog,
             aCounters)
-  , memory(std::make_shared<ConnectionMemory>(
-      aContext,
-      MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
-        .traffic))
+  , memory(std::make_shared<ConnectionMemory>(aContext,
+                                              BudgetsOf(aSettings).traffic))
   , refusals(aLog, aCounters)
   , clientServer(aContext,
                  [this](std::shared_ptr<Exchange> aExchange) {
@@ -113,10 +111,7 @@
 void
 TrafficNode::SetRules()
 {
-  this->memory->onRefused =
-    [this](const auto& aListener, const auto& aAddress, RoomReason aReason) {
-      this->refusals.Count(aListener, aAddress, aReason);
-    };
+  this->refusals.Follow(*this->memory);
   this->clientServer.SetMemory(this->memory, "clients");
   this->callerServer.SetMemory(this->memory, "callers");
   this->peerServer.SetMemory(this->memory, "peers");
@@ -179,9 +174,7 @@
 TrafficNode::SetSettings(const NodeSettings& aSettings)
 {
   this->settings = aSettings;
-  this->memory->Account().SetBudget(
-    MakeNodeBudgets(aSettings.memoryMegabytes, DescriptorLimit(aSettings))
-      .traffic);
+  this->memory->Account().SetBudget(BudgetsOf(aSettings).traffic);
   this->ingress.SetRetryRatio(aSettings.retryRatio * kRetryRatioFraction);
   this->ingress.SetTransferCost(aSettings.transferCost);
   this->SetColdPolicy();
@@ -195,8 +188,8 @@
       ? nullptr
       : this->configuration->FindService(this->settings.service);
   ColdPolicy policy;
-  policy.overage = this->settings.coldOverage;
-  policy.slack = this->settings.coldSlack;
+  policy.factor = this->settings.coldFactor;
+  policy.margin = this->settings.coldMargin;
   policy.heartbeat = this->settings.heartbeat;
   if (service != nullptr) {
     policy.perSecond = service->coldRequestsPerSecond;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -34,7 +34,15 @@
 /** A response in chunks holds one of them, and another that its server has
  * sent. */
 constexpr size_t kStreamBytes = 64 * 1024;
-constexpr const char* kRefusedForRoom = "no room for the request\n";
+
+/** Response to a request for which there is no room. */
+HttpResponse
+RoomRefusal()
+{
+  auto response = TextResponse(kNotRun, "no room for the request\n");
+  response.set(http::field::retry_after, "1");
+  return response;
+}
 
 } // namespace
 
@@ -181,8 +189,7 @@
       this->parser->is_header_done()) {
     // The pending read uses the buffer, so what is held can be released only by
     // closing the socket. The client may not get this response, then.
-    auto response = TextResponse(kNotRun, kRefusedForRoom);
-    response.set(http::field::retry_after, "1");
+    auto response = RoomRefusal();
     if (this->rules.onRefusal) {
       this->rules.onRefusal(this->parser->get(), response);
     }
@@ -638,8 +645,7 @@
 ServerSession::IsBodySkipped() const
 {
   auto length = this->parser->content_length();
-  return !this->parser->is_done() && this->rules.needsBody &&
-         (!length || *length > kMaxUnneededBytes) &&
+  return this->rules.needsBody && (!length || *length > kMaxUnneededBytes) &&
          !this->rules.needsBody(this->parser->get());
 }
 
@@ -661,11 +667,7 @@
 {
   this->input = Input::Part;
   this->since = BootClock::now();
-  if (this->parser->is_done()) {
-    this->OnRequest();
-    return;
-  }
-  if (this->IsBodySkipped()) {
+  if (this->parser->is_done() || this->IsBodySkipped()) {
     this->OnRequest();
     return;
   }
@@ -747,9 +749,7 @@
   if (this->DropRequestIfStopped()) {
     return;
   }
-  auto response = TextResponse(kNotRun, kRefusedForRoom);
-  response.set(http::field::retry_after, "1");
-  this->RespondInstead(std::move(response));
+  this->RespondInstead(RoomRefusal());
 }
 
 /** Drops what has arrived of requests that are not read. */
--- a/src/memory/connectionaccount.cpp
+++ b/src/memory/connectionaccount.cpp
@@ -367,29 +367,26 @@
 }
 
 void
-ConnectionAccount::RemoveRequest(Id aId, size_t aBytes)
+ConnectionAccount::Remove(Id aId, size_t Entry::*aAmount, size_t aBytes)
 {
   auto found = this->entries.find(aId);
   if (found != this->entries.end()) {
     auto& entry = found->second;
-    this->Set(aId,
-              entry,
-              &Entry::requests,
-              entry.requests - std::min(entry.requests, aBytes));
+    this->Set(
+      aId, entry, aAmount, entry.*aAmount - std::min(entry.*aAmount, aBytes));
   }
 }
 
+void
+ConnectionAccount::RemoveRequest(Id aId, size_t aBytes)
+{
+  this->Remove(aId, &Entry::requests, aBytes);
+}
+
 void
 ConnectionAccount::RemoveResponse(Id aId, size_t aBytes)
 {
-  auto found = this->entries.find(aId);
-  if (found != this->entries.end()) {
-    auto& entry = found->second;
-    this->Set(aId,
-              entry,
-              &Entry::responses,
-              entry.responses - std::min(entry.responses, aBytes));
-  }
+  this->Remove(aId, &Entry::responses, aBytes);
 }
 
 bool
--- a/src/memory/connectionaccount.h
+++ b/src/memory/connectionaccount.h
@@ -53,7 +53,6 @@
     /** Other connections that must be closed, or whose request that is being
      * read must be refused. Their memory counts until they release it. */
     std::vector<Id> close;
-    RoomReason closeReason = RoomReason::Slow;
   };
 
   explicit ConnectionAccount(const ConnectionBudget& aBudget);
@@ -111,6 +110,7 @@
 
   /** Sets one of the amounts of a connection and updates the sums. */
   void Set(Id aId, Entry& aEntry, size_t Entry::*aAmount, size_t aBytes);
+  void Remove(Id aId, size_t Entry::*aAmount, size_t aBytes);
   /** What counts against the budget. */
   size_t OrdinaryBytes() const;
   RoomReason CheckRoom(const Entry& aEntry, size_t aGrowth) const;
--- a/src/memory/requestshares.cpp
+++ b/src/memory/requestshares.cpp
@@ -1,6 +1,7 @@
 #include "memory/requestshares.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace fescuetiller {
 
@@ -34,7 +35,6 @@
 void
 RequestShares::OnStarted(uint64_t aConnection, const std::string& aAddress)
 {
-  ++this->running;
   ++this->byConnection[aConnection];
   ++this->byAddress[aAddress];
 }
@@ -42,12 +42,10 @@
 void
 RequestShares::OnEnded(uint64_t aConnection, const std::string& aAddress)
 {
-  if (CountOf(this->byConnection, aConnection) == 0) {
-    return;
+  if (CountOf(this->byConnection, aConnection) > 0) {
+    Decrement(this->byConnection, aConnection);
+    Decrement(this->byAddress, aAddress);
   }
-  --this->running;
-  Decrement(this->byConnection, aConnection);
-  Decrement(this->byAddress, aAddress);
 }
 
 bool
@@ -67,7 +65,11 @@
 size_t
 RequestShares::RunningCount() const
 {
-  return this->running;
+  return std::accumulate(
+    this->byConnection.begin(),
+    this->byConnection.end(),
+    size_t(0),
+    [](size_t aSum, const auto& aEntry) { return aSum + aEntry.second; });
 }
 
 } // namespace fescuetiller
--- a/src/memory/requestshares.h
+++ b/src/memory/requestshares.h
@@ -31,7 +31,6 @@
 
 private:
   size_t space;
-  size_t running = 0;
   std::unordered_map<uint64_t, size_t> byConnection;
   std::map<std::string, size_t> byAddress;
 };
--- a/src/routing/zonechoice.cpp
+++ b/src/routing/zonechoice.cpp
@@ -199,14 +199,4 @@
   return (useFar ? far : near)->candidate->member;
 }
 
-std::map<std::string, double>
-ZoneChoice::OutShares() const
-{
-  std::map<std::string, double> shares;
-  for (const auto& [name, state] : this->classes) {
-    shares[name] = state.outShare;
-  }
-  return shares;
-}
-
 } // namespace fescuetiller
--- a/src/routing/zonechoice.h
+++ b/src/routing/zonechoice.h
@@ -47,14 +47,11 @@
                      const ZoneCriteria& aCriteria,
                      const PeerTable& aPeers);
 
-  /** Share of the requests of each class that is sent out, 0 to 1. */
-  std::map<std::string, double> OutShares() const;
-
 private:
   struct ClassState
   {
     double meanBytes = 0; ///< Moving mean; 0: unknown.
-    double outShare = 0;
+    double outShare = 0;  ///< Of the requests that is sent out, 0 to 1.
     Time updatedAt;
   };
   /** An untried candidate. */
--- a/tests/admission/coldlimittest.cpp
+++ b/tests/admission/coldlimittest.cpp
@@ -19,8 +19,8 @@
 /** Cold servers of Swanbourne: 19 x 1.5 + 8 = 36.5 in a second, of which 28 are
  * planned with. */
 constexpr double kPerSecond = 19;
-constexpr double kOverage = 1.5;
-constexpr double kSlack = 8;
+constexpr double kFactor = 1.5;
+constexpr double kMargin = 8;
 constexpr size_t kPlanned = 28;
 /** Longest time between the last check of a request and its sending. */
 constexpr Duration kStall = milliseconds(100);
@@ -29,7 +29,7 @@
 MakeLimit()
 {
   ColdLimit limit;
-  limit.SetRate(kPerSecond, kOverage, kSlack);
+  limit.SetRate(kPerSecond, kFactor, kMargin);
   return limit;
 }
 
@@ -213,7 +213,7 @@
   }
   GIVEN("a service without a limit for cold servers")
   {
-    limit.SetRate(std::nullopt, kOverage, kSlack);
+    limit.SetRate(std::nullopt, kFactor, kMargin);
     limit.OnHeartbeat(kStart, Time::max());
     CHECK_FALSE(limit.IsCold(kStart));
     CHECK(limit.TimeUntil(kStart, 1000) == Duration(0));
@@ -340,7 +340,7 @@
 {
   SlotQueue queue([](const SlotRequest&) { return true; });
   queue.SetSlots(5);
-  queue.Cold().SetRate(kPerSecond, kOverage, kSlack);
+  queue.Cold().SetRate(kPerSecond, kFactor, kMargin);
   auto request = [&](uint64_t aId, Time aNow) {
     SlotRequest made;
     made.id = aId;
--- a/tests/admission/coldserverstest.cpp
+++ b/tests/admission/coldserverstest.cpp
@@ -20,8 +20,8 @@
 constexpr Duration kHeartbeat = milliseconds(870);
 /** A cold server of Swanbourne: 19 x 1.5 + 8 requests in any second. */
 constexpr double kPerSecond = 19;
-constexpr double kOverage = 1.5;
-constexpr double kSlack = 8;
+constexpr double kFactor = 1.5;
+constexpr double kMargin = 8;
 constexpr size_t kBound = 36;
 constexpr uint32_t kSlots = 5;
 constexpr Duration kWork = milliseconds(60);
@@ -46,7 +46,7 @@
   {
     this->queue.SetSlots(kSlots);
     if (this->options.hasLimit) {
-      this->queue.Cold().SetRate(kPerSecond, kOverage, kSlack);
+      this->queue.Cold().SetRate(kPerSecond, kFactor, kMargin);
     }
   }
 
@@ -379,7 +379,7 @@
   GIVEN("a very high rate")
   {
     ColdLimit limit;
-    limit.SetRate(kPerSecond, kOverage, kSlack);
+    limit.SetRate(kPerSecond, kFactor, kMargin);
     StatusSchedule schedule;
     int checks = 0;
     for (int64_t ms = 0; ms < 2000; ++ms) {
@@ -401,7 +401,7 @@
   GIVEN("a server whose responses do not state whether it is cold")
   {
     ColdLimit limit;
-    limit.SetRate(kPerSecond, kOverage, kSlack);
+    limit.SetRate(kPerSecond, kFactor, kMargin);
     StatusSchedule schedule;
     int checks = 0;
     for (int64_t ms = 0; ms < 10000; ms += 10) {
--- a/tests/daemon/announcements.sh
+++ b/tests/daemon/announcements.sh
@@ -8,28 +8,12 @@
 build=$1
 here=$(cd "$(dirname "$0")" && pwd)
 network=127.0.4
+log_pattern='server-l'
 . "$here/deployment.sh"
 start_deployment
 
 start_load 22 0.5
 
-now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
-# runs NUMBER FROM-MS UNTIL-MS: the number of runs of a server in that time.
-runs() {
-  awk -v from="$2" -v until="$3" \
-    '{ at = $1 / 1000000 } at >= from && at < until { ++count }
-     END { print count + 0 }' "$folder/server-$1.runs"
-}
-# check TEXT LEFT OPERATOR RIGHT
-check() {
-  if ! [ "$2" "$3" "$4" ]; then
-    echo "BROKEN $1: $2, not $3 $4"
-    grep -h -E 'server-l' "$folder"/node-*.log | tail -n 20
-    exit 1
-  fi
-  echo "$1: $2"
-}
-
 # A limit of 5 requests a second. The daemon is restarted while it is in force.
 sleep 1
 kill -USR1 "${server[2]}"
--- a/tests/daemon/coldservers.sh
+++ b/tests/daemon/coldservers.sh
@@ -10,8 +10,8 @@
 network=127.0.9
 # 19 x 1.5 + 8 requests in any second.
 service_fields=',"cold-per-s":19,"warmup":"3s"'
-bounds='cold-overage = 1.5
-cold-slack = 8'
+bounds='cold-factor = 1.5
+cold-margin = 8'
 bound=36.5
 heartbeat=870ms
 cold_ms=0
--- a/tests/daemon/configurationtest.cpp
+++ b/tests/daemon/configurationtest.cpp
@@ -1,8 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "daemon/controldaemon.h"
-#include "standins/slowlink.h"
-#include "standins/storestandin.h"
+#include "daemon/slowlinkfixture.h"
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
 
@@ -15,47 +13,6 @@
  * newest one again. */
 constexpr Duration kMaxOutdatedTime = seconds(3);
 
-/** A store, and daemons that reach it directly or over a slow link. */
-struct SlowLinkFixture
-{
-  asio::io_context context{ 1 };
-  EventLog log{ "test", { 0, 0, 0 } };
-  StoreStandIn store{ context };
-  std::unique_ptr<SlowLink> link;
-  std::unique_ptr<ControlDaemon> near;
-  std::unique_ptr<ControlDaemon> far;
-
-  SlowLinkFixture()
-  {
-    REQUIRE(this->store.Listen(0));
-    this->link =
-      std::make_unique<SlowLink>(this->context, Loopback(this->store.Port()));
-    REQUIRE(this->link->Listen());
-  }
-
-  void StartNear()
-  {
-    this->near = std::make_unique<ControlDaemon>(
-      this->context, this->log, "near", Loopback(this->store.Port()));
-  }
-
-  void StartFar()
-  {
-    this->far = std::make_unique<ControlDaemon>(
-      this->context, this->log, "far", this->link->Address());
-  }
-
-  bool RunUntil(const std::function<bool()>& aCondition,
-                Duration aTimeout = seconds(15))
-  {
-    auto end = std::chrono::steady_clock::now() + aTimeout;
-    while (!aCondition() && std::chrono::steady_clock::now() < end) {
-      this->context.run_for(milliseconds(20));
-    }
-    return aCondition();
-  }
-};
-
 } // namespace
 
 SCENARIO("A daemon that is behind loads the configuration from another one",
--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -2,10 +2,12 @@
 # processes. Scripts that include this file first set build, here and network
 # (the first three numbers of a loopback address), then call start_deployment.
 # Optional: service_fields (further JSON fields of the service, each after a
-# comma), bounds (further lines of the daemons' section [bounds]) and heartbeat.
+# comma), bounds (further lines of the daemons' section [bounds]), heartbeat and
+# log_pattern (the lines of the daemons' logs that a failed check prints).
 service_fields=${service_fields:-}
 bounds=${bounds:-}
 heartbeat=${heartbeat:-300ms}
+log_pattern=${log_pattern:-.}
 pairs=4
 # Further members of the configuration, with a comma before each.
 limits=
@@ -68,6 +70,26 @@
   load=$!
 }
 
+# now_ms: the time on the clock of the run logs.
+now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
+
+# runs NUMBER FROM-MS UNTIL-MS: the number of runs of a server in that time.
+runs() {
+  awk -v from="$2" -v until="$3" \
+    '{ at = $1 / 1000000 } at >= from && at < until { ++count }
+     END { print count + 0 }' "$folder/server-$1.runs"
+}
+
+# check TEXT LEFT OPERATOR RIGHT: ends the script if the comparison is false.
+check() {
+  if ! [ "$2" "$3" "$4" ]; then
+    echo "BROKEN $1: $2, not $3 $4"
+    grep -h -E "$log_pattern" "$folder"/node-*.log | tail -n 20
+    exit 1
+  fi
+  echo "$1: $2"
+}
+
 start_deployment() {
   "$build/tests/storestandin" --ports-file "$folder/store" &
   wait_for "$folder/store"
--- a/tests/daemon/evacuation.sh
+++ b/tests/daemon/evacuation.sh
@@ -10,25 +10,10 @@
 build=$1
 here=$(cd "$(dirname "$0")" && pwd)
 network=127.0.46
+log_pattern='evacuat'
 . "$here/deployment.sh"
 start_deployment
 
-now_ms() { awk '{ printf "%d", $1 * 1000 }' /proc/uptime; }
-# runs NUMBER FROM-MS UNTIL-MS: the number of runs of a server in that time.
-runs() {
-  awk -v from="$2" -v until="$3" \
-    '{ at = $1 / 1000000 } at >= from && at < until { ++count }
-     END { print count + 0 }' "$folder/server-$1.runs"
-}
-# check TEXT LEFT OPERATOR RIGHT
-check() {
-  if ! [ "$2" "$3" "$4" ]; then
-    echo "BROKEN $1: $2, not $3 $4"
-    grep -h -E 'evacuat' "$folder"/node-*.log | tail -n 20
-    exit 1
-  fi
-  echo "$1: $2"
-}
 # change JSON-MEMBERS: an unconditional change of the store.
 change() {
   curl -sf -o /dev/null --data-binary "{\"expected-rev\":[],$1}" \
--- a/tests/daemon/evacuationtest.cpp
+++ b/tests/daemon/evacuationtest.cpp
@@ -1,8 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "daemon/controldaemon.h"
-#include "standins/slowlink.h"
-#include "standins/storestandin.h"
+#include "daemon/slowlinkfixture.h"
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
 
@@ -11,52 +9,22 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** A store, and a daemon in zone "near" that reaches it. Another daemon, in
- * zone "far", reaches it over a link. */
-struct ZonesFixture
+/** The daemon near is in zone "near", far in zone "far". */
+struct ZonesFixture : SlowLinkFixture
 {
-  asio::io_context context{ 1 };
-  EventLog log{ "test", { 0, 0, 0 } };
-  StoreStandIn store{ context };
-  std::unique_ptr<SlowLink> link;
-  std::unique_ptr<ControlDaemon> near;
-  std::unique_ptr<ControlDaemon> far;
-
-  ZonesFixture()
-  {
-    REQUIRE(this->store.Listen(0));
-    this->store.SetConfiguration(ConfigurationText(1, 2));
-    Tcp::endpoint address(asio::ip::address_v4::loopback(), this->store.Port());
-    this->link = std::make_unique<SlowLink>(this->context, address);
-    REQUIRE(this->link->Listen());
-  }
+  ZonesFixture() { this->store.SetConfiguration(ConfigurationText(1, 2)); }
 
   void StartNear()
   {
-    this->near = std::make_unique<ControlDaemon>(
-      this->context,
-      this->log,
-      "near",
-      Tcp::endpoint(asio::ip::address_v4::loopback(), this->store.Port()));
+    SlowLinkFixture::StartNear();
     REQUIRE(this->RunUntil([this] { return this->near->isMember; }));
   }
 
   void StartFar()
   {
-    this->far = std::make_unique<ControlDaemon>(
-      this->context, this->log, "far", this->link->Address());
+    SlowLinkFixture::StartFar();
     REQUIRE(this->RunUntil([this] { return this->far->isMember; }));
   }
-
-  bool RunUntil(const std::function<bool()>& aCondition,
-                Duration aTimeout = seconds(15))
-  {
-    auto end = std::chrono::steady_clock::now() + aTimeout;
-    while (!aCondition() && std::chrono::steady_clock::now() < end) {
-      this->context.run_for(milliseconds(20));
-    }
-    return aCondition();
-  }
 };
 
 bool
--- a/tests/daemon/nodetest.cpp
+++ b/tests/daemon/nodetest.cpp
@@ -30,9 +30,9 @@
 heartbeat = 1500ms
 drain-time = 2.5s
 retry-ratio = 0.3
-cold-overage = 1.5
-cold-slack = 8
-evacuation = 4s
+cold-factor = 1.5
+cold-margin = 8
+evacuation-time = 4s
 [limits]
 memory = 160
 descriptors = 4100
@@ -61,8 +61,8 @@
     CHECK(settings->retryRatio == Approx(0.3));
     CHECK(settings->stopTime == NodeSettings().stopTime);
     CHECK(settings->lastPort == 7395);
-    CHECK(settings->coldOverage == Approx(1.5));
-    CHECK(settings->coldSlack == 8);
+    CHECK(settings->coldFactor == Approx(1.5));
+    CHECK(settings->coldMargin == 8);
     CHECK(settings->evacuationTime == milliseconds(4000));
     CHECK(settings->memoryMegabytes == 160);
     CHECK(settings->maxDescriptors == 4100);
@@ -78,9 +78,9 @@
            { "first-port = 7380", "first-port = 7400", "first-port" },
            { "heartbeat = 1500ms", "heartbeat = 1500", "heartbeat" },
            { "retry-ratio = 0.3", "retry-ratio = 3", "retry-ratio" },
-           { "cold-overage = 1.5", "cold-overage = -1", "cold-overage" },
-           { "cold-slack = 8", "cold-slack = 8.5", "cold-slack" },
-           { "evacuation = 4s", "evacuation = 4", "evacuation" },
+           { "cold-factor = 1.5", "cold-factor = -1", "cold-factor" },
+           { "cold-margin = 8", "cold-margin = 8.5", "cold-margin" },
+           { "evacuation-time = 4s", "evacuation-time = 4", "evacuation-time" },
            { "memory = 160", "memory = 1", "memory" },
            { "descriptors = 4100", "descriptors = all", "descriptors" },
            { "transfer-cost = 2ms", "transfer-cost = 2", "transfer-cost" },
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -154,6 +154,19 @@
     this->node->SetServing(this->serving);
   }
 
+  /** Lets the daemon of the other member, which owns all keys from now on,
+   * refuse all requests. */
+  void RefuseAsOther(Duration aRetryAfter, double aSendShare = 1)
+  {
+    this->Configure("other");
+    ExecutionReport report;
+    report.outcome = ExecutionOutcome::Refused;
+    report.reason = "no-time";
+    report.retryAfter = aRetryAfter;
+    report.sendShare = aSendShare;
+    this->daemonFields[kExecutionReportField] = Encode(report);
+  }
+
   HttpResponse Post(const std::string& aPath,
                     const std::string& aKey = "7",
                     const std::string& aHost = "a.example")
@@ -346,12 +359,7 @@
 
   RefusedClientFixture()
   {
-    this->Configure("other");
-    ExecutionReport report;
-    report.outcome = ExecutionOutcome::Refused;
-    report.reason = "no-time";
-    report.retryAfter = milliseconds(50);
-    this->daemonFields[kExecutionReportField] = Encode(report);
+    this->RefuseAsOther(milliseconds(50));
     REQUIRE(this->PostUntil("r1", this->deadline).result_int() == 503);
     this->context.run_for(this->configuration->routes["look"].targetLatency);
   }
@@ -1202,12 +1210,7 @@
          "[path][clientretries]")
 {
   RequestPathFixture fixture;
-  fixture.Configure("other");
-  ExecutionReport report;
-  report.outcome = ExecutionOutcome::Refused;
-  report.reason = "no-time";
-  report.retryAfter = milliseconds(300);
-  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  fixture.RefuseAsOther(milliseconds(300));
   auto deadline = BootClock::now() + seconds(3);
   REQUIRE(fixture.PostUntil("r1", deadline).result_int() == 503);
   REQUIRE(fixture.serverRequests.size() == 1);
@@ -1244,12 +1247,7 @@
          "[path][clientretries]")
 {
   RequestPathFixture fixture;
-  fixture.Configure("other");
-  ExecutionReport report;
-  report.outcome = ExecutionOutcome::Refused;
-  report.reason = "no-time";
-  report.retryAfter = seconds(5);
-  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  fixture.RefuseAsOther(seconds(5));
   auto deadline = BootClock::now() + milliseconds(600);
   REQUIRE(fixture.PostUntil("r1", deadline).result_int() == 503);
   // A third of the time that it had left.
@@ -1266,13 +1264,7 @@
   "[path][sendshare]")
 {
   RequestPathFixture fixture;
-  fixture.Configure("other");
-  ExecutionReport report;
-  report.outcome = ExecutionOutcome::Refused;
-  report.reason = "no-time";
-  report.retryAfter = milliseconds(120);
-  report.sendShare = 0.001;
-  fixture.daemonFields[kExecutionReportField] = Encode(report);
+  fixture.RefuseAsOther(milliseconds(120), 0.001);
   fixture.Post("/look/1");
   REQUIRE(fixture.serverRequests.size() == 1);
 
