Refuse a request as an early retry only if no other client can have sent it

A client was refused as early-retry though it had not been refused before: its request was equal to one of another client that had been, and its deadline was within 50 ms of it. Requests for another key counted as equal, too. The test "processes" failed once: its requests for different keys in quick succession were refused since the first one had been. The requests of a key that many clients ask for are refused in the same way.

The key is now part of what retries are recognized by.

--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -164,15 +164,23 @@
   return blocked.has_value();
 }
 
+RequestFingerprint
+IngressRequest::RetryFingerprint() const
+{
+  const auto& request = this->exchange->request;
+  // Requests for different keys may be equal otherwise.
+  auto key = request[headers::kKey];
+  return StableHash(std::string_view(key.data(), key.size()),
+                    FingerprintOf(request, this->ingress.settings.service));
+}
+
 void
 IngressRequest::RecognizeRetry()
 {
   auto& retries = this->ingress.clientRetries;
   if (!retries.IsEmpty()) {
     auto attempt = retries.TakeAttempt(
-      this->startedAt,
-      FingerprintOf(this->exchange->request, this->ingress.settings.service),
-      *this->clientDeadline);
+      this->startedAt, this->RetryFingerprint(), *this->clientDeadline);
     if (attempt) {
       this->firstSentAt = attempt->firstSentAt;
       this->retryDueAt = attempt->retryDueAt;
@@ -186,7 +194,7 @@
   if (this->clientDeadline) {
     this->ingress.clientRetries.OnUnsuccessful(
       BootClock::now(),
-      FingerprintOf(this->exchange->request, this->ingress.settings.service),
+      this->RetryFingerprint(),
       *this->clientDeadline,
       { this->firstSentAt.value_or(this->startedAt), this->retryDueAt });
   }
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -51,6 +51,7 @@
   /** Finds the route, deadline, service and key. @return False if the request
    * was refused. */
   bool ReadRequest();
+  RequestFingerprint RetryFingerprint() const;
   /** Finds out whether the client sends this request again. */
   void RecognizeRetry();
   /** Keeps what is needed to recognize the next attempt of the client. */
--- a/src/routing/clientretries.cpp
+++ b/src/routing/clientretries.cpp
@@ -66,6 +66,12 @@
   }
   auto found = nearest->second;
   this->attempts.erase(nearest);
+  // Clients of a class wait for equally long: another client's deadline is
+  // later by as much as its request is, while that of a retry stays where it
+  // was.
+  if (least * 2 >= aNow - found.firstSentAt) {
+    found.retryDueAt = Time();
+  }
   return found;
 }
 
--- a/src/routing/clientretries.h
+++ b/src/routing/clientretries.h
@@ -37,7 +37,9 @@
                       const Attempt& aAttempt);
 
   /** Returns what is known of the earlier attempts of a request that is sent
-   * again, and forgets it; empty if the request is not known as a retry. */
+   * again, and forgets it; empty if the request is not known as a retry. The
+   * time of the next attempt is only set if another client's request cannot be
+   * mistaken for it. */
   std::optional<Attempt> TakeAttempt(Time aNow,
                                      RequestFingerprint aFingerprint,
                                      Time aClientDeadline);
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -182,14 +182,16 @@
   }
 
   /** Sends a request as a client that waits until a deadline. */
-  HttpResponse PostUntil(const std::string& aId, Time aDeadline)
+  HttpResponse PostUntil(const std::string& aId,
+                         Time aDeadline,
+                         const std::string& aKey = "7")
   {
     HttpRequest request(http::verb::post, "/look/1", 11);
     request.set(http::field::host, "a.example");
     request.set(headers::kRequestId, aId);
     request.set(headers::kTimeLeft,
                 std::to_string(ToMilliseconds(aDeadline - BootClock::now())));
-    request.set(headers::kKey, "7");
+    request.set(headers::kKey, aKey);
     return this->Send(this->clientAddress, std::move(request));
   }
 
@@ -1217,6 +1219,9 @@
 
   GIVEN("the client, which repeats the request at once")
   {
+    // The time left is stated in ms, so a retry is only recognized for certain
+    // when a few of them have passed since the first attempt.
+    fixture.context.run_for(milliseconds(10));
     auto response = fixture.PostUntil("r2", deadline);
     CHECK(response.result_int() == 503);
     CHECK(response.body() == "early-retry\n");
@@ -1241,6 +1246,18 @@
     fixture.PostUntil("r4", deadline + milliseconds(500));
     CHECK(fixture.serverRequests.size() == 2);
   }
+  GIVEN("another client that requests the same shortly afterwards")
+  {
+    fixture.context.run_for(milliseconds(20));
+    fixture.PostUntil("r5", deadline + milliseconds(20));
+    CHECK(fixture.serverRequests.size() == 2);
+  }
+  GIVEN("another client that requests the same for another key")
+  {
+    fixture.context.run_for(milliseconds(20));
+    fixture.PostUntil("r6", deadline, "8");
+    CHECK(fixture.serverRequests.size() == 2);
+  }
 }
 
 SCENARIO("A client that may not wait for as long as it was told is not early",
--- a/tests/routing/routingtest.cpp
+++ b/tests/routing/routingtest.cpp
@@ -450,6 +450,18 @@
       CHECK_FALSE(
         retries.TakeAttempt(kBack, kLookup, kDeadline + milliseconds(300)));
     }
+    THEN("a client that requests the same just after it may send at once")
+    {
+      // Guards against first attempts that are refused since another client
+      // was.
+      for (auto later : { 1, 9, 30, 49 }) {
+        auto copy = retries;
+        auto found = copy.TakeAttempt(kStart + milliseconds(later),
+                                      kLookup,
+                                      kDeadline + milliseconds(later));
+        CHECK((!found || found->retryDueAt == Time()));
+      }
+    }
     THEN("it is forgotten when the client no longer waits")
     {
       CHECK_FALSE(
