--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -556,6 +556,8 @@
 
   /** Called for each request that it begins to work on. */
   std::function<void(const std::string& aId, int aKey)> onRun;
+  /** The same, with the size of its body. */
+  std::function<void(const std::string& aId, size_t aBytes)> onRunBody;
 
 private:
   const Hold* FindHold(int aKey) const
@@ -632,6 +634,9 @@
     if (this->onRun) {
       this->onRun(requestId, key);
     }
+    if (this->onRunBody) {
+      this->onRunBody(requestId, aRequest.body.size());
+    }
     auto end = Now() + this->options.workSeconds;
     bool dropped = false;
     while (Now() < end && !dropped) {
