--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -614,8 +614,8 @@
     auto target = aRequest.Field("x-target-instance");
     auto left = aRequest.Field("x-timeout-ms");
     auto keyText = aRequest.Field("x-shard-key");
-    int key = keyText.empty() ? -1 : std::stoi(keyText);
-    auto until = Now() + (left.empty() ? 1.0 : std::stod(left) / 1000);
+    int key = keyText.empty() ? -1 : std::atoi(keyText.c_str());
+    auto until = Now() + (left.empty() ? 1.0 : std::atof(left.c_str()) / 1000);
     {
       std::lock_guard<std::mutex> lock(this->mutex);
       bool isMine = target.empty() || target == this->options.id;
