--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds every stand-in that the scripts of the cases start, into review/build/.
+# Builds every stand-in that the scripts of the cases start, into target/review/.
 set -eu
 cd "$(dirname "$0")"
-cmake -S . -B build -DCMAKE_BUILD_TYPE=Release
-cmake --build build -j4
+cmake -S . -B ../target/review -DCMAKE_BUILD_TYPE=Release
+cmake --build ../target/review -j4
--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <list>
@@ -844,8 +845,9 @@
   explicit Deployment(std::vector<std::string> aServices)
     : services(std::move(aServices))
   {
-    char name[] = "/tmp/review-XXXXXX";
-    this->folder = ::mkdtemp(name);
+    auto name =
+      (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    this->folder = ::mkdtemp(name.data());
     std::random_device random;
     do { // A loopback network that nobody else uses.
       this->network = Format("127.%u.%u", 16 + random() % 200, random() % 250);
