--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -2,7 +2,7 @@
 
 // Stand-ins for the cases of this review: backend servers and clients as
 // threads of one program, and the project's own programs as processes. They
-// follow ../given/kit/more/system/PROTOCOL.md.
+// follow the users' page PROTOCOL.md.
 
 #include <algorithm>
 #include <arpa/inet.h>
