Record announced shutdowns of servers in the store, so that a restarted daemon knows them

All daemons used the server, since its own announced it as ready.

Cause: an announced shutdown was known to one process of the daemon only, and to other daemons that got a response while the server left. Without keys, daemons prefer the server beside them, so none of the others did. After a restart, a late heartbeat was taken for the server's state.

Ruled out, by the requests that the executions in the logs name: that other daemons knew of it and told the restarted one too late, or in vain. A heartbeat states no time, so that its age cannot be seen.

Change: the announcement is written into a row of the cluster table before it is acknowledged. A daemon joins only after it has read the table, so it knows of the announcement before it tells others that its server is ready. If the store does not accept the row within 400 ms, the call is acknowledged and the row is written later. A daemon that has read no table from the store yet uses its server from the second heartbeat at its regular time on, as heartbeats that arrive late come alone or at once. Rows are removed after 10 minutes.

--- a/src/cluster/changes.cpp
+++ b/src/cluster/changes.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/** Incarnations of a server whose announced shutdowns are kept. Their
+ * heartbeats arrive seconds late, in which a server is restarted a few times at
+ * most. */
+constexpr std::ptrdiff_t kMaxShutdowns = 8;
+
 void
 AddCondition(StoreTransaction& aChange,
              const StoreKey& aKey,
@@ -59,6 +64,30 @@
 
 } // namespace
 
+StoreTransaction
+MakeShutdownChange(const ClusterView& aView,
+                   const std::string& aService,
+                   const std::string& aAddress,
+                   const ServerIncarnation& aServer)
+{
+  StoreTransaction change;
+  auto key = ShutdownKey(aService, aAddress);
+  ShutdownRecord record{ aService, aAddress, {} };
+  const auto* known = aView.FindShutdowns(aService, aAddress);
+  if (known != nullptr) {
+    record.servers = known->record.servers;
+  }
+  record.servers.push_back(aServer);
+  if (record.servers.size() > static_cast<size_t>(kMaxShutdowns)) {
+    record.servers.erase(record.servers.begin(),
+                         record.servers.end() - kMaxShutdowns);
+  }
+  AddCondition(
+    change, key, known == nullptr ? aView.RefusedVersion(key) : known->version);
+  change.sets.push_back(ToRow(record));
+  return change;
+}
+
 void
 AddOwnerChange(StoreTransaction& aChange,
                const Versioned<RangeRecord>& aRange,
--- a/src/cluster/changes.h
+++ b/src/cluster/changes.h
@@ -87,6 +87,14 @@
 StoreTransaction
 MakeTrimChange(const ClusterView& aView, const Versioned<RangeRecord>& aRange);
 
+/** Records that a server beside the daemon at an address has announced its
+ * shutdown. The record keeps the latest incarnations. */
+StoreTransaction
+MakeShutdownChange(const ClusterView& aView,
+                   const std::string& aService,
+                   const std::string& aAddress,
+                   const ServerIncarnation& aServer);
+
 /** Adds a change of the owner of a whole range, without a handover token. */
 void
 AddOwnerChange(StoreTransaction& aChange,
--- a/src/cluster/clusterview.cpp
+++ b/src/cluster/clusterview.cpp
@@ -57,6 +57,13 @@
       return this->Refuse(aRow, drain.error());
     }
     this->drains[{ key.part, drain->address }] = { *drain, aRow.version };
+  } else if (IsShutdownKey(key)) {
+    auto shutdown = ReadShutdown(aRow);
+    if (!shutdown) {
+      return this->Refuse(aRow, shutdown.error());
+    }
+    this->shutdowns[{ key.part, shutdown->address }] = { *shutdown,
+                                                         aRow.version };
   } else {
     return false; // Of a later release.
   }
@@ -78,6 +85,11 @@
       drain.version = aRow.version;
     }
   }
+  for (auto& [id, shutdown] : this->shutdowns) {
+    if (ShutdownKey(id.first, id.second) == aRow.key) {
+      shutdown.version = aRow.version;
+    }
+  }
   for (auto& [first, range] : this->ranges[aRow.key.part]) {
     if (RangeKey(aRow.key.part, first) == aRow.key) {
       range.version = aRow.version;
@@ -104,6 +116,13 @@
       return true;
     }
   }
+  for (auto entry = this->shutdowns.begin(); entry != this->shutdowns.end();
+       ++entry) {
+    if (ShutdownKey(entry->first.first, entry->first.second) == aKey) {
+      this->shutdowns.erase(entry);
+      return true;
+    }
+  }
   auto service = this->ranges.find(aKey.part);
   if (service == this->ranges.end()) {
     return false;
@@ -265,9 +284,15 @@
 RowVersion
 ClusterView::RefusedVersion(const std::string& aService, Key aFirst) const
 {
-  auto found = this->refused.find(RangeKey(aService, aFirst));
   bool isKnown = this->RangesOf(aService).count(aFirst) > 0;
-  return found == this->refused.end() || isKnown ? 0 : found->second.version;
+  return isKnown ? 0 : this->RefusedVersion(RangeKey(aService, aFirst));
+}
+
+RowVersion
+ClusterView::RefusedVersion(const StoreKey& aKey) const
+{
+  auto found = this->refused.find(aKey);
+  return found == this->refused.end() ? 0 : found->second.version;
 }
 
 const RangeRecord*
@@ -306,6 +331,20 @@
   return this->drains;
 }
 
+const ClusterView::Shutdowns&
+ClusterView::AllShutdowns() const
+{
+  return this->shutdowns;
+}
+
+const Versioned<ShutdownRecord>*
+ClusterView::FindShutdowns(const std::string& aService,
+                           const std::string& aAddress) const
+{
+  auto found = this->shutdowns.find({ aService, aAddress });
+  return found == this->shutdowns.end() ? nullptr : &found->second;
+}
+
 const ClusterView::Refused&
 ClusterView::RefusedRows() const
 {
@@ -340,6 +379,9 @@
   for (const auto& [address, drain] : this->drains) {
     add(ToRow(drain.record), drain.version);
   }
+  for (const auto& [address, shutdown] : this->shutdowns) {
+    add(ToRow(shutdown.record), shutdown.version);
+  }
   StoreRows read;
   read.version = this->newest;
   for (auto& [key, row] : rows) {
--- a/src/cluster/clusterview.h
+++ b/src/cluster/clusterview.h
@@ -25,7 +25,8 @@
 };
 
 /**
- * Members, key ranges and drain requests as known to this daemon. A row never
+ * Members, key ranges, drain requests and announced shutdowns as known to this
+ * daemon. A row never
  * replaces a newer version, so rows may arrive late, repeatedly and in any
  * order. An invalid row is refused: what its key named before stays known, with
  * the version of the invalid row, which the next change must replace.
@@ -38,6 +39,9 @@
   /** By service and address. */
   using Drains =
     std::map<std::pair<std::string, std::string>, Versioned<DrainRecord>>;
+  /** By service and address. */
+  using Shutdowns =
+    std::map<std::pair<std::string, std::string>, Versioned<ShutdownRecord>>;
   using Refused = std::map<StoreKey, RefusedRow>;
 
   /** Applies one row. @return Whether anything changed. */
@@ -77,6 +81,9 @@
    * otherwise; 0 if there is none. */
   RowVersion RefusedVersion(const std::string& aService, Key aFirst) const;
 
+  /** The same for a row of any kind. */
+  RowVersion RefusedVersion(const StoreKey& aKey) const;
+
   /** If several ranges contain the key, the one with the oldest row is
    * returned: rows that another writer adds are newer.
    * @return nullptr if no range contains the key. */
@@ -88,6 +95,13 @@
 
   const Drains& AllDrains() const;
 
+  const Shutdowns& AllShutdowns() const;
+
+  /** @return nullptr if the servers beside the daemon have announced none. */
+  const Versioned<ShutdownRecord>* FindShutdowns(
+    const std::string& aService,
+    const std::string& aAddress) const;
+
   /** Invalid rows that are in the store, by key. */
   const Refused& RefusedRows() const;
 
@@ -116,6 +130,7 @@
   std::map<std::string, Ranges> ranges;
   std::set<std::string> overlapping; ///< Services with overlapping ranges.
   Drains drains;
+  Shutdowns shutdowns;
   Refused refused;
   std::map<std::string, RowVersion> claimsClosedAt; ///< By service.
   std::map<StoreKey, RowVersion> versions;          ///< Also of removed rows.
--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -76,6 +76,13 @@
 constexpr int kRanks = 16;
 /** Most ranges that are brought along, so that they fit into the change. */
 constexpr size_t kMaxKeptRanges = 40;
+/** How long records of announced shutdowns are kept: many times longer than a
+ * server takes to end and heartbeats are late. */
+constexpr Duration kShutdownRetention = std::chrono::minutes(10);
+/** Longest part of that by which a record is kept longer if its daemon is gone,
+ * different for each member that could remove it. */
+constexpr Duration kShutdownRemovalSpread = std::chrono::minutes(5);
+constexpr Duration kShutdownCheckInterval = std::chrono::seconds(10);
 /** Incarnations of a server whose fences fit into one epoch. */
 constexpr uint64_t kIncarnationsPerEpoch = 4096;
 
@@ -201,7 +208,7 @@
   }
   this->view.Replace(aService, aRows);
   this->viewLoaded = this->viewLoaded || aService == this->identity.service;
-  this->CheckMembership(aNow);
+  this->OnViewChanged(aNow);
 }
 
 void
@@ -212,7 +219,7 @@
     return;
   }
   this->view.Apply(aRow);
-  this->CheckMembership(aNow);
+  this->OnViewChanged(aNow);
 }
 
 void
@@ -353,6 +360,103 @@
   this->nextJoinAt = aNow + kMemberWriteInterval;
 }
 
+void
+OwnershipAgent::OnViewChanged(Time aNow)
+{
+  const auto* shutdowns =
+    this->view.FindShutdowns(this->identity.service, this->identity.address);
+  if (shutdowns != nullptr) {
+    bool wasDraining = this->server.IsDraining();
+    this->server.SetAnnouncedShutdowns(shutdowns->record.servers);
+    if (this->server.IsDraining() && !wasDraining) {
+      this->LogEvent("server-leaving",
+                     { { "server", this->server.Report()->incarnation.id },
+                       { "source", "an earlier process of this daemon" } });
+    }
+  }
+  this->CheckMembership(aNow);
+}
+
+bool
+OwnershipAgent::IsRecordingShutdown() const
+{
+  auto server = this->server.AnnouncedShutdown();
+  if (!server) {
+    return false;
+  }
+  const auto* known =
+    this->view.FindShutdowns(this->identity.service, this->identity.address);
+  return known == nullptr || std::count(known->record.servers.begin(),
+                                        known->record.servers.end(),
+                                        *server) == 0;
+}
+
+void
+OwnershipAgent::RecordShutdown(Time aNow)
+{
+  if (!this->IsRecordingShutdown() || !this->viewLoaded ||
+      !this->queue.IsEmpty()) {
+    return;
+  }
+  auto server = *this->server.AnnouncedShutdown();
+  auto change = MakeShutdownChange(
+    this->view, this->identity.service, this->identity.address, server);
+  this->queue.Add(
+    change,
+    [this, change, server](Time aDoneAt, const TransactionResult& aResult) {
+      this->ApplyResult(aDoneAt, change, aResult);
+      if (aResult.committed) {
+        this->LogEvent("shutdown-recorded", { { "server", server.id } });
+      }
+    },
+    aNow + kChangeTimeout);
+}
+
+void
+OwnershipAgent::RemoveOldShutdowns(Time aNow)
+{
+  if (aNow < this->nextShutdownCheckAt || !this->queue.IsEmpty()) {
+    return;
+  }
+  this->nextShutdownCheckAt = aNow + kShutdownCheckInterval;
+  std::set<std::string> running;
+  for (const auto* member : this->view.MembersOf(this->identity.service)) {
+    running.insert(member->address);
+  }
+  std::map<std::string, std::pair<RowVersion, Time>> since;
+  StoreTransaction change;
+  for (const auto& [id, shutdown] : this->view.AllShutdowns()) {
+    const auto& [service, address] = id;
+    if (service != this->identity.service) {
+      continue;
+    }
+    std::pair seen{ shutdown.version, aNow };
+    auto known = this->shutdownsSince.find(address);
+    if (known != this->shutdownsSince.end() &&
+        known->second.first == shutdown.version) {
+      seen = known->second;
+    }
+    since[address] = seen;
+    bool isOwn = address == this->identity.address;
+    auto keptFor = kShutdownRetention;
+    if (!isOwn) {
+      auto rank = StableHash(address, StableHash(this->self)) % kRanks;
+      keptFor += kShutdownRemovalSpread * static_cast<int>(rank) / kRanks;
+    }
+    bool isNeeded = isOwn ? this->server.IsDraining() : running.count(address);
+    if (!isNeeded && aNow - seen.second >= keptFor &&
+        change.removes.size() < kMaxTakenRanges) {
+      auto key = ShutdownKey(service, address);
+      AddCondition(change, key, shutdown.version);
+      change.removes.push_back(key);
+    }
+  }
+  this->shutdownsSince = std::move(since);
+  if (!change.removes.empty()) {
+    this->SubmitChange(aNow, change);
+  }
+}
+
 HeartbeatReply
 OwnershipAgent::OnHeartbeat(Time aNow, const ServerReport& aReport)
 {
@@ -581,6 +685,7 @@
     this->earlierMembers.clear();
   }
   this->LogRefusedRows();
+  this->RecordShutdown(aNow);
   if (this->phase == Phase::NotMember) {
     this->Join(aNow);
   }
@@ -601,6 +706,7 @@
       this->GiveUpOverlaps(aNow);
     }
     this->RemoveRefusedMembers(aNow);
+    this->RemoveOldShutdowns(aNow);
   }
   auto findings = this->monitor.Tick(
     aNow, this->view, this->self, this->probe.SilentMembers(aNow));
@@ -697,7 +803,7 @@
         this->view.Apply({ condition.key, "", aResult.version, true });
       }
     }
-    this->CheckMembership(aNow);
+    this->OnViewChanged(aNow);
     return;
   }
   std::vector<StoreRow> changed = aTransaction.sets;
@@ -1858,7 +1964,10 @@
     const auto& report = *this->server.Report();
     state.server = report.incarnation;
     state.slots = report.slots;
-    state.available = !this->server.IsLost(aNow);
+    // Until the store is reached, its record of an announced shutdown is
+    // unknown.
+    bool isKnown = this->viewLoaded || this->server.IsReportCurrent();
+    state.available = isKnown && !this->server.IsLost(aNow);
     state.draining = this->server.IsDraining();
     if (report.remainingWarmUp > Duration(0)) {
       state.coldUntil = this->lastHeartbeat + report.remainingWarmUp;
--- a/src/cluster/ownershipagent.h
+++ b/src/cluster/ownershipagent.h
@@ -131,6 +131,10 @@
   void OnRows(Time aNow, const std::string& aService, const StoreRows& aRows);
   void OnRow(Time aNow, const StoreRow& aRow);
 
+  /** Whether the server has announced its shutdown and the store does not say
+   * so yet. A restarted daemon would not know of it. */
+  bool IsRecordingShutdown() const;
+
   /** Records that all changes of the cluster rows up to a version have been
    * passed to this agent. */
   void OnRowsComplete(RowVersion aVersion);
@@ -245,6 +249,11 @@
                       const MemberRecord& aRecord,
                       Time aSentAt);
   void CheckMembership(Time aNow);
+  /** Applies the rows about this daemon and its server that have changed. */
+  void OnViewChanged(Time aNow);
+  void RecordShutdown(Time aNow);
+  /** Removes records of shutdowns that no late heartbeat can belong to. */
+  void RemoveOldShutdowns(Time aNow);
   void UpdateMember(Time aNow);
   void WriteMember(Time aNow, const MemberRecord& aRecord);
   void RenewLongLease(Time aNow);
@@ -368,6 +377,9 @@
   std::map<StoreKey, std::string> loggedRefusals;
   std::map<StoreKey, Time> refusedSince; ///< By key of refused member rows.
   std::set<MemberId> loggedUnheard;
+  /** Records of shutdowns by address: version and when it was first seen. */
+  std::map<std::string, std::pair<RowVersion, Time>> shutdownsSince;
+  Time nextShutdownCheckAt;
   RowVersion longLeaseVersion = 0;
   uint64_t longLeaseCount = 0;
   Time joinedAt;
--- a/src/cluster/records.cpp
+++ b/src/cluster/records.cpp
@@ -20,6 +20,7 @@
 constexpr const char* kMemberPrefix = "member/";
 constexpr const char* kRangePrefix = "range/";
 constexpr const char* kDrainPrefix = "drain/";
+constexpr const char* kShutdownPrefix = "shutdown/";
 
 bool
 HasPrefix(const std::string& aText, const std::string& aPrefix)
@@ -127,6 +128,13 @@
   return tie(aLeft) == tie(aRight);
 }
 
+bool
+operator==(const ShutdownRecord& aLeft, const ShutdownRecord& aRight)
+{
+  return aLeft.service == aRight.service && aLeft.address == aRight.address &&
+         aLeft.servers == aRight.servers;
+}
+
 StoreKey
 MemberKey(const std::string& aService, const MemberId& aId)
 {
@@ -147,6 +155,12 @@
   return { kClusterTable, aService, kDrainPrefix + aAddress };
 }
 
+StoreKey
+ShutdownKey(const std::string& aService, const std::string& aAddress)
+{
+  return { kClusterTable, aService, kShutdownPrefix + aAddress };
+}
+
 StoreKey
 ClaimsClosedKey(const std::string& aService)
 {
@@ -191,6 +205,19 @@
   return { DrainKey(aRecord.service, aRecord.address), value.dump(), 0, false };
 }
 
+StoreRow
+ToRow(const ShutdownRecord& aRecord)
+{
+  json servers = json::array();
+  for (const auto& server : aRecord.servers) {
+    servers.push_back({ { "id", server.id }, { "born", server.startedAt } });
+  }
+  json value = { { "servers", servers } };
+  return {
+    ShutdownKey(aRecord.service, aRecord.address), value.dump(), 0, false
+  };
+}
+
 bool
 IsMemberKey(const StoreKey& aKey)
 {
@@ -209,6 +236,12 @@
   return aKey.table == kClusterTable && HasPrefix(aKey.key, kDrainPrefix);
 }
 
+bool
+IsShutdownKey(const StoreKey& aKey)
+{
+  return aKey.table == kClusterTable && HasPrefix(aKey.key, kShutdownPrefix);
+}
+
 Result<MemberRecord>
 ReadMember(const StoreRow& aRow)
 {
@@ -265,6 +298,28 @@
   });
 }
 
+Result<ShutdownRecord>
+ReadShutdown(const StoreRow& aRow)
+{
+  return ReadRowValue<ShutdownRecord>(aRow, [&](const JsonObject& aValue) {
+    ShutdownRecord record;
+    record.service = aRow.key.part;
+    record.address = aRow.key.key.substr(std::string(kShutdownPrefix).size());
+    const auto& servers = aValue.Get("servers");
+    if (!servers.is_array()) {
+      throw JsonMismatch{ "field 'servers' is not a list" };
+    }
+    for (const auto& entry : servers) {
+      JsonObject server(entry);
+      constexpr uint64_t kMaxTime = std::numeric_limits<int64_t>::max();
+      record.servers.push_back(
+        { server.Text("id"),
+          static_cast<int64_t>(server.Number("born", kMaxTime)) });
+    }
+    return record;
+  });
+}
+
 std::optional<MemberRecord>
 ParseMember(const StoreRow& aRow)
 {
--- a/src/cluster/records.h
+++ b/src/cluster/records.h
@@ -70,6 +70,19 @@
   friend bool operator==(const DrainRecord& aLeft, const DrainRecord& aRight);
 };
 
+/** Incarnations of the backend server beside a daemon that have announced their
+ * shutdown. It outlives the daemon's process, so that a restarted one sends no
+ * requests to such a server. */
+struct ShutdownRecord
+{
+  std::string service;
+  std::string address; ///< Of the daemon, as in its member record.
+  std::vector<ServerIncarnation> servers; ///< In the order of announcement.
+
+  friend bool operator==(const ShutdownRecord& aLeft,
+                         const ShutdownRecord& aRight);
+};
+
 StoreKey
 MemberKey(const std::string& aService, const MemberId& aId);
 
@@ -79,6 +92,9 @@
 StoreKey
 DrainKey(const std::string& aService, const std::string& aAddress);
 
+StoreKey
+ShutdownKey(const std::string& aService, const std::string& aAddress);
+
 /** Key of the row that ends the time in which members bring their ranges along
  * from the era before. */
 StoreKey
@@ -96,6 +112,9 @@
 StoreRow
 ToRow(const DrainRecord& aRecord);
 
+StoreRow
+ToRow(const ShutdownRecord& aRecord);
+
 bool
 IsMemberKey(const StoreKey& aKey);
 
@@ -105,6 +124,9 @@
 bool
 IsDrainKey(const StoreKey& aKey);
 
+bool
+IsShutdownKey(const StoreKey& aKey);
+
 /** Reads a row whose key is of that kind. */
 Result<MemberRecord>
 ReadMember(const StoreRow& aRow);
@@ -115,6 +137,9 @@
 Result<DrainRecord>
 ReadDrain(const StoreRow& aRow);
 
+Result<ShutdownRecord>
+ReadShutdown(const StoreRow& aRow);
+
 /** Returns nothing for a row of another kind, a removed or an invalid row. */
 std::optional<MemberRecord>
 ParseMember(const StoreRow& aRow);
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -8,6 +8,9 @@
 
 /** Number of missed heartbeats after which a server counts as lost. */
 constexpr int kMaxMissedHeartbeats = 3;
+/** Part of the regular time between heartbeats after which the next one is not
+ * early. */
+constexpr double kMinHeartbeatSpacing = 0.5;
 /** Number of released ranges whose handover tokens are kept. */
 constexpr size_t kMaxReleased = 256;
 
@@ -15,6 +18,8 @@
 
 ServerState::ServerState(Duration aHeartbeat, Duration aMaxGrantTime)
   : lossTimeout(aHeartbeat * kMaxMissedHeartbeats)
+  , minHeartbeatInterval(
+      std::chrono::duration_cast<Duration>(aHeartbeat * kMinHeartbeatSpacing))
   , maxGrantTime(aMaxGrantTime)
 {
 }
@@ -50,6 +55,12 @@
     ++this->incarnationNumber;
     this->grantSequence = 0;
   }
+  if (!this->report) {
+    this->firstHeartbeat = aNow;
+  }
+  this->reportIsCurrent =
+    this->reportIsCurrent ||
+    aNow - this->firstHeartbeat >= this->minHeartbeatInterval;
   this->connectionRefused = false;
   this->report = aReport;
   this->lastHeartbeat = aNow;
@@ -58,7 +69,9 @@
                       aReport.incarnation.id == this->deregisteredId &&
                       (aReport.incarnation.startedAt == 0 ||
                        aNow - this->deregisteredAt <= this->lossTimeout);
-  if ((aReport.draining || deregistered) && !this->draining) {
+  bool announced =
+    !sameIncarnation && this->HasAnnouncedShutdown(aReport.incarnation);
+  if ((aReport.draining || deregistered || announced) && !this->draining) {
     // An incarnation that is first seen draining may have announced that to an
     // earlier run of this daemon, at any time.
     this->draining = true;
@@ -113,6 +126,37 @@
   }
 }
 
+void
+ServerState::SetAnnouncedShutdowns(std::vector<ServerIncarnation> aServers)
+{
+  this->announcedShutdowns = std::move(aServers);
+  if (this->report && !this->draining &&
+      this->HasAnnouncedShutdown(this->report->incarnation)) {
+    this->draining = true;
+    this->drainingSince = Time(); // It may have done so at any time.
+  }
+}
+
+bool
+ServerState::HasAnnouncedShutdown(const ServerIncarnation& aServer) const
+{
+  return std::count(this->announcedShutdowns.begin(),
+                    this->announcedShutdowns.end(),
+                    aServer) > 0;
+}
+
+std::optional<ServerIncarnation>
+ServerState::AnnouncedShutdown() const
+{
+  if (this->report) {
+    return this->draining ? std::optional(this->report->incarnation)
+                          : std::nullopt;
+  }
+  return this->deregisteredId.empty()
+           ? std::nullopt
+           : std::optional(ServerIncarnation{ this->deregisteredId, 0 });
+}
+
 void
 ServerState::OnConnectionRefused(Time)
 {
@@ -239,6 +283,12 @@
          aNow - this->lastHeartbeat > this->lossTimeout;
 }
 
+bool
+ServerState::IsReportCurrent() const
+{
+  return this->reportIsCurrent;
+}
+
 const std::optional<ServerReport>&
 ServerState::Report() const
 {
--- a/src/cluster/serverstate.h
+++ b/src/cluster/serverstate.h
@@ -35,6 +35,14 @@
   /** The server announced its shutdown outside of a heartbeat. */
   void OnServerDeregistered(Time aNow, const std::string& aServerId);
 
+  /** Sets the incarnations that are known to have announced their shutdown,
+   * also to earlier processes of this daemon. */
+  void SetAnnouncedShutdowns(std::vector<ServerIncarnation> aServers);
+
+  /** The incarnation that announced its shutdown, if the current one did.
+   * Before the first heartbeat, the one that deregistered. */
+  std::optional<ServerIncarnation> AnnouncedShutdown() const;
+
   /** The server's address refused a connection, so the server has exited. */
   void OnConnectionRefused(Time aNow);
 
@@ -72,6 +80,11 @@
    * refused a connection since the last one. */
   bool IsLost(Time aNow) const;
 
+  /** Whether the report certainly describes the server as it is now. The first
+   * heartbeat to a process of this daemon may be late; the next one at its
+   * regular time is not late as well. */
+  bool IsReportCurrent() const;
+
   const std::optional<ServerReport>& Report() const;
 
   /** Counts the incarnations seen by this daemon, so that a later one gets
@@ -87,19 +100,25 @@
   };
 
   void Reset();
+  bool HasAnnouncedShutdown(const ServerIncarnation& aServer) const;
   void ForgetReleased(const KeyRange& aRange);
   void UpdateHoldings(Time aNow, const ServerReport& aReport);
 
   Duration lossTimeout; ///< Time without heartbeats until it counts as lost.
+  /** Heartbeats that arrive closer together may both be late. */
+  Duration minHeartbeatInterval;
   Duration maxGrantTime;
   std::optional<ServerReport> report;
   /** Server id and start time of earlier incarnations. */
   std::set<std::pair<std::string, int64_t>> earlierIncarnations;
+  std::vector<ServerIncarnation> announcedShutdowns;
   std::vector<Holding> holdings;
   std::vector<ReleasedRange> released; ///< The most recent ones, in order.
   uint64_t incarnationNumber = 0;
   uint64_t grantSequence = 0; ///< Heartbeat that the last grants replied to.
+  Time firstHeartbeat;        ///< To this process.
   Time lastHeartbeat;
+  bool reportIsCurrent = false;
   bool draining = false;
   Time drainingSince;
   /** Server that deregistered before its first heartbeat to this daemon. */
--- a/src/cluster/storeera.cpp
+++ b/src/cluster/storeera.cpp
@@ -6,6 +6,7 @@
 
 constexpr const char* kEraPrefix = "era/";
 constexpr const char* kDrainPrefix = "drain/";
+constexpr const char* kShutdownPrefix = "shutdown/";
 /** Epochs of a range in one era: far more than the changes of its owner. */
 constexpr uint64_t kEpochsPerEra = uint64_t(1) << 20;
 
@@ -27,7 +28,9 @@
 bool
 BelongsToEra(const StoreKey& aKey)
 {
-  return (aKey.table == kClusterTable && !HasPrefix(aKey.key, kDrainPrefix)) ||
+  bool ofAllEras =
+    HasPrefix(aKey.key, kDrainPrefix) || HasPrefix(aKey.key, kShutdownPrefix);
+  return (aKey.table == kClusterTable && !ofAllEras) ||
          aKey.table == kLeaseTable;
 }
 
--- a/src/cluster/storeera.h
+++ b/src/cluster/storeera.h
@@ -9,7 +9,7 @@
  * written: their keys in the store contain it. When the store comes back from
  * an older copy, the era changes, and the rows of that copy are no longer read.
  * Transactions that were sent before then change rows that nobody reads. Drain
- * requests of operators belong to no era.
+ * requests of operators and announced shutdowns of servers belong to no era.
  */
 
 /** Whether the rows with such a key belong to an era. */
--- a/src/fescuetillerd/controlnode.cpp
+++ b/src/fescuetillerd/controlnode.cpp
@@ -40,6 +40,9 @@
  * acknowledgement is valid: one late heartbeat does not make the server's
  * grants expire. */
 constexpr double kMinHeartbeatsPerPromise = 2.4;
+/** Longest wait until the store has a shutdown that a server announces: part of
+ * the second that the server waits for an acknowledgement. */
+constexpr Duration kShutdownRecordTimeout = milliseconds(400);
 /** Largest body of a call of a backend server. */
 constexpr uint64_t kMaxServerCallBytes = 1024 * 1024;
 /** After a return of the store, tables are loaded again within this time. */
@@ -312,6 +315,7 @@
   }
   this->WriteEvents();
   this->Publish();
+  this->SendAcknowledgements();
 }
 
 void
@@ -468,8 +472,7 @@
   auto now = BootClock::now();
   if (call->kind == ServerCall::Kind::Deregister) {
     this->agent.OnServerDeregistered(now, call->serverId);
-    aExchange->Respond(TextResponse(200, ""));
-    this->RunAgent();
+    this->Acknowledge(aExchange, TextResponse(200, ""));
     return;
   }
   auto report = ParseHeartbeat(call->serverId, request.body());
@@ -482,10 +485,39 @@
     return;
   }
   auto reply = this->agent.OnHeartbeat(now, *report);
-  aExchange->Respond(JsonResponse(200, EncodeHeartbeatReply(reply)));
+  this->Acknowledge(aExchange, JsonResponse(200, EncodeHeartbeatReply(reply)));
+}
+
+void
+ControlNode::Acknowledge(const std::shared_ptr<Exchange>& aExchange,
+                         HttpResponse aResponse)
+{
+  if (this->agent.IsRecordingShutdown()) {
+    this->acknowledgements.push_back(
+      { aExchange,
+        std::move(aResponse),
+        BootClock::now() + kShutdownRecordTimeout });
+  } else {
+    aExchange->Respond(std::move(aResponse));
+  }
   this->RunAgent();
 }
 
+void
+ControlNode::SendAcknowledgements()
+{
+  bool isRecorded = !this->agent.IsRecordingShutdown();
+  std::vector<Acknowledgement> waiting;
+  for (auto& acknowledgement : this->acknowledgements) {
+    if (isRecorded || BootClock::now() >= acknowledgement.dueAt) {
+      acknowledgement.exchange->Respond(std::move(acknowledgement.response));
+    } else {
+      waiting.push_back(std::move(acknowledgement));
+    }
+  }
+  this->acknowledgements = std::move(waiting);
+}
+
 /** Responds to another daemon's read with this daemon's copy of the rows. */
 void
 ControlNode::OnPeerRead(const std::shared_ptr<Exchange>& aExchange)
--- a/src/fescuetillerd/controlnode.h
+++ b/src/fescuetillerd/controlnode.h
@@ -69,11 +69,26 @@
   bool HasNoPendingChange() const;
 
 private:
+  /** A response to the backend server that waits for the store. */
+  struct Acknowledgement
+  {
+    std::shared_ptr<Exchange> exchange;
+    HttpResponse response;
+    Time dueAt; ///< It is sent then at the latest.
+  };
+
   void Tick();
   void RunAgent();
   /** Sets what the servers decide before they pass a request on. */
   void SetRules();
   void OnServerCall(const std::shared_ptr<Exchange>& aExchange);
+  /** Acknowledges a call of the backend server. If it announces the shutdown, a
+   * restarted daemon has to know of it, so it is in the store before; but the
+   * server waits for a limited time only. */
+  void Acknowledge(const std::shared_ptr<Exchange>& aExchange,
+                   HttpResponse aResponse);
+  /** Sends the acknowledgements that are due. */
+  void SendAcknowledgements();
   void OnMetricsRequest(const std::shared_ptr<Exchange>& aExchange);
   void OnPeerRead(const std::shared_ptr<Exchange>& aExchange);
   void OnReadinessCheck(const std::shared_ptr<Exchange>& aExchange);
@@ -153,6 +168,7 @@
   Time nextEraReadAt; ///< Next call because of another daemon's era.
   Time refusedAt;     ///< First refused connection to the server; Time(): none.
   ZoneByAddress zones;
+  std::vector<Acknowledgement> acknowledgements;
   bool stopping = false;
 };
 
--- a/tests/daemon/leavingtest.cpp
+++ b/tests/daemon/leavingtest.cpp
@@ -81,3 +81,37 @@
     CHECK(daemon.serving.available);
   }
 }
+
+// Guards against a server that waits in vain for the acknowledgement of its
+// shutdown, which a restarted daemon has to find in the store.
+SCENARIO("A shutdown is acknowledged in time if the store cannot record it",
+         "[leaving][shutdowns]")
+{
+  LeavingFixture fixture;
+  for (std::string fault : { "", "read-only", "silent" }) {
+    DYNAMIC_SECTION("a store that is " << (fault.empty() ? "well" : fault))
+    {
+      fixture.store.SetFault(fault);
+      std::optional<Time> acknowledgedAt;
+      HttpRequest request(
+        http::verb::post, "/v1/instances/i-near/deregister", 11);
+      request.prepare_payload();
+      auto sentAt = BootClock::now();
+      Fetch(fixture.daemon->pool,
+            fixture.daemon->serverCallAddress,
+            std::move(request),
+            CallOptions(),
+            [&](const Result<HttpResponse>& aResult) {
+              if (aResult && aResult->result_int() == 200) {
+                acknowledgedAt = BootClock::now();
+              }
+            });
+      // Servers wait for one second.
+      CHECK(fixture.RunUntil([&] { return acknowledgedAt.has_value(); },
+                             milliseconds(900)));
+      CHECK(fixture.daemon->serving.draining);
+      CHECK(fixture.daemon->serving.sendUntil <=
+            sentAt + milliseconds(900) + fixture.daemon->serving.drainTime);
+    }
+  }
+}
