Take a heartbeat of another incarnation for the next one only if the last has ended

Cause: which incarnations had ended was known to one process of the daemon. A heartbeat of any other incarnation was taken for the start of the next one: the keys that the running server held counted as free, and its own heartbeats as late. A late heartbeat of an ended incarnation after a restart is one, a heartbeat of another writer is another. Related: the first heartbeat to a process was taken for what the server holds, although it may have been sent before an earlier process granted keys.

Change: another incarnation replaces one that runs if the address has refused connections, the last one shuts down or has been silent for long, or start times say so; otherwise once the last one has missed a heartbeat and the other has sent two. Incarnations whose shutdown is recorded never do. Unless the last one has certainly ended, its keys count as held until they expire. After the first heartbeat to a process, all keys do until the next one at its regular time.

--- a/src/cluster/ownershipagent.cpp
+++ b/src/cluster/ownershipagent.cpp
@@ -471,6 +471,13 @@
   bool wasDraining = this->server.IsDraining();
   auto result = this->server.OnHeartbeat(aNow, aReport);
   if (result == ServerState::HeartbeatResult::Stale) {
+    const auto& current = this->server.Report()->incarnation;
+    if (current != aReport.incarnation) {
+      this->LogEvent("heartbeat-ignored",
+                     { { "server", aReport.incarnation.id },
+                       { "current", current.id },
+                       { "heartbeat", std::to_string(aReport.sequence) } });
+    }
     return {};
   }
   this->lastHeartbeat = aNow;
--- a/src/cluster/serverstate.cpp
+++ b/src/cluster/serverstate.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/** Part of the regular time between heartbeats after which one was missed. */
+constexpr double kMissedHeartbeat = 1.5;
 /** Number of missed heartbeats after which a server counts as lost. */
 constexpr int kMaxMissedHeartbeats = 3;
 /** Part of the regular time between heartbeats after which the next one is not
@@ -18,65 +20,114 @@
 
 ServerState::ServerState(Duration aHeartbeat, Duration aMaxGrantTime)
   : lossTimeout(aHeartbeat * kMaxMissedHeartbeats)
+  , silenceTime(
+      std::chrono::duration_cast<Duration>(aHeartbeat * kMissedHeartbeat))
   , minHeartbeatInterval(
       std::chrono::duration_cast<Duration>(aHeartbeat * kMinHeartbeatSpacing))
   , maxGrantTime(aMaxGrantTime)
 {
 }
 
+bool
+ServerState::HasAnnouncedShutdown(const ServerIncarnation& aServer) const
+{
+  return std::count(this->announcedShutdowns.begin(),
+                    this->announcedShutdowns.end(),
+                    aServer) > 0;
+}
+
+/** An incarnation listens at the address of the one before, which has ended and
+ * sends no more heartbeats. */
+bool
+ServerState::IsOfSuccessor(Time aNow, const ServerReport& aReport)
+{
+  const auto& incarnation = aReport.incarnation;
+  const auto& current = this->report->incarnation;
+  if (this->earlierIncarnations.count(
+        { incarnation.id, incarnation.startedAt }) > 0 ||
+      this->HasAnnouncedShutdown(incarnation)) {
+    return false;
+  }
+  if (incarnation.startedAt != current.startedAt) {
+    return incarnation.startedAt > current.startedAt;
+  }
+  if (this->draining || this->IsLost(aNow)) {
+    return true;
+  }
+  auto& known = this->successor;
+  if (!known || known->incarnation != incarnation) {
+    known = { incarnation, aReport.sequence };
+    return false;
+  }
+  bool isLater = aReport.sequence > known->sequence;
+  known->sequence = std::max(known->sequence, aReport.sequence);
+  return isLater && aNow - this->lastHeartbeat >= this->silenceTime;
+}
+
 void
-ServerState::Reset()
+ServerState::BeginIncarnation(Time aNow, const ServerReport& aReport)
 {
+  const auto& incarnation = aReport.incarnation;
+  if (this->report) {
+    const auto& earlier = this->report->incarnation;
+    if (this->connectionRefused || incarnation.startedAt > earlier.startedAt) {
+      this->earlierIncarnations.insert({ earlier.id, earlier.startedAt });
+      this->earlierHoldings.clear();
+    } else {
+      this->earlierHoldings.insert(this->earlierHoldings.end(),
+                                   this->holdings.begin(),
+                                   this->holdings.end());
+    }
+    this->reportIsCurrent = true; // It holds what this process grants.
+  }
+  this->earlierHoldings.erase(std::remove_if(this->earlierHoldings.begin(),
+                                             this->earlierHoldings.end(),
+                                             [&](const Holding& aHolding) {
+                                               return aHolding.until <= aNow;
+                                             }),
+                              this->earlierHoldings.end());
   this->holdings.clear();
   this->released.clear();
-  this->draining = false;
-  this->connectionRefused = false;
+  this->successor.reset();
+  this->firstHeartbeat = aNow;
+  this->grantSequence = 0;
+  ++this->incarnationNumber;
+  // The next incarnation may have the same id where start times are stated.
+  bool deregistered = incarnation.id == this->deregisteredId &&
+                      (incarnation.startedAt == 0 ||
+                       aNow - this->deregisteredAt <= this->lossTimeout);
+  // It may have announced its shutdown to an earlier process of this daemon, at
+  // any time.
+  this->draining =
+    aReport.draining || deregistered || this->HasAnnouncedShutdown(incarnation);
+  this->drainingSince = Time();
 }
 
 ServerState::HeartbeatResult
 ServerState::OnHeartbeat(Time aNow, const ServerReport& aReport)
 {
-  std::pair<std::string, int64_t> incarnation{ aReport.incarnation.id,
-                                               aReport.incarnation.startedAt };
   bool sameIncarnation =
     this->report && this->report->incarnation == aReport.incarnation;
-  if (this->earlierIncarnations.count(incarnation) > 0 ||
-      (sameIncarnation && aReport.sequence <= this->report->sequence) ||
-      (this->report && !sameIncarnation &&
-       aReport.incarnation.startedAt < this->report->incarnation.startedAt)) {
+  if (sameIncarnation && aReport.sequence <= this->report->sequence) {
     return HeartbeatResult::Stale;
   }
-  if (!sameIncarnation) {
-    if (this->report) {
-      this->earlierIncarnations.insert(
-        { this->report->incarnation.id, this->report->incarnation.startedAt });
+  if (sameIncarnation) {
+    this->successor.reset();
+    this->reportIsCurrent =
+      this->reportIsCurrent ||
+      aNow - this->firstHeartbeat >= this->minHeartbeatInterval;
+    if (aReport.draining && !this->draining) {
+      this->draining = true;
+      this->drainingSince = aNow;
     }
-    this->Reset();
-    ++this->incarnationNumber;
-    this->grantSequence = 0;
-  }
-  if (!this->report) {
-    this->firstHeartbeat = aNow;
+  } else if (!this->report || this->IsOfSuccessor(aNow, aReport)) {
+    this->BeginIncarnation(aNow, aReport);
+  } else {
+    return HeartbeatResult::Stale;
   }
-  this->reportIsCurrent =
-    this->reportIsCurrent ||
-    aNow - this->firstHeartbeat >= this->minHeartbeatInterval;
   this->connectionRefused = false;
   this->report = aReport;
   this->lastHeartbeat = aNow;
-  // The next incarnation may have the same id where start times are stated.
-  bool deregistered = !sameIncarnation &&
-                      aReport.incarnation.id == this->deregisteredId &&
-                      (aReport.incarnation.startedAt == 0 ||
-                       aNow - this->deregisteredAt <= this->lossTimeout);
-  bool announced =
-    !sameIncarnation && this->HasAnnouncedShutdown(aReport.incarnation);
-  if ((aReport.draining || deregistered || announced) && !this->draining) {
-    // An incarnation that is first seen draining may have announced that to an
-    // earlier run of this daemon, at any time.
-    this->draining = true;
-    this->drainingSince = sameIncarnation ? aNow : Time();
-  }
   this->released.insert(this->released.end(),
                         aReport.releasedRanges.begin(),
                         aReport.releasedRanges.end());
@@ -137,14 +188,6 @@
   }
 }
 
-bool
-ServerState::HasAnnouncedShutdown(const ServerIncarnation& aServer) const
-{
-  return std::count(this->announcedShutdowns.begin(),
-                    this->announcedShutdowns.end(),
-                    aServer) > 0;
-}
-
 std::optional<ServerIncarnation>
 ServerState::AnnouncedShutdown() const
 {
@@ -162,6 +205,7 @@
 {
   this->connectionRefused = true;
   this->holdings.clear();
+  this->earlierHoldings.clear();
 }
 
 void
@@ -208,10 +252,17 @@
 bool
 ServerState::IsUnheld(Time aNow, const KeyRange& aRange) const
 {
-  return std::none_of(
-    this->holdings.begin(), this->holdings.end(), [&](const Holding& aHolding) {
-      return aHolding.until > aNow && aHolding.range.Overlaps(aRange);
-    });
+  if (this->report && !this->reportIsCurrent && !this->connectionRefused &&
+      aNow < this->firstHeartbeat + this->maxGrantTime) {
+    return false;
+  }
+  auto contains = [&](const Holding& aHolding) {
+    return aHolding.until > aNow && aHolding.range.Overlaps(aRange);
+  };
+  return std::none_of(this->holdings.begin(), this->holdings.end(), contains) &&
+         std::none_of(this->earlierHoldings.begin(),
+                      this->earlierHoldings.end(),
+                      contains);
 }
 
 std::string
--- a/src/cluster/serverstate.h
+++ b/src/cluster/serverstate.h
@@ -11,8 +11,9 @@
 
 /**
  * State of the backend server beside this daemon: its current incarnation, and
- * which keys it may hold until when. Does no I/O and reads no
- * clock.
+ * which keys it may hold until when. Heartbeats may arrive late, also those of
+ * an incarnation that has ended, and other writers may send some. Does no I/O
+ * and reads no clock.
  */
 class ServerState
 {
@@ -24,7 +25,9 @@
 
   enum class HeartbeatResult
   {
-    Stale,          ///< A late heartbeat, or one of an earlier incarnation.
+    /** A late heartbeat, or one of another incarnation than the current one
+     * that may be late. */
+    Stale,
     Current,        ///< The next heartbeat of the current incarnation.
     NewIncarnation, ///< The server was restarted and holds no keys.
   };
@@ -81,8 +84,9 @@
   bool IsLost(Time aNow) const;
 
   /** Whether the report certainly describes the server as it is now. The first
-   * heartbeat to a process of this daemon may be late; the next one at its
-   * regular time is not late as well. */
+   * heartbeat to a process of this daemon may be late, and what the server held
+   * or announced since is unknown then; the next one at its regular time is not
+   * late as well. */
   bool IsReportCurrent() const;
 
   const std::optional<ServerReport>& Report() const;
@@ -99,24 +103,39 @@
     Time until;
   };
 
-  void Reset();
+  /** Another incarnation that has sent a heartbeat since the latest one of the
+   * current incarnation. */
+  struct Successor
+  {
+    ServerIncarnation incarnation;
+    uint64_t sequence = 0; ///< Of its latest heartbeat.
+  };
+
+  /** Whether a heartbeat shows that the current incarnation has ended. */
+  bool IsOfSuccessor(Time aNow, const ServerReport& aReport);
+  void BeginIncarnation(Time aNow, const ServerReport& aReport);
   bool HasAnnouncedShutdown(const ServerIncarnation& aServer) const;
   void ForgetReleased(const KeyRange& aRange);
   void UpdateHoldings(Time aNow, const ServerReport& aReport);
 
   Duration lossTimeout; ///< Time without heartbeats until it counts as lost.
+  /** Time without heartbeats after which one was missed. */
+  Duration silenceTime;
   /** Heartbeats that arrive closer together may both be late. */
   Duration minHeartbeatInterval;
   Duration maxGrantTime;
   std::optional<ServerReport> report;
-  /** Server id and start time of earlier incarnations. */
+  std::optional<Successor> successor;
+  /** Server id and start time of incarnations that have certainly ended. */
   std::set<std::pair<std::string, int64_t>> earlierIncarnations;
   std::vector<ServerIncarnation> announcedShutdowns;
   std::vector<Holding> holdings;
+  /** Those of earlier incarnations that may not have ended. */
+  std::vector<Holding> earlierHoldings;
   std::vector<ReleasedRange> released; ///< The most recent ones, in order.
   uint64_t incarnationNumber = 0;
   uint64_t grantSequence = 0; ///< Heartbeat that the last grants replied to.
-  Time firstHeartbeat;        ///< To this process.
+  Time firstHeartbeat;
   Time lastHeartbeat;
   bool reportIsCurrent = false;
   bool draining = false;
--- a/tests/cluster/serverstatetest.cpp
+++ b/tests/cluster/serverstatetest.cpp
@@ -180,3 +180,122 @@
   auto whole = server.DivideByHandover(kHeld, "other", 2 * kReleased - 1);
   CHECK(whole == std::vector<ReleasedRange>{ { kHeld, "other" } });
 }
+
+// Guards against two holders of the same keys: a late heartbeat of an ended
+// incarnation, or one of another writer, at a daemon that had not seen its
+// sender before, was taken for the start of a new incarnation that holds no
+// keys. The keys were granted to others, and the running server got none any
+// more.
+SCENARIO("A heartbeat of another incarnation does not replace one that runs",
+         "[serverstate][incarnations]")
+{
+  using Result = ServerState::HeartbeatResult;
+  constexpr Duration kHeartbeat = milliseconds(870);
+  ServerState server(kHeartbeat, seconds(4));
+  server.OnHeartbeat(kStart, ReportWith(1, false));
+  server.OnHeartbeat(kStart + kHeartbeat, ReportWith(2, false));
+  server.OnGranted({ { kHeld, 4096, "" } }, kStart + seconds(4));
+  auto other = ReportWith(50, false);
+  other.incarnation.id = "i-0";
+  auto at = kStart + kHeartbeat + milliseconds(200);
+
+  WHEN("a late one says that another incarnation shuts down without keys")
+  {
+    other.draining = true;
+    CHECK(server.OnHeartbeat(at, other) == Result::Stale);
+    THEN("the running one keeps its keys and stays in use")
+    {
+      CHECK_FALSE(server.IsDraining());
+      CHECK_FALSE(server.IsUnheld(at, kHeld));
+      CHECK(server.OnHeartbeat(kStart + 2 * kHeartbeat, ReportWith(3, true)) ==
+            Result::Current);
+    }
+  }
+  WHEN("another writer sends them all the time")
+  {
+    auto next = kStart + 2 * kHeartbeat;
+    uint64_t sequence = 3;
+    for (; at < kStart + seconds(10); at += milliseconds(100)) {
+      if (at >= next) {
+        CHECK(server.OnHeartbeat(at, ReportWith(sequence++, true)) ==
+              Result::Current);
+        next += kHeartbeat;
+      }
+      ++other.sequence;
+      CHECK(server.OnHeartbeat(at, other) == Result::Stale);
+    }
+  }
+  WHEN("two late ones arrive at once")
+  {
+    CHECK(server.OnHeartbeat(at, other) == Result::Stale);
+    ++other.sequence;
+    CHECK(server.OnHeartbeat(at, other) == Result::Stale);
+  }
+  WHEN(
+    "an incarnation whose shutdown is known sends them after the running one "
+    "was silent")
+  {
+    server.SetAnnouncedShutdowns({ other.incarnation });
+    at += seconds(10);
+    CHECK(server.OnHeartbeat(at, other) == Result::Stale);
+  }
+  WHEN("the next incarnation has started and the last one is silent")
+  {
+    CHECK(server.OnHeartbeat(at, other) == Result::Stale);
+    auto result = Result::Stale;
+    for (int count = 0; count < 2 && result == Result::Stale; ++count) {
+      ++other.sequence;
+      at += kHeartbeat;
+      result = server.OnHeartbeat(at, other);
+    }
+    CHECK(result == Result::NewIncarnation);
+    THEN("the keys of the last one count as held until they expire")
+    {
+      CHECK_FALSE(server.IsUnheld(at, kHeld));
+      CHECK(server.IsUnheld(kStart + seconds(5), kHeld));
+    }
+  }
+  WHEN("the address has refused connections and the next one has started")
+  {
+    server.OnConnectionRefused(at);
+    CHECK(server.OnHeartbeat(at, other) == Result::NewIncarnation);
+    CHECK(server.IsUnheld(at, kHeld));
+    THEN("heartbeats of the last one are late")
+    {
+      at += seconds(10);
+      CHECK(server.OnHeartbeat(at, ReportWith(3, true)) == Result::Stale);
+    }
+  }
+}
+
+// Guards against a move of keys that the server holds: an earlier process of
+// the daemon granted them after a heartbeat was sent that arrives late.
+SCENARIO("A first heartbeat that may be late does not show which keys are free",
+         "[serverstate][incarnations]")
+{
+  ServerState server(milliseconds(870), seconds(4));
+  server.OnHeartbeat(kStart, ReportWith(5, false));
+  CHECK_FALSE(server.IsUnheld(kStart, kHeld));
+
+  WHEN("the next one at its regular time reports the keys")
+  {
+    auto at = kStart + milliseconds(870);
+    server.OnHeartbeat(at, ReportWith(9, true));
+    CHECK_FALSE(server.IsUnheld(at, kHeld));
+    CHECK(server.IsUnheld(at, { 200, 299 }));
+  }
+  WHEN("another late one arrives with it")
+  {
+    server.OnHeartbeat(kStart, ReportWith(6, false));
+    CHECK_FALSE(server.IsUnheld(kStart, kHeld));
+  }
+  WHEN("no other one arrives")
+  {
+    CHECK(server.IsUnheld(kStart + seconds(4), kHeld));
+  }
+  WHEN("the server has ended")
+  {
+    server.OnConnectionRefused(kStart);
+    CHECK(server.IsUnheld(kStart, kHeld));
+  }
+}
