Bound what is kept of a response that has no end

What callers saw: a faulty server sent bytes without end in a chunk's extension or a trailer; the daemon that had called it kept them all until the call timed out, and would run out of memory, with the requests of all its other clients.

Cause: the parser needs a whole chunk header, or all trailers, before it consumes any of them, and the buffer of a connection had no limit. Heads were limited by the parser, bodies are passed on in pieces. Interim responses were read until the call timed out: no memory, but the server's slots were held.

Change: a connection's buffer is limited to 96 KiB, a head and one read; a read of more fails the call. A call fails after 1,000 interim responses.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/** Most bytes that wait to be parsed: a head, or the extension of a chunk or
+ * the trailers, which are parsed at once, and what was read with them. A read
+ * of more fails. */
+constexpr size_t kMaxBufferBytes = 96 * 1024;
+
 /** State of a connection that is not in use. */
 enum class IdleState
 {
@@ -51,6 +56,7 @@
 
 Connection::Connection(asio::io_context& aContext)
   : socket(aContext)
+  , buffer(kMaxBufferBytes)
 {
 }
 
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -25,6 +25,8 @@
 constexpr size_t kLongBodyBytes = 16 * 1024;
 /** Size limit for the bodies of skipped responses, which hold up the call. */
 constexpr size_t kMaxSkippedBytes = 1024 * 1024;
+/** Many more than a server sends while it works on a request. */
+constexpr size_t kMaxInterimResponses = 1000;
 /** Size limit for response headers, a common default of HTTP servers. */
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 /** Largest buffer that an idle connection keeps. */
@@ -329,6 +331,11 @@
   // Interim (1xx) responses precede the final one.
   auto status = this->parser->get().result_int();
   if (status >= 100 && status < 200) {
+    if (++this->interimResponses > kMaxInterimResponses) {
+      this->Fail(
+        "read head of answer", error_code(), "too many interim answers");
+      return;
+    }
     this->ReadHeaders();
     return;
   }
@@ -514,7 +521,8 @@
   }
   this->connection->idleUntil = BootClock::now() + allowed;
   if (this->connection->buffer.capacity() > kIdleBufferBytes) {
-    this->connection->buffer = boost::beast::flat_buffer();
+    this->connection->buffer.clear();
+    this->connection->buffer.shrink_to_fit();
   }
   this->pool.Put(this->peer, std::move(this->connection));
 }
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -117,7 +117,8 @@
   bool requestWritten = false;
   bool withdrawn = false;  ///< The request may no longer be sent.
   size_t skippedBytes = 0; ///< Of the bodies of responses to other requests.
-  bool streaming = false;  ///< The response is passed on in chunks.
+  size_t interimResponses = 0;
+  bool streaming = false; ///< The response is passed on in chunks.
   bool ended = false;
 };
 
--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -2,10 +2,12 @@
 # processes. Scripts that include this file first set build, here and network
 # (the first three numbers of a loopback address), then call start_deployment.
 # Optional: service_fields (further JSON fields of the service, each after a
-# comma), bounds (further lines of the daemons' section [bounds]), heartbeat and
-# log_pattern (the lines of the daemons' logs that a failed check prints).
+# comma), bounds (further lines of the daemons' section [bounds]), daemon_limits
+# (a section of the daemons' settings), heartbeat and log_pattern (the lines of the
+# daemons' logs that a failed check prints).
 service_fields=${service_fields:-}
 bounds=${bounds:-}
+daemon_limits=${daemon_limits:-}
 heartbeat=${heartbeat:-300ms}
 log_pattern=${log_pattern:-.}
 pairs=4
@@ -126,6 +128,7 @@
 [bounds]
 heartbeat = $heartbeat
 $bounds
+$daemon_limits
 INI
     start_daemon "$number"
     start_server "$number"
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -382,7 +382,7 @@
     , begin(std::move(aBegin))
   {
     constexpr size_t kPieceBytes = 16 * 1024;
-    while (this->repeated.size() < kPieceBytes) {
+    while (!aRepeated.empty() && this->repeated.size() < kPieceBytes) {
       this->repeated += aRepeated;
     }
     this->acceptor.async_accept(this->socket,
@@ -405,7 +405,7 @@
                       [this](boost::system::error_code aError, size_t aSize) {
                         this->written += aSize;
                         this->clientDisconnected = aError.failed();
-                        if (!aError) {
+                        if (!aError && !this->repeated.empty()) {
                           this->Write(this->repeated);
                         }
                       });
@@ -855,6 +855,45 @@
   }
 }
 
+// Guards against a process that runs out of memory: the bytes of a chunk's
+// extension or of trailers were kept until the call timed out.
+SCENARIO(
+  "A call ends when what precedes or frames its response exceeds a limit",
+  "[http][endless]")
+{
+  Fixture fixture;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto& [name, begin, repeated] :
+       { std::tuple("a chunk's extension", chunked + "1;", "x"),
+         std::tuple("the extension of the last chunk", chunked + "0;", "x"),
+         std::tuple("trailers", chunked + "1\r\nx\r\n0\r\n", "A: b\r\n"),
+         std::tuple("a trailer", chunked + "0\r\nA: ", "x"),
+         std::tuple("interim responses",
+                    std::string(),
+                    "HTTP/1.1 100 Continue\r\n\r\n") }) {
+    GIVEN(std::string("a peer that sends without end ") + name)
+    {
+      // Bytes that the sockets of both sides hold are written, too.
+      constexpr size_t kMaxWritten = 16 * 1024 * 1024;
+      EndlessPeer peer(fixture.context, begin, repeated);
+      auto call = fixture.Call(peer.Address(), "1", seconds(2));
+      CHECK_FALSE(call->ended);
+      REQUIRE(call->failure);
+      CHECK_FALSE(call->failure->timedOut);
+      fixture.RunUntil([&] { return peer.clientDisconnected; });
+      CHECK(peer.written < kMaxWritten);
+    }
+  }
+  GIVEN("a response in chunks whose extensions and trailers are short")
+  {
+    const std::string body = "1;a=b\r\nx\r\n0;a=b\r\nA: b\r\n\r\n";
+    EndlessPeer peer(fixture.context, chunked + body, "");
+    auto call = fixture.Call(peer.Address(), "1", seconds(2));
+    CHECK(call->ended);
+  }
+}
+
 SCENARIO("A server responds to each request on its connection", "[http]")
 {
   ServerFixture fixture;
--- a/tests/standins/answerfaults.h
+++ b/tests/standins/answerfaults.h
@@ -26,6 +26,16 @@
   Reset,             ///< No length, a part of the body, then a reset.
   Garbage,           ///< Bytes that are no answer, right behind the answer.
   GarbageLate,       ///< The same, late.
+  EndlessStatus,     ///< A status line without end.
+  EndlessField,      ///< A header line without end.
+  EndlessFields,     ///< Header lines without end.
+  EndlessInterim,    ///< Interim answers without end.
+  EndlessBody,       ///< A body with an enormous length.
+  EndlessChunks,     ///< Chunks without end.
+  EndlessExtension,  ///< A chunk whose extension has no end.
+  EndlessUnframed,   ///< A body without a length and without end.
+  EndlessTrailer,    ///< The whole body, then trailers without end.
+  EndlessAfter,      ///< The whole answer, then further bytes without end.
   Chunked,           ///< No fault: the answer comes in chunks.
   Unframed,          ///< No fault: the answer ends with its connection.
 };
--- a/tests/standins/checkingclient.cpp
+++ b/tests/standins/checkingclient.cpp
@@ -29,6 +29,8 @@
 constexpr unsigned kLongShare = 10;
 constexpr size_t kLongBytes = 80000;
 constexpr size_t kReadBytes = 16 * 1024;
+/** Longer answers are given up. */
+constexpr size_t kMaxAnswerBytes = 1024 * 1024;
 constexpr std::string_view kAnswerStart = "HTTP/1.";
 
 } // namespace
@@ -168,6 +170,7 @@
   parser.skip(IsHead(aRequest));
   parser.body_limit(boost::none);
   bool started = false;
+  size_t consumed = 0;
   while (!parser.is_done()) {
     if (!started && this->IsNoAnswer()) {
       JudgeBytes(aRequest, this->BufferText());
@@ -176,7 +179,13 @@
     error_code error = http::error::need_more;
     if (this->buffer.size() >= kAnswerStart.size() || started) {
       started = true;
-      this->buffer.consume(parser.put(this->buffer.data(), error));
+      auto count = parser.put(this->buffer.data(), error);
+      this->buffer.consume(count);
+      consumed += count;
+    }
+    if (consumed + this->buffer.size() > kMaxAnswerBytes) {
+      aRequest.reason = "an answer without end";
+      return false;
     }
     if (error && error != http::error::need_more) {
       JudgeBytes(aRequest, this->BufferText());
--- a/tests/standins/faultysession.cpp
+++ b/tests/standins/faultysession.cpp
@@ -1,5 +1,6 @@
 #include "standins/faultysession.h"
 
+#include <algorithm>
 #include <cmath>
 #include <sstream>
 
@@ -19,6 +20,9 @@
 constexpr double kMostPauseMs = 300;
 /** One of so many late writes doesn't wait for the next request. */
 constexpr unsigned kIdleWriteShare = 4;
+/** Bytes without end are written in parts of about this size, with pauses. */
+constexpr size_t kEndlessPartBytes = 64 * 1024;
+constexpr Duration kEndlessPause = milliseconds(2);
 /** Time that the peer has to read the bytes before a reset. */
 constexpr Duration kResetPause = milliseconds(2);
 
@@ -82,6 +86,55 @@
          (aResponse[headers::kRequestId].empty() ? " without id" : "");
 }
 
+/** Bytes without end: a beginning, and what is repeated after it. */
+struct EndlessBytes
+{
+  std::string begin;
+  std::string repeated;
+};
+
+EndlessBytes
+MakeEndless(AnswerFault aFault, HttpResponse aResponse)
+{
+  constexpr uint64_t kEnormousLength = uint64_t(1) << 26;
+  constexpr const char* kLine = "A: b\r\n";
+  const std::string body = aResponse.body();
+  std::ostringstream chunk;
+  chunk << std::hex << body.size() << "\r\n" << body << "\r\n";
+  if (aFault == AnswerFault::EndlessAfter) {
+    return { ToBytes(aResponse, true, false), "x" };
+  }
+  if (aFault == AnswerFault::EndlessBody) {
+    aResponse.content_length(kEnormousLength);
+  } else if (aFault == AnswerFault::EndlessUnframed) {
+    aResponse.keep_alive(false);
+  } else {
+    aResponse.chunked(true);
+  }
+  std::ostringstream text;
+  text << aResponse.base();
+  auto head = text.str();
+  auto openHead = head.substr(0, head.size() - 2); // Without the empty line.
+  switch (aFault) {
+    case AnswerFault::EndlessStatus:
+      return { "HTTP/1.1 200 ", "x" };
+    case AnswerFault::EndlessField:
+      return { openHead + "A: ", "x" };
+    case AnswerFault::EndlessFields:
+      return { openHead, kLine };
+    case AnswerFault::EndlessInterim:
+      return { "", "HTTP/1.1 100 Continue\r\n\r\n" };
+    case AnswerFault::EndlessChunks:
+      return { head, chunk.str() };
+    case AnswerFault::EndlessExtension:
+      return { head + "1;", "x" };
+    case AnswerFault::EndlessTrailer:
+      return { head + chunk.str() + "0\r\n", kLine };
+    default:
+      return { head, "x" };
+  }
+}
+
 HttpResponse
 WithoutId(HttpResponse aResponse)
 {
@@ -187,7 +240,8 @@
   bool ran = aResponse.result_int() == 200;
   bool unframed = ran && aFaults.count(AnswerFault::Unframed) > 0;
   bool chunked = ran && aFaults.count(AnswerFault::Chunked) > 0;
-  if (ran && this->BreakOff(aFaults, aResponse)) {
+  if (ran && (this->WriteEndlessly(aFaults, aResponse) ||
+              this->BreakOff(aFaults, aResponse))) {
     return;
   }
   if (unframed) {
@@ -242,6 +296,57 @@
   return false;
 }
 
+bool
+FaultySession::WriteEndlessly(const AnswerFaults::Drawn& aFaults,
+                              const HttpResponse& aResponse)
+{
+  auto fault =
+    std::find_if(aFaults.begin(), aFaults.end(), [](AnswerFault aFault) {
+      return aFault >= AnswerFault::EndlessStatus &&
+             aFault <= AnswerFault::EndlessAfter;
+    });
+  if (fault == aFaults.end() || !HasBody(this->request)) {
+    return false;
+  }
+  auto bytes = MakeEndless(*fault, aResponse);
+  auto repeated = std::make_shared<std::string>();
+  while (repeated->size() < kEndlessPartBytes) {
+    *repeated += bytes.repeated;
+  }
+  this->Write({ bytes.begin, ToString(*fault), this->requestId });
+  this->Repeat(repeated);
+  return true;
+}
+
+/** Writes the bytes again and again, as fast as the peer reads them. */
+void
+FaultySession::Repeat(const std::shared_ptr<const std::string>& aBytes)
+{
+  auto timer = std::make_shared<asio::steady_timer>(this->server.context);
+  timer->expires_after(kEndlessPause);
+  timer->async_wait(
+    [self = this->shared_from_this(), timer, aBytes](error_code) {
+      if (self->closed) {
+        return;
+      }
+      if (self->writing) {
+        self->Repeat(aBytes);
+        return;
+      }
+      self->writing = true;
+      asio::async_write(self->socket,
+                        asio::buffer(*aBytes),
+                        [self, aBytes](error_code aError, size_t) {
+                          self->writing = false;
+                          if (aError) {
+                            self->Close(false);
+                          } else {
+                            self->Repeat(aBytes);
+                          }
+                        });
+    });
+}
+
 void
 FaultySession::WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
                                const HttpResponse& aResponse)
--- a/tests/standins/faultysession.h
+++ b/tests/standins/faultysession.h
@@ -42,6 +42,11 @@
    * @return Whether the faults contain one that does so. */
   bool BreakOff(const AnswerFaults::Drawn& aFaults,
                 const HttpResponse& aResponse);
+  /** Writes without end until the peer closes the connection.
+   * @return Whether the faults contain one that does so. */
+  bool WriteEndlessly(const AnswerFaults::Drawn& aFaults,
+                      const HttpResponse& aResponse);
+  void Repeat(const std::shared_ptr<const std::string>& aBytes);
   void WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
                        const HttpResponse& aResponse);
   /** The beginning of an answer's head. */
