Refuse requests late in a planned stop that may outlast the process

What callers saw: requests that came late in a planned stop were taken and passed on, and cut without an answer when the process exited, bookings among them.

Cause: while requests of before the stop run, their calls have to be served, so connections of clients are accepted until these end. Requests of clients were taken as well, without regard to the time that is left until the exit.

Change: from the time at which clients know that the daemon is not ready, a request is refused at once if its time limit ends later than 0.2 s before the exit. It has not run then, and its client is told when to come back. What ends earlier is answered before the exit in any case.

The new case of requestpathtest.cpp fails without the change (4 checks).

--- a/src/fescuetillerd/ingress.cpp
+++ b/src/fescuetillerd/ingress.cpp
@@ -91,6 +91,12 @@
   this->evacuatedZones = std::move(aZones);
 }
 
+void
+Ingress::SetExitTime(Time aExitAt)
+{
+  this->exitAt = aExitAt;
+}
+
 bool
 Ingress::MayRunConcurrently(const HttpRequest& aRequest) const
 {
--- a/src/fescuetillerd/ingress.h
+++ b/src/fescuetillerd/ingress.h
@@ -51,6 +51,10 @@
   /** Sets the zones whose members get no requests without a key. */
   void SetEvacuatedZones(std::set<std::string> aZones);
 
+  /** Sets when the process exits at the latest. From now on, requests are
+   * refused that may not have been answered by then. */
+  void SetExitTime(Time aExitAt);
+
   /** Whether a request may run at the same time as others that its client sent
    * over the same connection: only if it is idempotent. */
   bool MayRunConcurrently(const HttpRequest& aRequest) const;
@@ -96,6 +100,7 @@
   ClientRetries clientRetries;
   /** Decides which requests are held back and which are sent to other zones. */
   std::mt19937_64 random;
+  Time exitAt = Time::max();
   size_t inFlight = 0; ///< Number of IngressRequests that exist.
 };
 
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kResponseTravelTime = milliseconds(8);
 /** Clients that say that they wait for longer are taken to wait for this. */
 constexpr milliseconds kMaxClientWait = std::chrono::hours(24);
+/** Time before the exit of the process in which the last responses are written
+ * and sent. */
+constexpr Duration kExitMargin = milliseconds(200);
 /** Extra time for a response that another daemon sends at its deadline. */
 constexpr Duration kResponseMargin = milliseconds(20);
 /** For connections to other daemons. Many times a round trip, so that one lost
@@ -130,13 +133,24 @@
       self->OnClientDisconnected();
     }
   };
-  if (this->ReadRequest() && !this->RefuseIfEarly() &&
-      !this->RefuseIfBlocked()) {
+  if (this->ReadRequest() && !this->RefuseIfStopping() &&
+      !this->RefuseIfEarly() && !this->RefuseIfBlocked()) {
     this->ingress.RetryBudgetFor(this->dispatch.service).CountRequest();
     this->Send();
   }
 }
 
+bool
+IngressRequest::RefuseIfStopping()
+{
+  auto exitAt = this->ingress.exitAt;
+  if (this->deadline < exitAt - kExitMargin) {
+    return false;
+  }
+  this->RespondWithError(503, kStoppingReason, exitAt - this->startedAt);
+  return true;
+}
+
 bool
 IngressRequest::RefuseIfEarly()
 {
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -60,6 +60,8 @@
    * It would compete with the first attempts of others. @return Whether it did.
    */
   bool RefuseIfEarly();
+  /** Refuses a request that may be cut off by the exit of the process. */
+  bool RefuseIfStopping();
   /** Refuses the request if servers ended under it. @return Whether it did. */
   bool RefuseIfBlocked();
   /** Sends the request to a member that it chooses. */
--- a/src/fescuetillerd/nodeprocess.cpp
+++ b/src/fescuetillerd/nodeprocess.cpp
@@ -208,8 +208,8 @@
 NodeProcess::ContinueStop()
 {
   this->controlNode.LeaveCluster();
-  asio::post(this->traffic, [this] {
-    this->trafficNode.StopAccepting();
+  asio::post(this->traffic, [this, exitAt = this->exitDeadline] {
+    this->trafficNode.StopAccepting(exitAt);
     asio::post(this->control, [this] { this->CheckIdle(); });
   });
 }
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -255,8 +255,9 @@
 }
 
 void
-TrafficNode::StopAccepting()
+TrafficNode::StopAccepting(Time aExitAt)
 {
+  this->ingress.SetExitTime(aExitAt);
   this->stoppedAt = BootClock::now();
   this->dismissedUntil = this->stoppedAt + kDismissalTime;
   this->peerServer.DismissClients(this->executor.MakeFinalResponse());
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -79,8 +79,9 @@
   void AnnounceClose();
   /** Runs no further requests of other daemons, and accepts no new connections
    * of clients once the requests in progress have ended: these may make calls.
-   */
-  void StopAccepting();
+   * @param aExitAt When the process exits at the latest. Requests that may last
+   * longer are refused. */
+  void StopAccepting(Time aExitAt);
   /** Closes all connections if no request is in progress, every response has
    * been written and other daemons had time to read the final one, so that no
    * further request runs before the process exits. Other daemons that are just
--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -3,11 +3,12 @@
 # (the first three numbers of a loopback address), then call start_deployment.
 # Optional: service_fields (further JSON fields of the service, each after a
 # comma), bounds (further lines of the daemons' section [bounds]), daemon_limits
-# (a section of the daemons' settings), heartbeat and log_pattern (the lines of the
-# daemons' logs that a failed check prints).
+# (a section of the daemons' settings), route_timeout, heartbeat and log_pattern (the
+# lines of the daemons' logs that a failed check prints).
 service_fields=${service_fields:-}
 bounds=${bounds:-}
 daemon_limits=${daemon_limits:-}
+route_timeout=${route_timeout:-800ms}
 heartbeat=${heartbeat:-300ms}
 log_pattern=${log_pattern:-.}
 pairs=4
@@ -98,9 +99,9 @@
   store=127.0.0.1:$(port "$folder/store" port)
   curl -sf -o /dev/null --data-binary @- "http://$store/standin/config" <<JSON
 {"version":"r1","routes":{
-"book":{"host":"a.example","prefix":"/book/","kind":"unsafe","timeout":"800ms",
+"book":{"host":"a.example","prefix":"/book/","kind":"unsafe","timeout":"$route_timeout",
 "target-latency":"200ms","priority":1,"service":"agenda","attempts":2},
-"look":{"host":"a.example","prefix":"/look/","kind":"safe","timeout":"800ms",
+"look":{"host":"a.example","prefix":"/look/","kind":"safe","timeout":"$route_timeout",
 "target-latency":"200ms","priority":2,"service":"agenda","attempts":2}},
 "services":{"agenda":{"health-check":"/h","max-connections":100,
 "protocol":"h1","tls":false,"sharded":true$service_fields}}$limits}
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1361,7 +1361,7 @@
   asio::write(running, asio::buffer(kRequest));
   asio::write(reading, asio::buffer(kRequest, kHalf));
   fixture.context.run_for(milliseconds(30));
-  fixture.node->StopAccepting();
+  fixture.node->StopAccepting(Time::max());
 
   WHEN("a request is still in progress")
   {
@@ -1404,7 +1404,7 @@
   asio::write(client, asio::buffer(kRequest, kFirst));
   fixture.context.run_for(milliseconds(30));
   fixture.node->AnnounceClose();
-  fixture.node->StopAccepting();
+  fixture.node->StopAccepting(Time::max());
   CHECK_FALSE(fixture.node->CloseIfIdle());
 
   boost::system::error_code error;
@@ -1440,7 +1440,7 @@
   fixture.context.run_for(milliseconds(30));
   REQUIRE(fixture.pendingExchanges.size() == 1);
   fixture.node->AnnounceClose();
-  fixture.node->StopAccepting();
+  fixture.node->StopAccepting(Time::max());
   CHECK_FALSE(fixture.node->CloseIfIdle());
 
   Tcp::socket call(fixture.context);
@@ -1468,6 +1468,62 @@
   }
 }
 
+// Guards against requests that come late in a planned stop, are passed on, and
+// are cut without an answer when the process exits.
+SCENARIO("A stopping daemon refuses a request that may outlast it",
+         "[path][stop]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  fixture.serverActions = { ServerAction::Hang };
+  auto send = [&](Tcp::socket& aSocket,
+                  const std::string& aId,
+                  const std::string& aStart,
+                  milliseconds aLimit) {
+    aSocket.connect(fixture.clientAddress);
+    asio::write(
+      aSocket,
+      asio::buffer(aStart +
+                   " HTTP/1.1\r\nHost: a.example\r\n"
+                   "X-Request-Id: " +
+                   aId + "\r\nX-Timeout-Ms: " + std::to_string(aLimit.count()) +
+                   "\r\nX-Shard-Key: 7\r\n"
+                   "Content-Length: 0\r\n\r\n"));
+    fixture.context.run_for(milliseconds(50));
+  };
+  auto statusOf = [&](Tcp::socket& aSocket) {
+    boost::beast::flat_buffer buffer;
+    HttpResponse response;
+    boost::system::error_code error;
+    http::read(aSocket, buffer, response, error);
+    REQUIRE_FALSE(error);
+    return response.result_int();
+  };
+  Tcp::socket first(fixture.context);
+  send(first, "r1", "GET /look/1", milliseconds(2000));
+  REQUIRE(fixture.pendingExchanges.size() == 1);
+  fixture.node->AnnounceClose();
+  fixture.node->StopAccepting(BootClock::now() + milliseconds(600));
+  auto sentBefore = fixture.serverRequests.size();
+
+  for (const std::string start : { "GET /look/1", "POST /book/1" }) {
+    GIVEN(start + ", whose client waits for longer than the daemon runs")
+    {
+      Tcp::socket late(fixture.context);
+      send(late, "r2", start, milliseconds(1500));
+      CHECK(statusOf(late) == 503);
+      CHECK(fixture.serverRequests.size() == sentBefore);
+    }
+    GIVEN(start + ", whose client waits for a shorter time")
+    {
+      Tcp::socket late(fixture.context);
+      send(late, "r2", start, milliseconds(200));
+      CHECK(statusOf(late) == 200);
+      CHECK(fixture.serverRequests.size() == sentBefore + 1);
+    }
+  }
+}
+
 SCENARIO("A stopping daemon refuses a request that crosses the close of its "
          "connection",
          "[path]")
@@ -1480,7 +1536,7 @@
   Tcp::socket connection(fixture.context);
   connection.connect(fixture.peerAddress);
   fixture.context.run_for(milliseconds(30));
-  fixture.node->StopAccepting();
+  fixture.node->StopAccepting(Time::max());
   CHECK_FALSE(fixture.node->CloseIfIdle());
   Dispatch dispatch;
   dispatch.service = "agenda";
@@ -1602,7 +1658,7 @@
                             Encode(dispatch) + "\r\n\r\n");
     fixture->context.run_for(milliseconds(40));
     fixture->node->AnnounceClose();
-    fixture->node->StopAccepting();
+    fixture->node->StopAccepting(Time::max());
     auto end = BootClock::now() + seconds(5);
     while (!fixture->node->CloseIfIdle() && BootClock::now() < end) {
       fixture->context.run_for(milliseconds(20));
