Refuse requests whose body has an unknown transfer coding

Cause: the parser takes such a request for one without a body and leaves it to its caller to refuse it. The field concerns the connection and is removed before the request is passed on, so nothing later could see it.

Change: a request whose transfer coding is not exactly one "chunked" gets 400, and its connection is closed. The end of its body is not known otherwise, or the body that the server gets would not be the one that was sent.

--- a/src/http/requestparser.cpp
+++ b/src/http/requestparser.cpp
@@ -1,5 +1,7 @@
 #include "http/requestparser.h"
 
+#include <iterator>
+
 namespace fescuetiller {
 
 namespace {
@@ -87,7 +89,16 @@
 void
 RequestParser::on_header_impl(ErrorCode& aError)
 {
+  // Beast takes a request whose last coding is not "chunked" for one without a
+  // body, and removes no other coding.
+  auto codings = this->request.equal_range(http::field::transfer_encoding);
+  bool hasCoding = codings.first != codings.second;
+  bool isChunked = hasCoding && std::next(codings.first) == codings.second &&
+                   boost::beast::iequals(codings.first->value(), "chunked");
   aError = {};
+  if (hasCoding && !isChunked) {
+    aError = http::error::bad_transfer_encoding;
+  }
 }
 
 void
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -1244,6 +1244,44 @@
 
 // Guards against requests that are passed on although their clients left while
 // the connection waited to be accepted.
+// Guards against a request that is run without its body, which is then run as a
+// further request: with another transfer coding, the end of the body is
+// unknown.
+SCENARIO("A request with an unknown transfer coding is refused",
+         "[http][framing]")
+{
+  ServerFixture fixture;
+  const std::string inner = "DELETE /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  for (const std::string fields : { "Transfer-Encoding: gzip\r\n",
+                                    "Transfer-Encoding: identity\r\n",
+                                    "Transfer-Encoding: chunked, gzip\r\n",
+                                    "Transfer-Encoding: gzip, chunked\r\n",
+                                    "Transfer-Encoding: xchunked\r\n",
+                                    "Transfer-Encoding:\r\n",
+                                    "Transfer-Encoding: chunked\r\n"
+                                    "Transfer-Encoding: gzip\r\n",
+                                    "Transfer-Encoding: chunked\r\n"
+                                    "Transfer-Encoding: chunked\r\n" }) {
+    GIVEN(fields)
+    {
+      fixture.Send("POST /outer HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n" +
+                   inner);
+      fixture.Run();
+      CHECK(fixture.exchanges.empty());
+      CHECK(fixture.received.compare(0, 12, "HTTP/1.1 400") == 0);
+      CHECK(fixture.received.rfind("HTTP/1.1") == 0); // One response.
+    }
+  }
+  GIVEN("a body in chunks")
+  {
+    fixture.Send("POST /outer HTTP/1.1\r\nHost: a\r\n"
+                 "Transfer-Encoding: Chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    REQUIRE(fixture.exchanges.size() == 1);
+    CHECK(fixture.exchanges[0]->request.body() == "x");
+  }
+}
+
 SCENARIO("A request that is read when its client has left is not passed on",
          "[disconnect]")
 {
