Refuse heartbeats that lack the server's version or its time until it is warm

Cause: the codec did not read the version, and took a missing time until the server is warm for none.

Measured: 3 cases of platformtest.cpp fail before and none since.

--- a/src/platform/heartbeatcodec.cpp
+++ b/src/platform/heartbeatcodec.cpp
@@ -102,8 +102,8 @@
       throw JsonMismatch{ "field 'slots' is 0" };
     }
     report.draining = ParseDraining(body.Text("state"));
-    report.remainingWarmUp =
-      body.Has("cold") ? ReadTime(body, "cold") : Duration(0);
+    report.remainingWarmUp = ReadTime(body, "cold");
+    body.Text("version"); // Throws without it: the call is of another writer.
     report.sequence = body.Number("seq");
     for (const auto& row : GetList(body, "holds")) {
       report.grantedRanges.push_back(
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -74,6 +74,10 @@
            { R"("seq":4)", R"("seq":4.5)" },
            { R"("service":"huvo",)", "" },
            { R"("cold":"1.5s")", R"("cold":"soon")" },
+           // Guards against heartbeats of other writers that name a server.
+           { R"("cold":"1.5s",)", "" },
+           { R"("version":"v1",)", "" },
+           { R"("version":"v1")", R"("version":1)" },
            { R"("born":1764800000123)", R"("born":"yesterday")" },
            { "[0,4095,7]", "[4095,0,7]" },
            { "[0,4095,7]", "[0,70000,7]" },
