--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -83,6 +83,16 @@
      END { print count + 0 }' "$folder/server-$1.runs"
 }
 
+# set_faults FAULTS: sets the faults of all servers' further answers, as
+# keyserverstandin takes them; empty: none.
+set_faults() {
+  local number
+  for number in $(seq $pairs); do
+    curl -sf -o /dev/null --data-binary "$1" \
+      "http://$(address "$number" 7305)/standin/faults" || return 1
+  done
+}
+
 # check TEXT LEFT OPERATOR RIGHT: ends the script if the comparison is false.
 check() {
   if ! [ "$2" "$3" "$4" ]; then
--- a/tests/daemon/endlessanswers.sh
+++ b/tests/daemon/endlessanswers.sh
@@ -29,14 +29,6 @@
 }
 start_deployment
 
-set_faults() {
-  local number
-  for number in $(seq $pairs); do
-    curl -sf -o /dev/null --data-binary "$1" \
-      "http://$(address "$number" 7305)/standin/faults" || return 1
-  done
-}
-
 # peak: the most memory in MB that any daemon has used since reset_peak.
 peak() {
   local number
--- a/tests/daemon/faultyservers.sh
+++ b/tests/daemon/faultyservers.sh
@@ -33,16 +33,6 @@
 }
 start_deployment
 
-# set_faults FAULT: sets the faults of all servers' further answers.
-set_faults() {
-  local number faults=${1#*@}
-  [ "$faults" = none ] && faults=
-  for number in $(seq $pairs); do
-    curl -sf -o /dev/null --data-binary "$faults" \
-      "http://$(address "$number" 7305)/standin/faults" || return 1
-  done
-}
-
 arguments=()
 for number in $(seq $pairs); do
   arguments+=(--node "$(address "$number" 7301)"
@@ -51,7 +41,8 @@
 failed=0
 for index in "${!faults[@]}"; do
   fault=${faults[$index]}
-  if ! set_faults "$fault"; then
+  faults_text=${fault#*@}
+  if ! set_faults "${faults_text#none}"; then
     echo "BROKEN the servers do not take the faults $fault"
     failed=1
     continue
@@ -70,7 +61,7 @@
   wait "$load" || failed=1
   echo "$fault, seed $seed, $seconds s: $(tail -n 1 "$folder/load-$index")"
   head -n -1 "$folder/load-$index"
-  set_faults none
+  set_faults ""
   until_true 20 ready || failed=1
 done
 if [ -n "${KEEP:-}" ]; then
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1493,11 +1493,11 @@
   };
   auto statusOf = [&](Tcp::socket& aSocket) {
     boost::beast::flat_buffer buffer;
-    HttpResponse response;
+    http::response_parser<http::string_body> parser;
     boost::system::error_code error;
-    http::read(aSocket, buffer, response, error);
+    http::read(aSocket, buffer, parser, error);
     REQUIRE_FALSE(error);
-    return response.result_int();
+    return parser.get().result_int();
   };
   Tcp::socket first(fixture.context);
   send(first, "r1", "GET /look/1", milliseconds(2000));
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -1265,8 +1265,9 @@
                                     "Transfer-Encoding: chunked\r\n" }) {
     GIVEN(fields)
     {
-      fixture.Send("POST /outer HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n" +
-                   inner);
+      std::string text = "POST /outer HTTP/1.1\r\nHost: a\r\n";
+      text.append(fields).append("\r\n").append(inner);
+      fixture.Send(text);
       fixture.Run();
       CHECK(fixture.exchanges.empty());
       CHECK(fixture.received.compare(0, 12, "HTTP/1.1 400") == 0);
