--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -2,211 +2,17 @@
 
 #include <catch2/catch.hpp>
 
-#include "http/http.h"
+#include "http/callfixture.h"
 #include "http/serverfixture.h"
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
 
-namespace {
-
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** A server that responds to each request with the next of the given texts. */
-class ScriptedPeer
-{
-public:
-  ScriptedPeer(asio::io_context& aContext, std::vector<std::string> aResponses)
-    : acceptor(aContext, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-    , responses(std::move(aResponses))
-  {
-    this->Accept();
-  }
-
-  Tcp::endpoint Address() const { return this->acceptor.local_endpoint(); }
-
-  /** Sends something that belongs to no request. */
-  void SendToLastClient(const std::string& aText)
-  {
-    auto client = this->lastClient.lock();
-    REQUIRE(client != nullptr);
-    asio::write(client->socket, asio::buffer(aText));
-  }
-
-  bool closeAfterResponse = false;
-  int connections = 0;
-  int requests = 0;
-  bool clientDisconnected = false;
-
-private:
-  struct Client
-  {
-    explicit Client(Tcp::socket aSocket)
-      : socket(std::move(aSocket))
-    {
-    }
-    Tcp::socket socket;
-    std::string text;
-  };
-
-  void Accept()
-  {
-    this->acceptor.async_accept(
-      [this](boost::system::error_code aError, Tcp::socket aSocket) {
-        if (!aError) {
-          ++this->connections;
-          auto client = std::make_shared<Client>(std::move(aSocket));
-          this->lastClient = client;
-          this->Read(client);
-          this->Accept();
-        }
-      });
-  }
-
-  void Read(const std::shared_ptr<Client>& aClient)
-  {
-    asio::async_read_until(
-      aClient->socket,
-      asio::dynamic_buffer(aClient->text),
-      "\r\n\r\n",
-      [this, aClient](boost::system::error_code aError, size_t aSize) {
-        if (aError) {
-          this->clientDisconnected = true;
-          return;
-        }
-        aClient->text.erase(0, aSize);
-        std::string text =
-          static_cast<size_t>(this->requests) < this->responses.size()
-            ? this->responses[this->requests]
-            : "";
-        ++this->requests;
-        asio::write(aClient->socket, asio::buffer(text));
-        if (this->closeAfterResponse) {
-          return;
-        }
-        this->Read(aClient);
-      });
-  }
-
-  Tcp::acceptor acceptor;
-  std::weak_ptr<Client> lastClient;
-  std::vector<std::string> responses;
-};
-
-/** Stores the response or the failure of a call. */
-struct CollectedResponse : ResponseReceiver
-{
-  std::optional<HttpResponse> response;
-  std::optional<ResponseHeaders> headers;
-  std::string chunks;
-  bool ended = false;
-  std::optional<CallFailure> failure;
-
-  void OnCompleteResponse(HttpResponse aResponse) override
-  {
-    this->response = aResponse;
-  }
-  void OnHeaders(ResponseHeaders aHeaders) override
-  {
-    this->headers = aHeaders;
-  }
-  void OnBodyChunk(asio::const_buffer aChunk,
-                   std::function<void()> aNext) override
-  {
-    this->chunks.append(static_cast<const char*>(aChunk.data()), aChunk.size());
-    aNext();
-  }
-  void OnBodyEnd() override { this->ended = true; }
-  void OnFailure(const CallFailure& aFailure) override
-  {
-    this->failure = aFailure;
-  }
-  bool IsComplete() const
-  {
-    return this->response || this->ended || this->failure.has_value();
-  }
-};
-
-HttpRequest
-RequestOf(const std::string& aId)
-{
-  HttpRequest request(http::verb::get, "/x", 11);
-  request.set(http::field::host, "a.example");
-  request.set("X-Id", aId);
-  return request;
-}
-
-std::string
-ResponseText(const std::string& aId, const std::string& aBody)
-{
-  return "HTTP/1.1 200 OK\r\nX-Id: " + aId +
-         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
-         aBody;
-}
-
-/** A context and a connection pool, run by the test. */
-struct Fixture
-{
-  asio::io_context context{ 1 };
-  ConnectionPool pool{ context };
-  std::vector<UnexpectedData> unexpected;
-
-  Fixture()
-  {
-    this->pool.onUnexpectedData = [this](const UnexpectedData& aData) {
-      this->unexpected.push_back(aData);
-    };
-  }
-
-  /** Whether the only data that no request waited for was of this kind. */
-  bool HasReported(UnexpectedData::Kind aKind, bool aAccepted) const
-  {
-    return this->unexpected.size() == 1 && this->unexpected[0].kind == aKind &&
-           this->unexpected[0].accepted == aAccepted;
-  }
-
-  std::shared_ptr<CollectedResponse> Call(
-    const Tcp::endpoint& aPeer,
-    const std::string& aId,
-    Duration aTimeout = seconds(2),
-    std::optional<Duration> aStallTimeout = std::nullopt)
-  {
-    return this->Call(aPeer, RequestOf(aId), aTimeout, aStallTimeout);
-  }
-
-  std::shared_ptr<CollectedResponse> Call(
-    const Tcp::endpoint& aPeer,
-    HttpRequest aRequest,
-    Duration aTimeout = seconds(2),
-    std::optional<Duration> aStallTimeout = std::nullopt)
-  {
-    CallOptions options;
-    options.timeout = aTimeout;
-    options.stallTimeout = aStallTimeout;
-    options.correlationField = "X-Id";
-    options.mayRepeatResponses = true;
-    options.mayProcessPart = true;
-    auto collected = std::make_shared<CollectedResponse>();
-    UpstreamCall::Start(
-      this->pool, aPeer, std::move(aRequest), options, collected);
-    this->RunUntil([&] { return collected->IsComplete(); });
-    return collected;
-  }
-
-  void RunUntil(const std::function<bool()>& aCondition)
-  {
-    auto end = std::chrono::steady_clock::now() + seconds(5);
-    while (!aCondition() && std::chrono::steady_clock::now() < end) {
-      this->context.run_for(milliseconds(2));
-    }
-  }
-};
-
-} // namespace
-
 SCENARIO("A call returns the complete response to its own request", "[http]")
 {
-  Fixture fixture;
+  CallFixture fixture;
 
   GIVEN("two requests on a persistent connection")
   {
@@ -426,7 +232,7 @@
 SCENARIO("A response without an id is not taken for that of another request",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string kWithoutId =
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain";
 
@@ -549,7 +355,7 @@
          "attempt",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string kRefusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\n"
                                "Content-Length: 0\r\n\r\n";
 
@@ -594,7 +400,7 @@
          "after a HEAD request",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string kHead =
     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\n";
   auto request = RequestOf("1");
@@ -636,7 +442,7 @@
 SCENARIO("A request of which a part was sent may have been processed",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   ScriptedPeer peer(fixture.context, { "" });
   peer.closeAfterResponse = true;
   auto request = RequestOf("1");
@@ -656,7 +462,7 @@
          "no processor",
          "[http][stall]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   CallOptions options;
   auto collected = std::make_shared<CollectedResponse>();
 
@@ -692,7 +498,7 @@
 SCENARIO("The stated length of a response without a body has no effect",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string kLength = "X-Id: 1\r\nContent-Length: "
                               "18446744073709551614\r\n\r\n";
 
@@ -722,7 +528,7 @@
          "one",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string kHead = "HTTP/1.1 503 Service Unavailable\r\n"
                             "X-Not-Executed: 1\r\nServer: some\r\n";
   for (const auto& repeated :
@@ -754,7 +560,7 @@
 SCENARIO("A response that ends inside its head is not a response",
          "[http][mixed]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string kWhole = ResponseText("1", "one");
   auto end = kWhole.find("\r\n\r\n") + 4;
 
@@ -783,7 +589,7 @@
 
 SCENARIO("A call ends although its peer sends without end", "[http][endless]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -861,7 +667,7 @@
   "A call ends when what precedes or frames its response exceeds a limit",
   "[http][endless]")
 {
-  Fixture fixture;
+  CallFixture fixture;
   const std::string chunked = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
                               "Transfer-Encoding: chunked\r\n\r\n";
   for (const auto& [name, begin, repeated] :
