--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -339,7 +339,8 @@
                { "request", aData.requestId },
                { "response", aData.responseId },
                { "status", std::to_string(aData.status) },
-               { "accepted", aData.accepted ? "yes" : "no" } } };
+               { "accepted", aData.accepted ? "yes" : "no" },
+               { "reason", aData.reason } } };
   });
 }
 
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -50,6 +50,8 @@
       return "after-response";
     case UnexpectedData::Kind::WhileIdle:
       return "while-idle";
+    case UnexpectedData::Kind::Malformed:
+      return "malformed";
   }
   return "unknown";
 }
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -41,13 +41,15 @@
     TwoHeads,      ///< The heads of two responses, the first one cut off.
     AfterResponse, ///< Followed a complete response.
     WhileIdle,     ///< Arrived when no request waited.
+    Malformed,     ///< Cannot be parsed as a response.
   };
 
   Kind kind = Kind::OtherId;
   Tcp::endpoint peer;
   std::string requestId;  ///< Of the request that waits; empty if none.
   std::string responseId; ///< Of the response.
-  unsigned status = 0;    ///< Of the response.
+  unsigned status = 0;    ///< Of the response; 0 if it was not parsed.
+  std::string reason;     ///< Why malformed data could not be parsed.
   bool accepted = false;  ///< Taken as the response to the request.
 };
 
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -67,6 +67,16 @@
          std::regex_search(aText.begin(), aText.end(), kStatusLine);
 }
 
+/** Whether the bytes that were read are no response, rather than the beginning
+ * of one that broke off. */
+bool
+IsMalformed(const error_code& aError)
+{
+  return aError.category() == http::make_error_code(http::error{}).category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
 void
 SetOptions(Tcp::socket& aSocket, Duration aAckTimeout)
 {
@@ -238,6 +248,7 @@
 UpstreamCall::PrepareParser()
 {
   this->parser = std::make_unique<Parser>();
+  this->parser->get().result(0U); // Until the status line is parsed.
   this->parser->header_limit(kMaxHeaderBytes);
   this->parser->body_limit(std::numeric_limits<uint64_t>::max());
   if (this->request.method() == http::verb::head) {
@@ -310,7 +321,9 @@
 }
 
 void
-UpstreamCall::ReportUnexpected(UnexpectedData::Kind aKind, bool aAccepted) const
+UpstreamCall::ReportUnexpected(UnexpectedData::Kind aKind,
+                               bool aAccepted,
+                               const std::string& aReason) const
 {
   UnexpectedData data;
   data.kind = aKind;
@@ -322,6 +335,7 @@
   }
   data.status = this->parser->get().result_int();
   data.accepted = aAccepted;
+  data.reason = aReason;
   this->pool.Report(data);
 }
 
@@ -534,6 +548,10 @@
 {
   this->ended = true;
   this->timer.cancel();
+  if (IsMalformed(aError)) {
+    this->ReportUnexpected(
+      UnexpectedData::Kind::Malformed, false, aError.message());
+  }
   error_code ignored; // The socket is closed in any case.
   this->connection->socket.close(ignored);
   CallFailure failure;
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -98,7 +98,9 @@
   /** Whether the connection may carry further requests. */
   bool IsReusable() const;
   /** Reports data that may not belong to the request. */
-  void ReportUnexpected(UnexpectedData::Kind aKind, bool aAccepted) const;
+  void ReportUnexpected(UnexpectedData::Kind aKind,
+                        bool aAccepted,
+                        const std::string& aReason = "") const;
   void PrepareParser();
   HttpResponse TakeResponse();
 
