--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -247,8 +247,7 @@
 void
 UpstreamCall::PrepareParser()
 {
-  this->parser = std::make_unique<Parser>();
-  this->parser->get().result(0U); // Until the status line is parsed.
+  this->parser = std::make_unique<ResponseParser>();
   this->parser->header_limit(kMaxHeaderBytes);
   this->parser->body_limit(std::numeric_limits<uint64_t>::max());
   if (this->request.method() == http::verb::head) {
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -6,6 +6,7 @@
 
 #include "http/connectionpool.h"
 #include "http/messages.h"
+#include "http/responseparser.h"
 
 namespace fescuetiller {
 
@@ -62,8 +63,6 @@
   void Cancel();
 
 private:
-  using Parser = http::response_parser<http::buffer_body>;
-
   UpstreamCall(ConnectionPool& aPool,
                const Tcp::endpoint& aPeer,
                HttpRequest aRequest,
@@ -111,7 +110,7 @@
   std::shared_ptr<ResponseReceiver> receiver;
   asio::steady_timer timer;
   std::unique_ptr<Connection> connection;
-  std::unique_ptr<Parser> parser;
+  std::unique_ptr<ResponseParser> parser;
   std::string body;     ///< Buffer for the whole body or one chunk.
   size_t bodyBytes = 0; ///< Bytes of a whole body.
   Time startedAt;
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -4,6 +4,54 @@
 
 using namespace fescuetiller; // NOLINT(google-build-using-namespace)
 
+namespace {
+
+/** Whether a response of a peer fails its call, is reported as malformed, and
+ * spoils neither the next call nor a later one over the same connection.
+ * @param aReused Whether the connection has carried another response before. */
+bool
+FailsAlone(const std::string& aResponse, HttpRequest aRequest, bool aReused)
+{
+  CallFixture fixture;
+  std::vector<std::string> responses{ aResponse, ResponseText("2", "two") };
+  if (aReused) {
+    responses.insert(responses.begin(), ResponseText("0", "zero"));
+  }
+  ScriptedPeer peer(fixture.context, responses);
+  if (aReused) {
+    REQUIRE(fixture.Call(peer.Address(), "0")->response);
+  }
+  auto call = fixture.Call(peer.Address(), std::move(aRequest));
+  auto next = fixture.Call(peer.Address(), "2");
+  return call->failure && !call->failure->timedOut &&
+         call->failure->stage != CallStage::NotSent && !call->response &&
+         !call->ended &&
+         fixture.HasReported(UnexpectedData::Kind::Malformed, false) &&
+         next->response && next->response->body() == "two" &&
+         peer.connections == 2;
+}
+
+/** Checks that a response to a GET and to a HEAD request is recognized as
+ * malformed, on a new and on a used connection. */
+void
+CheckIsMalformed(const std::string& aResponse)
+{
+  auto headRequest = RequestOf("1");
+  headRequest.method(http::verb::head);
+  CAPTURE(aResponse);
+  CHECK(FailsAlone(aResponse, RequestOf("1"), false));
+  CHECK(FailsAlone(aResponse, RequestOf("1"), true));
+  CHECK(FailsAlone(aResponse, headRequest, false));
+}
+
+std::string
+ResponseWithStatus(const std::string& aStatus)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+} // namespace
+
 // Guards against operators who cannot see that a server sends malformed
 // responses: log and metrics only told that a response was missing.
 SCENARIO("Data that cannot be parsed as a response is reported",
@@ -44,3 +92,54 @@
     }
   }
 }
+
+// Guards against clients that got a response with a status such as 000, which
+// a server in trouble had sent: the parser accepts any three digits.
+SCENARIO("A response whose status is out of range is not passed on",
+         "[http][malformed]")
+{
+  for (const char* status : { "000", "001", "099", "600", "601", "999" }) {
+    CheckIsMalformed(ResponseWithStatus(std::string(status) + " Some"));
+  }
+  GIVEN("statuses at the ends of the range, also unknown ones")
+  {
+    for (const char* status : { "200", "299", "420", "599" }) {
+      CallFixture fixture;
+      ScriptedPeer peer(fixture.context,
+                        { ResponseWithStatus(std::string(status) + " Some") });
+      auto call = fixture.Call(peer.Address(), "1");
+      REQUIRE(call->response);
+      CHECK(std::to_string(call->response->result_int()) == status);
+      CHECK(call->response->body() == "body");
+    }
+  }
+  GIVEN("one that is out of range in an interim position")
+  {
+    CheckIsMalformed("HTTP/1.1 099 Some\r\n\r\n" + ResponseText("1", "one"));
+  }
+}
+
+// Guards against a status line that is passed on although it is none.
+SCENARIO("A malformed status line is not passed on", "[http][malformed]")
+{
+  for (const char* line : { "HTTP/1.1 20 OK",
+                            "HTTP/1.1 2000 OK",
+                            "HTTP/1.1 -20 OK",
+                            "HTTP/1.1 2x0 OK",
+                            "HTTP/1.1  200 OK",
+                            "HTTP/1.1 200",
+                            "HTTP/1.1200 OK",
+                            "HTTP/1.1 OK",
+                            "HTTP/1.2 200 OK",
+                            "HTTP/2.0 200 OK",
+                            "HTTP/11 200 OK",
+                            "http/1.1 200 OK",
+                            " HTTP/1.1 200 OK",
+                            "\r\nHTTP/1.1 200 OK",
+                            "HTTP/1.1 200 O\1K",
+                            "HTTP/1.1 200 OK\r",
+                            "HTTP/1.1 200 OK\nX-A: b" }) {
+    CheckIsMalformed(std::string(line) +
+                     "\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody");
+  }
+}
