--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -225,13 +225,7 @@
         return;
       }
       if (aError) {
-        // If the peer responds before it has read a long body and then resets
-        // the connection, the error is ignored and the response is read.
-        if (self->stage == CallStage::Sent) {
-          bool mayBeProcessed = self->options.mayProcessPart && aSize > 0;
-          self->stage = mayBeProcessed ? CallStage::Sent : CallStage::NotSent;
-          self->Fail("send request", aError);
-        }
+        self->OnWriteFailed(aError, aSize);
         return;
       }
       self->requestWritten = true;
@@ -244,6 +238,30 @@
   }
 }
 
+void
+UpstreamCall::OnWriteFailed(const error_code& aError, size_t aSize)
+{
+  if (this->stage == CallStage::ResponseStarted) {
+    // The peer need not read a long body before it responds. Whether the
+    // response is complete is decided when it ends.
+    this->writeError = aError;
+    return;
+  }
+  bool mayBeProcessed = this->options.mayProcessPart && aSize > 0;
+  this->stage = mayBeProcessed ? CallStage::Sent : CallStage::NotSent;
+  this->Fail("send request", aError);
+}
+
+bool
+UpstreamCall::IsEndLost() const
+{
+  // The system reports the failure of a connection to one operation only. If
+  // that was the write, reading ends as if the peer had closed the connection.
+  // A broken pipe is reported if the peer did so before the connection failed.
+  return this->parser->need_eof() && this->writeError &&
+         this->writeError != asio::error::broken_pipe;
+}
+
 void
 UpstreamCall::PrepareParser()
 {
@@ -443,6 +461,10 @@
                        self->Fail("read answer", aError);
                        return;
                      }
+                     if (self->parser->is_done() && self->IsEndLost()) {
+                       self->Fail("read answer", self->writeError);
+                       return;
+                     }
                      read(self->body.size() - self->parser->get().body().size);
                    });
 }
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -74,6 +74,11 @@
   /** Sends the request unless the call's timeout has passed. */
   void Send();
   void WriteRequest();
+  /** @param aSize Number of bytes that were written. */
+  void OnWriteFailed(const boost::system::error_code& aError, size_t aSize);
+  /** Whether the end of a response that ends with its connection may be due to
+   * a failure of the connection. */
+  bool IsEndLost() const;
   void ReadHeaders();
   void OnHeaders();
   /** Reads and discards a response to another request. */
@@ -116,6 +121,8 @@
   Time startedAt;
   CallStage stage = CallStage::NotSent;
   bool requestWritten = false;
+  /** Of the request, if the response had begun before it was written. */
+  boost::system::error_code writeError;
   bool withdrawn = false;  ///< The request may no longer be sent.
   size_t skippedBytes = 0; ///< Of the bodies of responses to other requests.
   size_t interimResponses = 0;
