--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -1,5 +1,8 @@
 #include "http/responseparser.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace fescuetiller {
 
 namespace {
@@ -10,7 +13,8 @@
 
 } // namespace
 
-ResponseParser::ResponseParser()
+ResponseParser::ResponseParser(const boost::beast::flat_buffer& aInput)
+  : input(aInput)
 {
   this->get().result(0U); // Until the status line is parsed.
 }
@@ -31,4 +35,32 @@
   }
 }
 
+void
+ResponseParser::on_field_impl(http::field aName,
+                              View aNameText,
+                              View aValue,
+                              ErrorCode& aError)
+{
+  aError = {};
+  if (this->IsFolded(aNameText, aValue)) {
+    aError = http::error::bad_value;
+    return;
+  }
+  this->get().insert(aName, aNameText, aValue);
+}
+
+bool
+ResponseParser::IsFolded(View aNameText, View aValue) const
+{
+  // Beast joins the lines of a folded value without telling so. It copies the
+  // value, unless all lines but one are empty. Other values are part of the
+  // input, on the line of their name.
+  const auto* begin = static_cast<const char*>(this->input.data().data());
+  const auto* end = begin + this->input.size();
+  const std::less<> isBefore; // Also compares pointers to different arrays.
+  bool isCopied = isBefore(aValue.data(), begin) || isBefore(end, aValue.end());
+  const auto* nameEnd = aNameText.end();
+  return isCopied || std::find(nameEnd, aValue.begin(), '\r') != aValue.begin();
+}
+
 } // namespace fescuetiller
--- a/src/http/responseparser.h
+++ b/src/http/responseparser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/beast/core/flat_buffer.hpp>
+
 #include "http/messages.h"
 
 namespace fescuetiller {
@@ -11,7 +13,9 @@
 class ResponseParser : public http::response_parser<http::buffer_body>
 {
 public:
-  ResponseParser();
+  /** @param aInput The buffer whose data the parser gets. Must exist while
+   * the parser is used. */
+  explicit ResponseParser(const boost::beast::flat_buffer& aInput);
 
 private:
   using ErrorCode = boost::system::error_code;
@@ -21,6 +25,15 @@
                         View aReason,
                         int aVersion,
                         ErrorCode& aError) override;
+  void on_field_impl(http::field aName,
+                     View aNameText,
+                     View aValue,
+                     ErrorCode& aError) override;
+
+  /** Whether the value continues on another line (obsolete line folding). */
+  bool IsFolded(View aNameText, View aValue) const;
+
+  const boost::beast::flat_buffer& input;
 };
 
 } // namespace fescuetiller
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -265,7 +265,7 @@
 void
 UpstreamCall::PrepareParser()
 {
-  this->parser = std::make_unique<ResponseParser>();
+  this->parser = std::make_unique<ResponseParser>(this->connection->buffer);
   this->parser->header_limit(kMaxHeaderBytes);
   this->parser->body_limit(std::numeric_limits<uint64_t>::max());
   if (this->request.method() == http::verb::head) {
--- a/tests/http/callfixture.h
+++ b/tests/http/callfixture.h
@@ -193,6 +193,24 @@
     return collected;
   }
 
+  /** Calls a peer whose response arrives byte by byte. */
+  std::shared_ptr<CollectedResponse> CallInPieces(const std::string& aResponse)
+  {
+    ScriptedPeer peer(this->context, { "" });
+    auto collected = std::make_shared<CollectedResponse>();
+    UpstreamCall::Start(
+      this->pool, peer.Address(), RequestOf("1"), CallOptions(), collected);
+    this->RunUntil([&] { return peer.requests == 1; });
+    for (char byte : aResponse) {
+      if (!collected->IsComplete()) {
+        peer.SendToLastClient(std::string(1, byte));
+        this->context.poll();
+      }
+    }
+    this->RunUntil([&] { return collected->IsComplete(); });
+    return collected;
+  }
+
   void RunUntil(const std::function<bool()>& aCondition)
   {
     auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -143,3 +143,92 @@
                      "\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody");
   }
 }
+
+// Guards against clients that got another signature than the server's: the
+// parser joins a line that begins with a blank to the field before it.
+SCENARIO("A response with a folded header line is not passed on",
+         "[http][malformed]")
+{
+  const std::string kStatus = "HTTP/1.1 200 OK\r\n";
+  const std::string kFields = "X-Id: 1\r\nContent-Length: 3\r\n";
+  const std::string kEnd = "\r\none";
+
+  GIVEN("a folded line")
+  {
+    for (const char* lines : { "X-Signature: a\r\n b\r\n",
+                               "X-Signature: a\r\n\tb\r\n",
+                               "X-Signature: a\r\n  b\r\n c\r\n",
+                               "X-Signature: a\r\n X-B: c\r\n",
+                               "X-Signature:\r\n a\r\n",
+                               "X-Signature: a\r\n \r\n",
+                               "X-Signature: a\r\n\t\r\n",
+                               "X-Signature:\r\n \r\n",
+                               "X-Signature:\r\n \t\r\n a\r\n" }) {
+      CheckIsMalformed(kStatus + lines + kFields + kEnd);
+      CheckIsMalformed(kStatus + kFields + lines + kEnd);
+    }
+  }
+  GIVEN("one behind the status line")
+  {
+    CheckIsMalformed(kStatus + " X-A: b\r\n" + kFields + kEnd);
+  }
+  GIVEN("one in the id")
+  {
+    CheckIsMalformed(kStatus + "Content-Length: 3\r\nX-Id:\r\n 1\r\n" + kEnd);
+  }
+  GIVEN("one in an interim response")
+  {
+    CheckIsMalformed("HTTP/1.1 103 Early Hints\r\nLink: a\r\n b\r\n\r\n" +
+                     kStatus + kFields + kEnd);
+  }
+  GIVEN("one in a trailer")
+  {
+    CallFixture fixture;
+    ScriptedPeer peer(fixture.context,
+                      { kStatus +
+                        "X-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "3\r\none\r\n0\r\nA: b\r\n c\r\n\r\n" });
+    auto call = fixture.Call(peer.Address(), "1");
+    CHECK_FALSE(call->ended);
+    CHECK(call->failure);
+    CHECK(fixture.HasReported(UnexpectedData::Kind::Malformed, false));
+  }
+  GIVEN("a response that arrives byte by byte")
+  {
+    CallFixture fixture;
+    CHECK(fixture.CallInPieces(kStatus + "A: b\r\n c\r\n" + kFields + kEnd)
+            ->failure);
+    auto sound = fixture.CallInPieces(kStatus + "A:  b  c \t\r\nB:\r\nC: \r\n" +
+                                      kFields + kEnd);
+    REQUIRE(sound->response);
+    CHECK((*sound->response)["A"] == "b  c");
+    CHECK((*sound->response)["B"].empty());
+    CHECK((*sound->response)["C"].empty());
+  }
+}
+
+// Guards against header lines that are passed on although they are none.
+SCENARIO("A response with a malformed header line is not passed on",
+         "[http][malformed]")
+{
+  const std::string kFields = "X-Id: 1\r\nContent-Length: 3\r\n";
+  for (const std::string& line : { std::string("X-A : b"),
+                                   std::string("X A: b"),
+                                   std::string("X-A\t: b"),
+                                   std::string("X-\1A: b"),
+                                   std::string("X-A\0: b", 7),
+                                   std::string("X-\x7f: b"),
+                                   std::string("X-\xe4: b"),
+                                   std::string(": b"),
+                                   std::string("no colon"),
+                                   std::string("X(A): b"),
+                                   std::string("X-A: b\1"),
+                                   std::string("X-A: b\0", 7),
+                                   std::string("X-A: b\rX-B: c"),
+                                   std::string("X-A: b\nX-B: c"),
+                                   std::string("\nX-A: b") }) {
+    CheckIsMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\n" + kFields +
+                     "\r\none");
+    CheckIsMalformed("HTTP/1.1 200 OK\r\n" + kFields + line + "\r\n\r\none");
+  }
+}
