--- a/src/http/messages.cpp
+++ b/src/http/messages.cpp
@@ -1,5 +1,6 @@
 #include "http/messages.h"
 
+#include <iterator>
 #include <vector>
 
 #include <boost/lexical_cast/try_lexical_convert.hpp>
@@ -42,6 +43,17 @@
   }
 }
 
+bool
+HasUnknownCoding(const http::fields& aFields)
+{
+  auto codings = aFields.equal_range(http::field::transfer_encoding);
+  if (codings.first == codings.second) {
+    return false;
+  }
+  return std::next(codings.first) != codings.second ||
+         !boost::beast::iequals(codings.first->value(), "chunked");
+}
+
 HttpResponse
 TextResponse(unsigned aStatus, const std::string& aText)
 {
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -73,6 +73,11 @@
 void
 RemoveHopByHopFields(http::fields& aFields);
 
+/** Whether a message has a transfer coding other than a single "chunked", so
+ * that its body is unknown. */
+bool
+HasUnknownCoding(const http::fields& aFields);
+
 /** Makes a response with a plain text body. */
 HttpResponse
 TextResponse(unsigned aStatus, const std::string& aText);
--- a/src/http/requestparser.cpp
+++ b/src/http/requestparser.cpp
@@ -1,7 +1,5 @@
 #include "http/requestparser.h"
 
-#include <iterator>
-
 namespace fescuetiller {
 
 namespace {
@@ -91,12 +89,8 @@
 {
   // Beast takes a request whose last coding is not "chunked" for one without a
   // body, and removes no other coding.
-  auto codings = this->request.equal_range(http::field::transfer_encoding);
-  bool hasCoding = codings.first != codings.second;
-  bool isChunked = hasCoding && std::next(codings.first) == codings.second &&
-                   boost::beast::iequals(codings.first->value(), "chunked");
   aError = {};
-  if (hasCoding && !isChunked) {
+  if (HasUnknownCoding(this->request)) {
     aError = http::error::bad_transfer_encoding;
   }
 }
--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -10,6 +10,7 @@
 /** Range of the status codes that are defined (RFC 9110, section 15). */
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+constexpr unsigned kHttp11 = 11; ///< As Beast writes versions.
 
 } // namespace
 
@@ -49,6 +50,20 @@
   this->get().insert(aName, aNameText, aValue);
 }
 
+void
+ResponseParser::on_header_impl(ErrorCode& aError)
+{
+  // Beast reads a response whose last coding is not "chunked" until the end of
+  // the connection, and removes no other coding. HTTP/1.0 has no codings.
+  const auto& response = this->get();
+  bool hasCoding = response.count(http::field::transfer_encoding) > 0;
+  aError = {};
+  if (HasUnknownCoding(response) ||
+      (hasCoding && response.version() < kHttp11)) {
+    aError = http::error::bad_transfer_encoding;
+  }
+}
+
 bool
 ResponseParser::IsFolded(View aNameText, View aValue) const
 {
--- a/src/http/responseparser.h
+++ b/src/http/responseparser.h
@@ -29,6 +29,7 @@
                      View aNameText,
                      View aValue,
                      ErrorCode& aError) override;
+  void on_header_impl(ErrorCode& aError) override;
 
   /** Whether the value continues on another line (obsolete line folding). */
   bool IsFolded(View aNameText, View aValue) const;
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -232,3 +232,103 @@
     CheckIsMalformed("HTTP/1.1 200 OK\r\n" + kFields + line + "\r\n\r\none");
   }
 }
+
+// Guards against clients that got the framing of chunks as a part of the body:
+// the parser takes a response whose last transfer coding is not "chunked" for
+// one that ends with its connection, and the field is not passed on.
+SCENARIO("A response with an unknown transfer coding is not passed on",
+         "[http][malformed]")
+{
+  const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  const std::string kChunks = "\r\n3\r\none\r\n0\r\n\r\n";
+
+  for (const char* fields :
+       { "Transfer-Encoding:\r\n",
+         "Transfer-Encoding: ,\r\n",
+         "Transfer-Encoding: xchunked\r\n",
+         "Transfer-Encoding: chunkedx\r\n",
+         "Transfer-Encoding: chunked, identity\r\n",
+         "Transfer-Encoding: identity\r\n",
+         "Transfer-Encoding: gzip\r\n",
+         "Transfer-Encoding: gzip, chunked\r\n",
+         "Transfer-Encoding: chunked, chunked\r\n",
+         "Transfer-Encoding: chunked;a=b\r\n",
+         "Transfer-Encoding: \"chunked\"\r\n",
+         "Transfer-Encoding: chunked chunked\r\n",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding:\r\n",
+         "Transfer-Encoding: xchunked\r\nContent-Length: 3\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+         "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" }) {
+    CheckIsMalformed(kHead + fields + kChunks);
+  }
+  GIVEN("chunks in a response of HTTP/1.0, which does not know them")
+  {
+    CheckIsMalformed("HTTP/1.0 200 OK\r\nX-Id: 1\r\n"
+                     "Transfer-Encoding: chunked\r\n" +
+                     kChunks);
+  }
+  GIVEN("chunks, written in any case and with blanks")
+  {
+    for (const char* coding : { "chunked", "Chunked", "  CHUNKED \t" }) {
+      CallFixture fixture;
+      ScriptedPeer peer(
+        fixture.context,
+        { kHead + "transfer-encoding:" + coding + "\r\n" + kChunks });
+      auto call = fixture.Call(peer.Address(), "1");
+      CHECK(call->ended);
+      CHECK(call->chunks == "one");
+    }
+  }
+}
+
+// Guards against a body of another size than the server's.
+SCENARIO("A response with a malformed length or chunk is not passed on",
+         "[http][malformed]")
+{
+  const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+
+  for (const char* length : { "",
+                              "x",
+                              "-3",
+                              "+3",
+                              "0x3",
+                              "3 3",
+                              "3,",
+                              "3, 4",
+                              "3\r\nContent-Length: 4",
+                              "3.0",
+                              "99999999999999999999" }) {
+    CheckIsMalformed(kHead + "Content-Length: " + length + "\r\n\r\none");
+  }
+  GIVEN("chunks")
+  {
+    for (const char* chunks : { "\r\n",
+                                "x\r\none",
+                                "-3\r\none",
+                                "0x3\r\none\r\n0\r\n\r\n",
+                                "3 x\r\none",
+                                " 3\r\none",
+                                "3\none\n0\n\n\r\n",
+                                "3\r\nones\r\n0\r\n\r\n",
+                                "3\r\none0\r\n\r\n",
+                                "11111111111111113\r\none",
+                                "3;\r\none\r\n",
+                                "3;a=\r\none\r\n",
+                                "0\r\nno colon\r\n\r\n",
+                                "0\r\nA : b\r\n\r\n",
+                                "0\r\nContent-Length: 3\r\n\r\n" }) {
+      CallFixture fixture;
+      ScriptedPeer peer(
+        fixture.context,
+        { kHead + "Transfer-Encoding: chunked\r\n\r\n" + chunks });
+      auto call = fixture.Call(peer.Address(), "1");
+      CAPTURE(chunks);
+      CHECK_FALSE(call->ended);
+      REQUIRE(call->failure);
+      CHECK_FALSE(call->failure->timedOut);
+      CHECK(fixture.HasReported(UnexpectedData::Kind::Malformed, false));
+    }
+  }
+}
