--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -519,12 +519,23 @@
   finalReceiver->OnCompleteResponse(std::move(response));
 }
 
+bool
+UpstreamCall::MayHaveUnreadBody() const
+{
+  auto status = this->parser->get().result();
+  bool hasNoBody =
+    status == http::status::no_content || status == http::status::not_modified;
+  return hasNoBody && (this->parser->chunked() ||
+                       this->parser->content_length().value_or(0) > 0);
+}
+
 bool
 UpstreamCall::IsReusable() const
 {
   // Data that no request waits for makes the rest of the connection unsafe.
   if (!this->requestWritten || !this->parser->keep_alive() ||
-      this->parser->need_eof() || this->connection->buffer.size() > 0) {
+      this->parser->need_eof() || this->connection->buffer.size() > 0 ||
+      this->MayHaveUnreadBody()) {
     return false;
   }
   if (!this->options.mayRepeatResponses) {
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -99,6 +99,8 @@
   /** Whether the headers may consist of those of two responses, the first of
    * which was broken off. */
   bool MayBeTwoResponses() const;
+  /** Whether the response has no body, by its status, but states one. */
+  bool MayHaveUnreadBody() const;
   /** Whether the connection may carry further requests. */
   bool IsReusable() const;
   /** Reports data that may not belong to the request. */
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -332,3 +332,38 @@
     }
   }
 }
+
+// Guards against a request that fails for the response to another one: a server
+// sent a body late where none may follow, and it was read at the place of the
+// next response.
+SCENARIO("A connection is not used again if a body may follow that is not read",
+         "[http][malformed]")
+{
+  CallFixture fixture;
+
+  for (const char* status : { "204 No Content", "304 Not Modified" }) {
+    for (const char* field :
+         { "Content-Length: 13\r\n", "Transfer-Encoding: chunked\r\n" }) {
+      GIVEN(std::string(status) + ", " + field)
+      {
+        ScriptedPeer peer(fixture.context,
+                          { std::string("HTTP/1.1 ") + status +
+                            "\r\nX-Id: 1\r\n" + field + "\r\n" });
+        auto call = fixture.Call(peer.Address(), "1");
+        REQUIRE(call->response);
+        CHECK(call->response->body().empty());
+        CHECK(fixture.pool.Take(peer.Address(), BootClock::now()) == nullptr);
+      }
+    }
+    for (const char* field : { "", "Content-Length: 0\r\n" }) {
+      GIVEN(std::string(status) + ", no body is stated " + field)
+      {
+        ScriptedPeer peer(fixture.context,
+                          { std::string("HTTP/1.1 ") + status +
+                            "\r\nX-Id: 1\r\n" + field + "\r\n" });
+        REQUIRE(fixture.Call(peer.Address(), "1")->response);
+        CHECK(fixture.pool.Take(peer.Address(), BootClock::now()) != nullptr);
+      }
+    }
+  }
+}
