--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -10,6 +10,8 @@
 /** Range of the status codes that are defined (RFC 9110, section 15). */
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+/** Requests never ask for it, and what follows is not HTTP. */
+constexpr int kSwitchingProtocols = 101;
 constexpr unsigned kHttp11 = 11; ///< As Beast writes versions.
 
 } // namespace
@@ -31,7 +33,7 @@
   this->get().version(static_cast<unsigned>(aVersion));
   bool isDefined = kFirstStatus <= aCode && aCode <= kLastStatus;
   aError = {};
-  if (!isDefined) {
+  if (!isDefined || aCode == kSwitchingProtocols) {
     aError = http::error::bad_status;
   }
 }
@@ -54,13 +56,18 @@
 ResponseParser::on_header_impl(ErrorCode& aError)
 {
   // Beast reads a response whose last coding is not "chunked" until the end of
-  // the connection, and removes no other coding. HTTP/1.0 has no codings.
+  // the connection, and removes no other coding. HTTP/1.0 has no codings. A
+  // body that follows an interim response would be read as the next response.
   const auto& response = this->get();
+  bool isInterim = http::to_status_class(response.result_int()) ==
+                   http::status_class::informational;
   bool hasCoding = response.count(http::field::transfer_encoding) > 0;
   aError = {};
   if (HasUnknownCoding(response) ||
-      (hasCoding && response.version() < kHttp11)) {
+      (hasCoding && (isInterim || response.version() < kHttp11))) {
     aError = http::error::bad_transfer_encoding;
+  } else if (isInterim && this->content_length().value_or(0) > 0) {
+    aError = http::error::bad_content_length;
   }
 }
 
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -367,3 +367,34 @@
     }
   }
 }
+
+// Guards against a body that is taken for the response: no body may follow an
+// interim response, and behind 101 the connection no longer carries HTTP.
+SCENARIO("What follows a malformed interim response is not the response",
+         "[http][malformed]")
+{
+  const std::string kFinal = ResponseText("1", "one");
+
+  for (const char* interim : { "103 Early Hints\r\nContent-Length: 60\r\n",
+                               "100 Continue\r\nTransfer-Encoding: chunked\r\n",
+                               "101 Switching Protocols\r\nUpgrade: other\r\n",
+                               "101 Switching Protocols\r\n" }) {
+    CheckIsMalformed(std::string("HTTP/1.1 ") + interim + "\r\n" + kFinal);
+  }
+  GIVEN("sound interim responses")
+  {
+    for (const char* interim : { "100 Continue\r\n",
+                                 "102 Processing\r\n",
+                                 "103 Early Hints\r\nLink: a\r\n",
+                                 "199 Some\r\nContent-Length: 0\r\n" }) {
+      CallFixture fixture;
+      ScriptedPeer peer(
+        fixture.context,
+        { std::string("HTTP/1.1 ") + interim + "\r\n" + kFinal });
+      auto call = fixture.Call(peer.Address(), "1");
+      REQUIRE(call->response);
+      CHECK(call->response->body() == "one");
+      CHECK(call->response->count("Link") == 0);
+    }
+  }
+}
