--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -49,7 +49,9 @@
     aError = http::error::bad_value;
     return;
   }
-  this->get().insert(aName, aNameText, aValue);
+  if (!this->is_header_done()) { // Otherwise it is a trailer.
+    this->get().insert(aName, aNameText, aValue);
+  }
 }
 
 void
--- a/src/http/responseparser.h
+++ b/src/http/responseparser.h
@@ -8,7 +8,8 @@
 
 /**
  * Parser of a response that refuses what Beast's own one accepts although it is
- * no well-formed response. The body is read into the caller's buffer.
+ * no well-formed response. Trailers are checked, but not kept. The body is read
+ * into the caller's buffer.
  */
 class ResponseParser : public http::response_parser<http::buffer_body>
 {
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -398,3 +398,21 @@
     }
   }
 }
+
+// Guards against a trailer that is taken for a field of the head: a response
+// without an id counts only on a connection that is then closed.
+SCENARIO("Trailers do not change what the head of a response says",
+         "[http][malformed]")
+{
+  CallFixture fixture;
+  ScriptedPeer peer(fixture.context,
+                    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "3\r\none\r\n0\r\nX-Id: 1\r\nX-Not-Executed: 1\r\n\r\n",
+                      ResponseText("2", "two") });
+  auto call = fixture.Call(peer.Address(), "1");
+  CHECK(call->ended);
+  CHECK(call->chunks == "one");
+  CHECK(call->headers->message.count("X-Not-Executed") == 0);
+  REQUIRE(fixture.Call(peer.Address(), "2")->response);
+  CHECK(peer.connections == 2);
+}
