--- a/tests/standins/answerfaults.cpp
+++ b/tests/standins/answerfaults.cpp
@@ -33,8 +33,14 @@
   { AnswerFault::EndlessUnframed, "endless-unframed" },
   { AnswerFault::EndlessTrailer, "endless-trailer" },
   { AnswerFault::EndlessAfter, "endless-after" },
+  { AnswerFault::BadStatus, "bad-status" },
+  { AnswerFault::BadField, "bad-field" },
+  { AnswerFault::FoldedField, "folded-field" },
+  { AnswerFault::BadCoding, "bad-coding" },
+  { AnswerFault::EarlyCut, "early-cut" },
   { AnswerFault::Chunked, "chunked" },
   { AnswerFault::Unframed, "unframed" },
+  { AnswerFault::Early, "early" },
 };
 
 const AnswerFault*
--- a/tests/standins/answerfaults.h
+++ b/tests/standins/answerfaults.h
@@ -36,8 +36,15 @@
   EndlessUnframed,   ///< A body without a length and without end.
   EndlessTrailer,    ///< The whole body, then trailers without end.
   EndlessAfter,      ///< The whole answer, then further bytes without end.
+  BadStatus,         ///< A status that is none.
+  BadField,          ///< A header line that is none.
+  FoldedField,       ///< A header line that begins with a blank.
+  BadCoding,         ///< Chunks, and an unknown transfer coding.
+  EarlyCut,          ///< Before it has read a long request: as Reset, or it
+                     ///< closes with bytes unread.
   Chunked,           ///< No fault: the answer comes in chunks.
   Unframed,          ///< No fault: the answer ends with its connection.
+  Early,             ///< No fault: the same, before it has read a long request.
 };
 
 /**
--- a/tests/standins/checkedrequest.cpp
+++ b/tests/standins/checkedrequest.cpp
@@ -1,5 +1,6 @@
 #include "standins/checkedrequest.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include "platform/platform.h"
@@ -108,6 +109,8 @@
   }
   if (booking) {
     request.body() = "booking";
+    request.body().resize(std::max(request.body().size(), aRequest.uploadBytes),
+                          'x');
   }
   request.keep_alive(aKeepAlive);
   request.prepare_payload();
--- a/tests/standins/checkedrequest.h
+++ b/tests/standins/checkedrequest.h
@@ -33,8 +33,9 @@
 {
   std::string id;
   Question question = Question::Lookup;
-  size_t bodyBytes = 0; ///< Of the body that is asked for.
-  bool old = false;     ///< Sent as HTTP/1.0.
+  size_t bodyBytes = 0;   ///< Of the body that is asked for.
+  size_t uploadBytes = 0; ///< Of the request's own body; 0: a short one.
+  bool old = false;       ///< Sent as HTTP/1.0.
   Reply reply = Reply::None;
   unsigned status = 0;
   bool withoutId = false; ///< The answer did not name its request.
--- a/tests/standins/checkingclient.cpp
+++ b/tests/standins/checkingclient.cpp
@@ -28,6 +28,10 @@
 /** One of so many answers is long, so that daemons pass it on in pieces. */
 constexpr unsigned kLongShare = 10;
 constexpr size_t kLongBytes = 80000;
+/** One of so many bookings is long, if any are. */
+constexpr unsigned kUploadShare = 2;
+constexpr size_t kLeastUploadBytes = 1024 * 1024;
+constexpr size_t kMostUploadBytes = 6 * 1024 * 1024;
 constexpr size_t kReadBytes = 16 * 1024;
 /** Longer answers are given up. */
 constexpr size_t kMaxAnswerBytes = 1024 * 1024;
@@ -126,6 +130,11 @@
   if (HasRoute(request) && this->random() % kLongShare == 0) {
     request.bodyBytes = kLongBytes;
   }
+  if (this->options.uploads && request.question == Question::Booking &&
+      this->random() % kUploadShare == 0) {
+    request.uploadBytes = std::uniform_int_distribution<size_t>(
+      kLeastUploadBytes, kMostUploadBytes)(this->random);
+  }
   return request;
 }
 
--- a/tests/standins/checkingclient.h
+++ b/tests/standins/checkingclient.h
@@ -16,7 +16,8 @@
   std::string name; ///< Beginning of its requests' ids.
   std::vector<std::string> nodes;
   uint32_t seed = 1;
-  bool old = false; ///< Sends HTTP/1.0, each request over a new connection.
+  bool old = false;     ///< Sends HTTP/1.0, each request over a new connection.
+  bool uploads = false; ///< Whether some of its bookings are long.
 };
 
 /**
--- a/tests/standins/checkingload.cpp
+++ b/tests/standins/checkingload.cpp
@@ -35,6 +35,7 @@
   add("old-clients",
       options::value<uint32_t>()->default_value(0),
       "further ones that speak HTTP/1.0");
+  add("uploads", options::bool_switch(), "send long bookings, too");
   add("seconds", options::value<uint32_t>()->default_value(8), "how long");
   add("least-served",
       options::value<double>()->default_value(0.2),
@@ -54,6 +55,7 @@
     // Neighbouring seeds of runs must not share their clients' seeds.
     settings.seed = values["seed"].as<uint32_t>() * 1000 + i;
     settings.old = i >= newClients;
+    settings.uploads = values["uploads"].as<bool>();
     auto& client = clients.emplace_back(settings);
     threads.emplace_back([&client, end] { client.Run(end); });
   }
--- a/tests/standins/faultysession.cpp
+++ b/tests/standins/faultysession.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <sstream>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -26,6 +27,19 @@
 /** Time that the peer has to read the bytes before a reset. */
 constexpr Duration kResetPause = milliseconds(2);
 
+/** Requests from this size on may get an early answer. */
+constexpr uint64_t kLongRequestBytes = 256 * 1024;
+constexpr size_t kReadBytes = 64 * 1024;
+constexpr const char* kBadStatuses[] = { "000", "099", "600",
+                                         "999", "20",  "2000" };
+constexpr const char* kBadLines[] = { "X A: b",    "X-\1A: b", "X-A : b",
+                                      "X-\x7f: b", ": b",      "no colon" };
+constexpr const char* kFolds[] = { "\r\n folded", "\r\n\tX-A: b", "\r\n " };
+constexpr const char* kBadCodings[] = { "",
+                                        "xchunked",
+                                        "chunked, identity",
+                                        "gzip, chunked" };
+
 /** Whether the request is one to the stand-in itself. */
 bool
 IsControl(const HttpRequest& aRequest)
@@ -33,6 +47,16 @@
   return boost::algorithm::starts_with(aRequest.target(), "/standin/");
 }
 
+/** Replaces the first occurrence of a text, if any. */
+void
+Replace(std::string& aText, const std::string& aOld, const std::string& aNew)
+{
+  auto found = aText.find(aOld);
+  if (found != std::string::npos) {
+    aText.replace(found, aOld.size(), aNew);
+  }
+}
+
 /** A pause whose logarithm is evenly distributed: many are as short as the time
  * after which a refused request is sent again. */
 int64_t
@@ -164,25 +188,89 @@
 void
 FaultySession::ReadRequest()
 {
-  this->request = {};
+  this->parser.emplace();
+  this->parser->body_limit(std::numeric_limits<uint64_t>::max());
+  http::async_read_header(
+    this->socket,
+    this->buffer,
+    *this->parser,
+    [self = this->shared_from_this()](error_code aError, size_t) {
+      if (aError) {
+        self->Close(false);
+      } else if (!self->closed) {
+        self->OnHead();
+      }
+    });
+}
+
+void
+FaultySession::OnHead()
+{
+  this->request = this->parser->get();
+  this->requestId = std::string(this->request[headers::kRequestId]);
+  this->faults.clear();
+  if (!IsControl(this->request)) {
+    this->faults = this->server.faults.Draw();
+  }
+  if (this->AnswersEarly()) {
+    this->AnswerEarly();
+  } else {
+    this->ReadBody();
+  }
+}
+
+void
+FaultySession::ReadBody()
+{
   http::async_read(
     this->socket,
     this->buffer,
-    this->request,
+    *this->parser,
     [self = this->shared_from_this()](error_code aError, size_t) {
       if (aError) {
         self->Close(false);
       } else if (!self->closed) {
+        self->request = self->parser->release();
         self->OnRequest();
       }
     });
 }
 
+bool
+FaultySession::AnswersEarly() const
+{
+  return this->parser->content_length().value_or(0) >= kLongRequestBytes &&
+         this->faults.count(AnswerFault::Early) +
+             this->faults.count(AnswerFault::EarlyCut) >
+           0;
+}
+
+void
+FaultySession::AnswerEarly()
+{
+  this->server.Log(this->number, "read head", this->requestId);
+  this->server.handler(
+    this->request, [self = this->shared_from_this()](HttpResponse aResponse) {
+      bool cut = self->faults.count(AnswerFault::EarlyCut) > 0;
+      aResponse.keep_alive(false);
+      auto bytes = ToBytes(aResponse, true, false);
+      if (aResponse.result_int() == 200 && cut) {
+        bytes.resize(bytes.size() - aResponse.body().size() / 2);
+        self->Write({ bytes, "half an early answer", self->requestId });
+        self->End(self->server.random() % 2 == 0 ? Ending::Reset
+                                                 : Ending::LateClose);
+      } else {
+        self->Write(
+          { bytes, "early answer " + Describe(aResponse), self->requestId });
+        self->End(Ending::Shutdown);
+      }
+    });
+}
+
 void
 FaultySession::OnRequest()
 {
   this->requestWaits = true;
-  this->requestId = std::string(this->request[headers::kRequestId]);
   this->server.Log(this->number, "read request", this->requestId);
   bool current = this->faultsVersion == this->server.faultsVersion;
   for (auto& late : std::exchange(this->held, {})) {
@@ -191,18 +279,13 @@
     }
   }
   this->faultsVersion = this->server.faultsVersion;
-  AnswerFaults::Drawn faults;
-  if (!IsControl(this->request)) {
-    faults = this->server.faults.Draw();
-  }
-  if (IsRefused(faults)) {
-    this->Refuse(faults);
+  if (IsRefused(this->faults)) {
+    this->Refuse(this->faults);
     return;
   }
   this->server.handler(
-    this->request,
-    [self = this->shared_from_this(), faults](HttpResponse aResponse) {
-      self->Answer(faults, std::move(aResponse));
+    this->request, [self = this->shared_from_this()](HttpResponse aResponse) {
+      self->Answer(self->faults, std::move(aResponse));
     });
 }
 
@@ -240,7 +323,8 @@
   bool ran = aResponse.result_int() == 200;
   bool unframed = ran && aFaults.count(AnswerFault::Unframed) > 0;
   bool chunked = ran && aFaults.count(AnswerFault::Chunked) > 0;
-  if (ran && (this->WriteEndlessly(aFaults, aResponse) ||
+  if (ran && (this->WriteMalformed(aFaults, aResponse) ||
+              this->WriteEndlessly(aFaults, aResponse) ||
               this->BreakOff(aFaults, aResponse))) {
     return;
   }
@@ -296,6 +380,39 @@
   return false;
 }
 
+bool
+FaultySession::WriteMalformed(const AnswerFaults::Drawn& aFaults,
+                              const HttpResponse& aResponse)
+{
+  auto draw = [this](const auto& aTexts) {
+    return std::string(aTexts[this->server.random() % std::size(aTexts)]);
+  };
+  for (auto fault : aFaults) {
+    bool isCoded = fault == AnswerFault::BadCoding;
+    auto bytes = ToBytes(aResponse, HasBody(this->request), isCoded);
+    if (fault == AnswerFault::BadStatus) {
+      Replace(bytes, " 200 ", " " + draw(kBadStatuses) + " ");
+    } else if (fault == AnswerFault::BadField) {
+      Replace(bytes, "\r\n\r\n", "\r\n" + draw(kBadLines) + "\r\n\r\n");
+    } else if (fault == AnswerFault::FoldedField) {
+      // Behind the signature, which is the last field but the length.
+      Replace(bytes, "\r\nContent-Length", draw(kFolds) + "\r\nContent-Length");
+    } else if (isCoded) {
+      Replace(bytes, "Encoding: chunked", "Encoding: " + draw(kBadCodings));
+    } else {
+      continue;
+    }
+    this->Write({ bytes, ToString(fault), this->requestId });
+    if (isCoded) {
+      this->End(Ending::LateClose);
+    } else {
+      this->ReadRequest();
+    }
+    return true;
+  }
+  return false;
+}
+
 bool
 FaultySession::WriteEndlessly(const AnswerFaults::Drawn& aFaults,
                               const HttpResponse& aResponse)
@@ -433,15 +550,7 @@
     return;
   }
   if (this->outputs.empty()) {
-    if (this->ending == Ending::Close) {
-      this->Close(false);
-    } else if (this->ending == Ending::Reset) {
-      auto timer = std::make_shared<asio::steady_timer>(this->server.context);
-      timer->expires_after(kResetPause);
-      timer->async_wait([self = this->shared_from_this(), timer](error_code) {
-        self->Close(true);
-      });
-    }
+    this->Finish();
     return;
   }
   this->writing = true;
@@ -461,6 +570,39 @@
     });
 }
 
+void
+FaultySession::Finish()
+{
+  if (this->ending == Ending::Close) {
+    this->Close(false);
+  } else if (this->ending == Ending::Shutdown) {
+    error_code ignored; // A lost connection is seen by the read.
+    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    this->ReadOn();
+  } else if (this->ending != Ending::None) {
+    auto timer = std::make_shared<asio::steady_timer>(this->server.context);
+    timer->expires_after(kResetPause);
+    timer->async_wait([self = this->shared_from_this(), timer](error_code) {
+      self->Close(self->ending == Ending::Reset);
+    });
+  }
+}
+
+void
+FaultySession::ReadOn()
+{
+  this->buffer.clear();
+  this->socket.async_read_some(
+    this->buffer.prepare(kReadBytes),
+    [self = this->shared_from_this()](error_code aError, size_t) {
+      if (aError) {
+        self->Close(false);
+      } else {
+        self->ReadOn();
+      }
+    });
+}
+
 void
 FaultySession::End(Ending aEnding)
 {
--- a/tests/standins/faultysession.h
+++ b/tests/standins/faultysession.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -24,7 +25,9 @@
   {
     None,
     Close,
-    Reset,
+    LateClose, ///< After the peer has had time to read the bytes.
+    Reset,     ///< The same, with a reset.
+    Shutdown,  ///< Of the own direction; what the peer sends is still read.
   };
   /** Bytes to write. */
   struct Output
@@ -35,9 +38,18 @@
   };
 
   void ReadRequest();
+  void OnHead();
+  void ReadBody();
   void OnRequest();
+  /** Whether the faults contain an answer to the head of a long request. */
+  bool AnswersEarly() const;
+  void AnswerEarly();
   void Refuse(const AnswerFaults::Drawn& aFaults);
   void Answer(const AnswerFaults::Drawn& aFaults, HttpResponse aResponse);
+  /** Writes a malformed answer.
+   * @return Whether the faults contain one. */
+  bool WriteMalformed(const AnswerFaults::Drawn& aFaults,
+                      const HttpResponse& aResponse);
   /** Writes an answer that breaks off.
    * @return Whether the faults contain one that does so. */
   bool BreakOff(const AnswerFaults::Drawn& aFaults,
@@ -59,13 +71,19 @@
   void WriteLate(Output aOutput);
   void WriteNext();
   void End(Ending aEnding);
+  /** Ends the connection, since all is written. */
+  void Finish();
+  /** Reads and drops what the peer sends until it closes the connection. */
+  void ReadOn();
   void Close(bool aWithReset);
 
   FaultyServer& server;
   Tcp::socket socket;
   uint64_t number;
   boost::beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
   HttpRequest request;
+  AnswerFaults::Drawn faults; ///< Of the answer to the request.
   std::string requestId;
   bool requestWaits = false;
   bool writing = false;
