--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -7,6 +7,7 @@
 
 #include "fescuetillerd/requestfingerprint.h"
 #include "fescuetillerd/trafficnode.h"
+#include "http/callfixture.h"
 #include "platform/headers.h"
 #include "standins/reservedports.h"
 
@@ -937,6 +938,96 @@
   }
 }
 
+namespace {
+
+/** A ScriptedPeer that runs in a thread of its own. */
+class ScriptedServer
+{
+public:
+  explicit ScriptedServer(std::vector<std::string> aResponses)
+    : peer(context, std::move(aResponses))
+    , address(ToString(peer.Address()))
+    , thread([this] { this->context.run(); })
+  {
+  }
+
+  ~ScriptedServer()
+  {
+    this->context.stop();
+    this->thread.join();
+  }
+
+  std::string Address() const { return this->address; }
+
+private:
+  asio::io_context context{ 1 };
+  ScriptedPeer peer;
+  std::string address;
+  std::thread thread;
+};
+
+} // namespace
+
+// Guards against malformed responses that are passed on, or that cost more than
+// the request that they belong to.
+SCENARIO("A malformed response of the server fails its request alone",
+         "[path][malformed]")
+{
+  const std::string kId = std::string(headers::kRequestId) + ": r1\r\n";
+  const std::string kSigned = std::string(headers::kSignature) + ": s\r\n";
+  const std::string kBody = "Content-Length: 6\r\n\r\nanswer";
+  const std::string kSound = "HTTP/1.1 200 OK\r\n" + kId + kSigned + kBody;
+
+  for (const auto& malformed :
+       { "HTTP/1.1 000 Some\r\n" + kId + kSigned + kBody,
+         "HTTP/1.1 200 OK\r\n" + kId + kSigned + " folded\r\n" + kBody,
+         "HTTP/1.1 200 OK\r\n" + kId + kSigned + "X A: b\r\n" + kBody,
+         "HTTP/1.1 200 OK\r\n" + kId + kSigned +
+           "Transfer-Encoding: xchunked\r\n" + kBody }) {
+    for (const char* path : { "/look/1", "/book/1" }) {
+      GIVEN(std::string(path) + ", " + malformed)
+      {
+        ScriptedServer server({ kSound, malformed, kSound, kSound });
+        RequestPathFixture fixture(server.Address());
+        fixture.Configure();
+        auto before = fixture.TryPost(path);
+        auto response = fixture.TryPost(path);
+        auto after = fixture.TryPost(path);
+        REQUIRE(before);
+        REQUIRE(response);
+        REQUIRE(after);
+        if (path == std::string("/look/1")) {
+          THEN("it is sent once more, since it may run twice")
+          {
+            CHECK(response->result_int() == 200);
+            CHECK(response->body() == "answer");
+            CHECK((*response)[headers::kSignature] == "s");
+          }
+        } else {
+          THEN("its client is told that it may have run")
+          {
+            CHECK(response->result_int() == 502);
+            CHECK((*response)[headers::kSignature].empty());
+          }
+        }
+        THEN("other requests are answered")
+        {
+          CHECK(before->result_int() == 200);
+          CHECK(after->result_int() == 200);
+          CHECK(after->body() == "answer");
+        }
+        THEN("it is counted")
+        {
+          CHECK(fixture.counters.FormatText().find(
+                  "fescuetiller_unexpected_data_total{sender=\"server\","
+                  "kind=\"malformed\",accepted=\"no\"} 1") !=
+                std::string::npos);
+        }
+      }
+    }
+  }
+}
+
 // Whatever listens at the address of a member may be no daemon.
 SCENARIO("A response without a report is not passed on", "[path][brokenoff]")
 {
--- a/tests/http/malformedtest.cpp
+++ b/tests/http/malformedtest.cpp
@@ -416,3 +416,30 @@
   REQUIRE(fixture.Call(peer.Address(), "2")->response);
   CHECK(peer.connections == 2);
 }
+
+// Guards against a call whose outcome is taken as known although the store, or
+// another daemon, sent no well-formed response.
+SCENARIO("A malformed response to a call of the daemon is an error",
+         "[http][malformed]")
+{
+  CallFixture fixture;
+  for (const std::string& response :
+       { std::string("HTTP/1.1 000 Some\r\nContent-Length: 2\r\n\r\n{}"),
+         std::string("HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 2"
+                     "\r\n\r\n{}"),
+         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n"
+                     "2\r\n{}\r\n0\r\n\r\n") }) {
+    ScriptedPeer peer(fixture.context, { response });
+    std::optional<Result<HttpResponse>> result;
+    Fetch(fixture.pool,
+          peer.Address(),
+          RequestOf("1"),
+          CallOptions(),
+          [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+    fixture.RunUntil([&] { return result.has_value(); });
+    CAPTURE(response);
+    REQUIRE(result);
+    REQUIRE_FALSE(*result);
+    CHECK(result->error().code == ErrorCode::Unknown);
+  }
+}
