--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -229,11 +229,11 @@
         return;
       }
       self->requestWritten = true;
-      if (self->request.body().size() < kLongBodyBytes) {
+      if (!self->ReadsWhileWriting()) {
         self->ReadHeaders();
       }
     });
-  if (this->request.body().size() >= kLongBodyBytes) {
+  if (this->ReadsWhileWriting()) {
     this->ReadHeaders();
   }
 }
@@ -241,15 +241,25 @@
 void
 UpstreamCall::OnWriteFailed(const error_code& aError, size_t aSize)
 {
+  this->writeError = aError;
   if (this->stage == CallStage::ResponseStarted) {
     // The peer need not read a long body before it responds. Whether the
     // response is complete is decided when it ends.
-    this->writeError = aError;
     return;
   }
   bool mayBeProcessed = this->options.mayProcessPart && aSize > 0;
   this->stage = mayBeProcessed ? CallStage::Sent : CallStage::NotSent;
-  this->Fail("send request", aError);
+  // A response may have arrived before the connection failed. Otherwise,
+  // reading it fails at once.
+  if (!mayBeProcessed || !this->ReadsWhileWriting()) {
+    this->Fail("send request", aError);
+  }
+}
+
+bool
+UpstreamCall::ReadsWhileWriting() const
+{
+  return this->request.body().size() >= kLongBodyBytes;
 }
 
 bool
@@ -285,6 +295,10 @@
       if (self->ended) {
         return;
       }
+      if (aError && self->writeError && !IsMalformed(aError)) {
+        self->Fail("send request", self->writeError);
+        return;
+      }
       if (aError) {
         self->Fail("read head of answer", aError);
         return;
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -76,6 +76,8 @@
   void WriteRequest();
   /** @param aSize Number of bytes that were written. */
   void OnWriteFailed(const boost::system::error_code& aError, size_t aSize);
+  /** Whether the response is read while the request is still being written. */
+  bool ReadsWhileWriting() const;
   /** Whether the end of a response that ends with its connection may be due to
    * a failure of the connection. */
   bool IsEndLost() const;
@@ -123,9 +125,8 @@
   Time startedAt;
   CallStage stage = CallStage::NotSent;
   bool requestWritten = false;
-  /** Of the request, if the response had begun before it was written. */
-  boost::system::error_code writeError;
-  bool withdrawn = false;  ///< The request may no longer be sent.
+  boost::system::error_code writeError; ///< Why the request was not written.
+  bool withdrawn = false;               ///< The request may no longer be sent.
   size_t skippedBytes = 0; ///< Of the bodies of responses to other requests.
   size_t interimResponses = 0;
   bool streaming = false; ///< The response is passed on in chunks.
--- a/tests/http/earlyresponsetest.cpp
+++ b/tests/http/earlyresponsetest.cpp
@@ -187,3 +187,47 @@
   CHECK(fixture.collected->ended);
   CHECK(fixture.collected->chunks == body);
 }
+
+// Guards against a complete response that is lost: the connection failed before
+// its head was read, and the write of the request was told first.
+SCENARIO("A complete response is read although writing its request failed",
+         "[http][early]")
+{
+  UploadFixture fixture;
+
+  for (const auto& [name, text, complete] :
+       { std::tuple("without a length", "\r\nbody", true),
+         std::tuple("with a length", "Content-Length: 4\r\n\r\nbody", true),
+         std::tuple(
+           "whose body is cut", "Content-Length: 9\r\n\r\nbody", false),
+         std::tuple("whose head is cut", "X-A: b\r\n", false) }) {
+    GIVEN(std::string("a response ") + name + ", then the end and a reset")
+    {
+      fixture.Write(std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\n") + text);
+      fixture.Shutdown();
+      fixture.Close();
+      fixture.RunUntilComplete();
+      CHECK(fixture.collected->failure.has_value() != complete);
+      if (fixture.collected->failure) {
+        CHECK(fixture.collected->failure->stage != CallStage::NotSent);
+        CHECK_FALSE(fixture.collected->failure->timedOut);
+      }
+    }
+  }
+  GIVEN("a part of a response without a length, then a reset")
+  {
+    fixture.Write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart");
+    fixture.Close();
+    fixture.RunUntilComplete();
+    CHECK_FALSE(fixture.collected->ended);
+    CHECK(fixture.collected->failure);
+  }
+  GIVEN("nothing, then a reset")
+  {
+    fixture.Close();
+    fixture.RunUntilComplete();
+    REQUIRE(fixture.collected->failure);
+    CHECK(fixture.collected->failure->stage == CallStage::Sent);
+    CHECK(fixture.collected->failure->error.operation == "send request");
+  }
+}
