--- a/src/http/messages.cpp
+++ b/src/http/messages.cpp
@@ -43,6 +43,13 @@
   }
 }
 
+bool
+HasNoBody(http::status aStatus)
+{
+  return aStatus == http::status::no_content ||
+         aStatus == http::status::not_modified;
+}
+
 bool
 HasUnknownCoding(const http::fields& aFields)
 {
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -73,6 +73,10 @@
 void
 RemoveHopByHopFields(http::fields& aFields);
 
+/** Whether responses with a status never have a body. */
+bool
+HasNoBody(http::status aStatus);
+
 /** Whether a message has a transfer coding other than a single "chunked", so
  * that its body is unknown. */
 bool
--- a/src/http/pendingresponse.cpp
+++ b/src/http/pendingresponse.cpp
@@ -2,18 +2,6 @@
 
 namespace fescuetiller {
 
-namespace {
-
-/** Whether responses with a status never have a body. */
-bool
-HasNoBody(http::status aStatus)
-{
-  return aStatus == http::status::no_content ||
-         aStatus == http::status::not_modified;
-}
-
-} // namespace
-
 void
 PendingResponse::SetWhole(HttpResponse aResponse)
 {
--- a/src/http/responseparser.cpp
+++ b/src/http/responseparser.cpp
@@ -22,6 +22,13 @@
   this->get().result(0U); // Until the status line is parsed.
 }
 
+bool
+ResponseParser::IsInterim() const
+{
+  return http::to_status_class(this->get().result_int()) ==
+         http::status_class::informational;
+}
+
 void
 ResponseParser::on_response_impl(int aCode,
                                  View aReason,
@@ -61,12 +68,10 @@
   // the connection, and removes no other coding. HTTP/1.0 has no codings. A
   // body that follows an interim response would be read as the next response.
   const auto& response = this->get();
-  bool isInterim = http::to_status_class(response.result_int()) ==
-                   http::status_class::informational;
-  bool hasCoding = response.count(http::field::transfer_encoding) > 0;
+  bool isInterim = this->IsInterim();
   aError = {};
   if (HasUnknownCoding(response) ||
-      (hasCoding && (isInterim || response.version() < kHttp11))) {
+      (this->chunked() && (isInterim || response.version() < kHttp11))) {
     aError = http::error::bad_transfer_encoding;
   } else if (isInterim && this->content_length().value_or(0) > 0) {
     aError = http::error::bad_content_length;
--- a/src/http/responseparser.h
+++ b/src/http/responseparser.h
@@ -18,6 +18,9 @@
    * the parser is used. */
   explicit ResponseParser(const boost::beast::flat_buffer& aInput);
 
+  /** Whether the response is one that precedes the final one (1xx). */
+  bool IsInterim() const;
+
 private:
   using ErrorCode = boost::system::error_code;
   using View = boost::beast::string_view;
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -374,8 +374,7 @@
 UpstreamCall::OnHeaders()
 {
   // Interim (1xx) responses precede the final one.
-  auto status = this->parser->get().result_int();
-  if (status >= 100 && status < 200) {
+  if (this->parser->IsInterim()) {
     if (++this->interimResponses > kMaxInterimResponses) {
       this->Fail(
         "read head of answer", error_code(), "too many interim answers");
@@ -536,11 +535,9 @@
 bool
 UpstreamCall::MayHaveUnreadBody() const
 {
-  auto status = this->parser->get().result();
-  bool hasNoBody =
-    status == http::status::no_content || status == http::status::not_modified;
-  return hasNoBody && (this->parser->chunked() ||
-                       this->parser->content_length().value_or(0) > 0);
+  return HasNoBody(this->parser->get().result()) &&
+         (this->parser->chunked() ||
+          this->parser->content_length().value_or(0) > 0);
 }
 
 bool
