--- a/tests/standins/faultysession.cpp
+++ b/tests/standins/faultysession.cpp
@@ -280,17 +280,17 @@
   }
   this->faultsVersion = this->server.faultsVersion;
   if (IsRefused(this->faults)) {
-    this->Refuse(this->faults);
+    this->Refuse();
     return;
   }
   this->server.handler(
     this->request, [self = this->shared_from_this()](HttpResponse aResponse) {
-      self->Answer(self->faults, std::move(aResponse));
+      self->Answer(std::move(aResponse));
     });
 }
 
 void
-FaultySession::Refuse(const AnswerFaults::Drawn& aFaults)
+FaultySession::Refuse()
 {
   auto response = TextResponse(503, "");
   response.set(headers::kNotExecuted, "1");
@@ -298,8 +298,8 @@
   auto bytes = ToBytes(response, HasBody(this->request), false);
   this->requestWaits = false;
   this->Write({ bytes, "refusal " + Describe(response), this->requestId });
-  bool cut = aFaults.count(AnswerFault::RefuseTwiceCut) > 0;
-  bool withoutId = cut || aFaults.count(AnswerFault::RefuseTwiceNoId) > 0;
+  bool cut = this->faults.count(AnswerFault::RefuseTwiceCut) > 0;
+  bool withoutId = cut || this->faults.count(AnswerFault::RefuseTwiceNoId) > 0;
   if (withoutId) {
     response = WithoutId(response);
   }
@@ -307,7 +307,7 @@
     this->WriteLate({ this->PartOfHead(response),
                       "part of second refusal",
                       this->requestId });
-  } else if (withoutId || aFaults.count(AnswerFault::RefuseTwice) > 0) {
+  } else if (withoutId || this->faults.count(AnswerFault::RefuseTwice) > 0) {
     this->WriteLate({ ToBytes(response, HasBody(this->request), false),
                       "second refusal " + Describe(response),
                       this->requestId });
@@ -316,16 +316,14 @@
 }
 
 void
-FaultySession::Answer(const AnswerFaults::Drawn& aFaults,
-                      HttpResponse aResponse)
+FaultySession::Answer(HttpResponse aResponse)
 {
   this->requestWaits = false;
   bool ran = aResponse.result_int() == 200;
-  bool unframed = ran && aFaults.count(AnswerFault::Unframed) > 0;
-  bool chunked = ran && aFaults.count(AnswerFault::Chunked) > 0;
-  if (ran && (this->WriteMalformed(aFaults, aResponse) ||
-              this->WriteEndlessly(aFaults, aResponse) ||
-              this->BreakOff(aFaults, aResponse))) {
+  bool unframed = ran && this->faults.count(AnswerFault::Unframed) > 0;
+  bool chunked = ran && this->faults.count(AnswerFault::Chunked) > 0;
+  if (ran && (this->WriteMalformed(aResponse) ||
+              this->WriteEndlessly(aResponse) || this->BreakOff(aResponse))) {
     return;
   }
   if (unframed) {
@@ -340,18 +338,17 @@
     return;
   }
   if (ran) {
-    this->WriteExtraBytes(aFaults, aResponse);
+    this->WriteExtraBytes(aResponse);
   }
   this->ReadRequest();
 }
 
 bool
-FaultySession::BreakOff(const AnswerFaults::Drawn& aFaults,
-                        const HttpResponse& aResponse)
+FaultySession::BreakOff(const HttpResponse& aResponse)
 {
   auto bytes = ToBytes(aResponse, true, false);
   auto headBytes = bytes.size() - aResponse.body().size();
-  if (aFaults.count(AnswerFault::CutHead) > 0) {
+  if (this->faults.count(AnswerFault::CutHead) > 0) {
     this->Write(
       { bytes.substr(0, headBytes / 2), "half a head", this->requestId });
     this->End(Ending::Close);
@@ -360,14 +357,14 @@
   if (!HasBody(this->request)) {
     return false;
   }
-  if (aFaults.count(AnswerFault::CutBody) > 0) {
+  if (this->faults.count(AnswerFault::CutBody) > 0) {
     this->Write({ bytes.substr(0, (headBytes + bytes.size()) / 2),
                   "half a body",
                   this->requestId });
     this->End(Ending::Close);
     return true;
   }
-  if (aFaults.count(AnswerFault::Reset) > 0) {
+  if (this->faults.count(AnswerFault::Reset) > 0) {
     auto unframed = aResponse;
     unframed.keep_alive(false);
     auto whole = ToBytes(unframed, true, false);
@@ -381,13 +378,12 @@
 }
 
 bool
-FaultySession::WriteMalformed(const AnswerFaults::Drawn& aFaults,
-                              const HttpResponse& aResponse)
+FaultySession::WriteMalformed(const HttpResponse& aResponse)
 {
   auto draw = [this](const auto& aTexts) {
     return std::string(aTexts[this->server.random() % std::size(aTexts)]);
   };
-  for (auto fault : aFaults) {
+  for (auto fault : this->faults) {
     bool isCoded = fault == AnswerFault::BadCoding;
     auto bytes = ToBytes(aResponse, HasBody(this->request), isCoded);
     if (fault == AnswerFault::BadStatus) {
@@ -414,15 +410,14 @@
 }
 
 bool
-FaultySession::WriteEndlessly(const AnswerFaults::Drawn& aFaults,
-                              const HttpResponse& aResponse)
+FaultySession::WriteEndlessly(const HttpResponse& aResponse)
 {
-  auto fault =
-    std::find_if(aFaults.begin(), aFaults.end(), [](AnswerFault aFault) {
+  auto fault = std::find_if(
+    this->faults.begin(), this->faults.end(), [](AnswerFault aFault) {
       return aFault >= AnswerFault::EndlessStatus &&
              aFault <= AnswerFault::EndlessAfter;
     });
-  if (fault == aFaults.end() || !HasBody(this->request)) {
+  if (fault == this->faults.end() || !HasBody(this->request)) {
     return false;
   }
   auto bytes = MakeEndless(*fault, aResponse);
@@ -465,10 +460,9 @@
 }
 
 void
-FaultySession::WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
-                               const HttpResponse& aResponse)
+FaultySession::WriteExtraBytes(const HttpResponse& aResponse)
 {
-  for (auto fault : aFaults) {
+  for (auto fault : this->faults) {
     bool chunked = fault == AnswerFault::SecondChunked ||
                    fault == AnswerFault::SecondChunkedNoId;
     bool withoutId = fault == AnswerFault::SecondNoId ||
--- a/tests/standins/faultysession.h
+++ b/tests/standins/faultysession.h
@@ -44,23 +44,19 @@
   /** Whether the faults contain an answer to the head of a long request. */
   bool AnswersEarly() const;
   void AnswerEarly();
-  void Refuse(const AnswerFaults::Drawn& aFaults);
-  void Answer(const AnswerFaults::Drawn& aFaults, HttpResponse aResponse);
+  void Refuse();
+  void Answer(HttpResponse aResponse);
   /** Writes a malformed answer.
    * @return Whether the faults contain one. */
-  bool WriteMalformed(const AnswerFaults::Drawn& aFaults,
-                      const HttpResponse& aResponse);
+  bool WriteMalformed(const HttpResponse& aResponse);
   /** Writes an answer that breaks off.
    * @return Whether the faults contain one that does so. */
-  bool BreakOff(const AnswerFaults::Drawn& aFaults,
-                const HttpResponse& aResponse);
+  bool BreakOff(const HttpResponse& aResponse);
   /** Writes without end until the peer closes the connection.
    * @return Whether the faults contain one that does so. */
-  bool WriteEndlessly(const AnswerFaults::Drawn& aFaults,
-                      const HttpResponse& aResponse);
+  bool WriteEndlessly(const HttpResponse& aResponse);
   void Repeat(const std::shared_ptr<const std::string>& aBytes);
-  void WriteExtraBytes(const AnswerFaults::Drawn& aFaults,
-                       const HttpResponse& aResponse);
+  void WriteExtraBytes(const HttpResponse& aResponse);
   /** The beginning of an answer's head. */
   std::string PartOfHead(const HttpResponse& aResponse);
   /** Bytes that are no answer. */
