--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -11,6 +11,7 @@
 
 pids=()
 finish() {
+  exec 2>/dev/null
   kill -KILL "${pids[@]}" 2>/dev/null
   wait 2>/dev/null
   rm -rf "$folder"
