--- a/review/standins-2/backend.cpp
+++ b/review/standins-2/backend.cpp
@@ -3,7 +3,7 @@
 // it, leases, fencing tokens, 421 for keys that it does not hold. It records
 // when it begins and ends a request.
 
-#include <atomic>
+#include <csignal>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -44,6 +44,8 @@
   int workMs = 70;
   int heartbeatMs = 870;
   size_t answerBytes = 400;
+  int stayMs = 4000;
+  bool keyless = false;
   const Record* record = nullptr;
 
   std::mutex mutex;
@@ -92,7 +94,7 @@
   {
     std::lock_guard<std::mutex> lock(aBackend.mutex);
     if (aRequest.Field("x-target-instance") != aBackend.id ||
-        aBackend.Find(key) == nullptr) {
+        (!aBackend.keyless && aBackend.Find(key) == nullptr)) {
       return Answer(421, aRequest, "X-Not-Executed: 1\r\n" + empty);
     }
     if (aBackend.running >= aBackend.slots) {
@@ -245,6 +247,29 @@
   return !aBackend.freed.empty();
 }
 
+/** Waits for the order to leave, and leaves. */
+void
+LeaveOnSignal(Backend& aBackend, const sigset_t& aSignals)
+{
+  int signal = 0;
+  sigwait(&aSignals, &signal);
+  aBackend.record->Write(aBackend.id + " sends its deregistration");
+  std::string body = json{ { "born", aBackend.born } }.dump();
+  auto answer = Call(aBackend.daemon,
+                     "POST /v1/instances/" + aBackend.id +
+                       "/deregister HTTP/1.1\r\nHost: " + aBackend.daemon +
+                       "\r\nContent-Type: application/json\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body,
+                     1000);
+  aBackend.record->Write(
+    aBackend.id + (answer && answer->Status() / 100 == 2
+                     ? " is acknowledged as leaving"
+                     : " gets no acknowledgement"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(aBackend.stayMs));
+  aBackend.record->Write(aBackend.id + " exits");
+  std::_Exit(0);
+}
+
 } // namespace
 
 int
@@ -262,6 +287,12 @@
   backend.zone = option("--zone");
   backend.workMs = std::atoi(option("--work-ms", "70").c_str());
   backend.heartbeatMs = std::atoi(option("--heartbeat-ms", "870").c_str());
+  backend.stayMs = std::atoi(option("--stay-ms", "4000").c_str());
+  backend.keyless = option("--keyless", "0") == "1";
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   backend.born = std::chrono::duration_cast<std::chrono::milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count();
@@ -285,6 +316,7 @@
     return 2;
   }
   record.Write(backend.id + " starts at " + backend.address);
+  std::thread([&] { LeaveOnSignal(backend, signals); }).detach();
   std::thread([&] {
     for (;;) {
       bool soon = Report(backend);
--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -1,7 +1,10 @@
 # Functions that start a small deployment on loopback: the store's stand-in, and
 # pairs of a daemon and a backend server, with the deploy file's command and the
 # fields of its template. A script sets `here` (its folder) and `pairs`, includes
-# this file and calls start_deployment. All processes end with the script.
+# this file and calls start_deployment. With keyless=1 the service is not divided
+# by key; backend_options are added to the command of each backend server. All processes end with the script.
+keyless=${keyless:-0}
+backend_options=${backend_options:-}
 root=$(cd "$here/../.." && pwd)
 tools=$root/build-review-2
 record=$here/record.txt
@@ -14,6 +17,7 @@
   exec 2>/dev/null
   kill -KILL "${pids[@]}" 2>/dev/null
   wait 2>/dev/null
+  [ -n "$KEEP" ] && cp "$folder"/node-1.log "$KEEP"
   rm -rf "$folder"
 }
 trap finish EXIT
@@ -76,7 +80,9 @@
   start_daemon "$1"
   "$tools/backend" --record "$record" --service agenda \
     --address "$network.$1:8145" --daemon "$network.$1:8144" \
-    --zone "zone-$((($1 - 1) % 3))" >>"$folder/backend-$1.log" 2>&1 &
+    --zone "zone-$((($1 - 1) % 3))" --keyless "$keyless" $backend_options \
+    >>"$folder/backend-$1.log" 2>&1 &
+  backend[$1]=$!
   pids+=($!)
 }
 
@@ -120,6 +126,7 @@
 
 start_deployment() {
   "$tools/storestandin" --ports-file "$folder/store" 2>"$folder/store.log" &
+  store_process=$!
   pids+=($!)
   wait_until 20 test -s "$folder/store" || cannot_run "no store"
   store=127.0.0.1:$(sed -n 's/^port=//p' "$folder/store")
@@ -132,7 +139,7 @@
 "look":{"host":"desk.example","prefix":"/look/","kind":"safe","timeout":"800ms",
 "target-latency":"200ms","priority":2,"service":"agenda","attempts":2}},
 "services":{"agenda":{"health-check":"/health","max-connections":120,"protocol":"h1",
-"tls":false,"sharded":true}},
+"tls":false,"sharded":$([ "$keyless" = 1 ] && echo false || echo true)}},
 "limits":{"max-header-bytes":16384,"max-body-bytes":67108864,
 "header-timeout":"3000ms","idle-timeout":"15000ms"}}
 JSON
