--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 cmake -S review/standins-2 -B build-review-2 -DCMAKE_BUILD_TYPE=Release
 cmake --build build-review-2 -j8 --target storestandin backend clients \
-  unreadingclients longpathclients
+  unreadingclients longpathclients holdcheck
--- a/review/standins-2/backend.cpp
+++ b/review/standins-2/backend.cpp
@@ -180,6 +180,13 @@
   aBackend.grants = granted;
   aBackend.grantsUntil =
     aSentAt + std::atoll(aAnswer["hold_time"].get<std::string>().c_str());
+  auto line = aBackend.id + " holds until " +
+              std::to_string(aBackend.grantsUntil);
+  for (const auto& grant : granted) {
+    line += " " + std::to_string(grant.first) + "-" +
+            std::to_string(grant.last) + "@" + std::to_string(grant.fence);
+  }
+  aBackend.record->Write(line);
 }
 
 /** Sends one liveness report. @return Whether the next one is due soon. */
