--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -13,11 +13,11 @@
 : >"$record"
 
 pids=()
+# Ends what the script has started and what still runs or is stopped.
 finish() {
   exec 2>/dev/null
-  kill -KILL "${pids[@]}" 2>/dev/null
-  wait 2>/dev/null
-  [ -n "$KEEP" ] && cp "$folder"/node-1.log "$KEEP"
+  kill -KILL $(jobs -pr) $(jobs -ps)
+  wait
   rm -rf "$folder"
 }
 trap finish EXIT
