--- a/src/fescuetillerd/counters.cpp
+++ b/src/fescuetillerd/counters.cpp
@@ -65,6 +65,13 @@
   ++this->clientRefusals[{ aListener, aReason }];
 }
 
+void
+Counters::CountUnanswered(const UnansweredRequest& aRequest)
+{
+  std::lock_guard lock(this->mutex);
+  ++this->unanswered[{ aRequest.listener, aRequest.end, aRequest.response }];
+}
+
 void
 Counters::CountEvent(const std::string& aName)
 {
@@ -205,6 +212,18 @@
                  { { "listener", key.first }, { "reason", key.second } },
                  static_cast<double>(count));
   }
+  writer.Describe("fescuetiller_unanswered_requests_total",
+                  "counter",
+                  "Requests whose connection ended without their response.");
+  for (const auto& [key, count] : this->unanswered) {
+    const auto& [listener, end, response] = key;
+    writer.Write("fescuetiller_unanswered_requests_total",
+                 { { "listener", listener },
+                   { "ended_by", IsEndedByClient(end) ? "client" : "daemon" },
+                   { "reason", ToString(end) },
+                   { "response", ToString(response) } },
+                 static_cast<double>(count));
+  }
   writer.Describe("fescuetiller_events_total",
                   "counter",
                   "Decisions and changes of state by name.");
--- a/src/fescuetillerd/counters.h
+++ b/src/fescuetillerd/counters.h
@@ -10,6 +10,7 @@
 #include "admission/admission.h"
 #include "base/base.h"
 #include "fescuetillerd/zonetraffic.h"
+#include "http/http.h"
 
 namespace fescuetiller {
 
@@ -50,6 +51,10 @@
   void CountClientRefusal(const std::string& aListener,
                           const std::string& aReason);
 
+  /** Counts a request whose connection ended without its response, by listening
+   * address, by why it ended and by what was known of the response. */
+  void CountUnanswered(const UnansweredRequest& aRequest);
+
   /** Counts a logged event by name. */
   void CountEvent(const std::string& aName);
 
@@ -97,6 +102,10 @@
   std::map<std::tuple<std::string, std::string, bool>, uint64_t> unexpectedData;
   /** By listening address and reason. */
   std::map<std::pair<std::string, std::string>, uint64_t> clientRefusals;
+  /** By listening address, end of the connection and known response. */
+  std::map<std::tuple<std::string, ConnectionEnd, UnansweredRequest::Response>,
+           uint64_t>
+    unanswered;
   std::map<std::string, uint64_t> events;
   std::map<std::string, double> gauges;
   SlotTimes slotTimes;
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -128,11 +128,12 @@
 void
 IngressRequest::Start()
 {
-  this->exchange->onClientDisconnect = [weak = this->weak_from_this()] {
-    if (auto self = weak.lock()) {
-      self->OnClientDisconnected();
-    }
-  };
+  this->exchange->onClientDisconnect =
+    [weak = this->weak_from_this()](ConnectionEnd aEnd) {
+      if (auto self = weak.lock()) {
+        self->OnClientDisconnected(aEnd);
+      }
+    };
   if (this->ReadRequest() && !this->RefuseIfStopping() &&
       !this->RefuseIfEarly() && !this->RefuseIfBlocked()) {
     this->ingress.RetryBudgetFor(this->dispatch.service).CountRequest();
@@ -789,7 +790,7 @@
 }
 
 void
-IngressRequest::OnClientDisconnected()
+IngressRequest::OnClientDisconnected(ConnectionEnd aEnd)
 {
   if (this->ended) {
     return;
@@ -806,7 +807,7 @@
   }
   this->CancelAttempt();
   this->ExpectRetry();
-  this->RecordOutcome("cancelled", "client left");
+  this->RecordOutcome("cancelled", ToString(aEnd));
 }
 
 void
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -95,7 +95,7 @@
   void StartResponse();
   /** Records what the failure of a call says about the other daemon. */
   void RecordPeerFailure(const CallFailure& aFailure);
-  void OnClientDisconnected();
+  void OnClientDisconnected(ConnectionEnd aEnd);
   /** Responds that the request was refused or that its outcome is unknown. */
   void GiveUp(const FailedAttempt& aAttempt);
   void RespondWithError(unsigned aStatus,
--- a/src/fescuetillerd/trafficnode.cpp
+++ b/src/fescuetillerd/trafficnode.cpp
@@ -111,6 +111,12 @@
 void
 TrafficNode::SetRules()
 {
+  for (auto* server : this->HttpServers()) {
+    server->rules.requestIdField = headers::kRequestId;
+    server->rules.onUnanswered = [this](const auto& aRequest) {
+      this->OnUnanswered(aRequest);
+    };
+  }
   this->refusals.Follow(*this->memory);
   this->clientServer.SetMemory(this->memory, "clients");
   this->callerServer.SetMemory(this->memory, "callers");
@@ -319,7 +325,7 @@
   }
   auto execution =
     this->executor.Start(std::move(request), *dispatch, response, link);
-  aExchange->onClientDisconnect = [execution, response] {
+  aExchange->onClientDisconnect = [execution, response](ConnectionEnd) {
     execution->Cancel();
     response->Cancel();
   };
@@ -344,6 +350,34 @@
   });
 }
 
+void
+TrafficNode::OnUnanswered(const UnansweredRequest& aRequest)
+{
+  bool byClient = IsEndedByClient(aRequest.end);
+  this->counters.CountUnanswered(aRequest);
+  // Clients that leave are usual, and their requests are logged as cancelled.
+  bool isNotable =
+    !byClient || aRequest.response != UnansweredRequest::Response::None;
+  this->log.Write(
+    isNotable ? EventPriority::Notable : EventPriority::Routine,
+    [&]() -> Event {
+      return { "request-unanswered",
+               { { "request", aRequest.id },
+                 { "listener", aRequest.listener },
+                 { "client", aRequest.client },
+                 { "ended_by", byClient ? "client" : "daemon" },
+                 { "reason", ToString(aRequest.end) },
+                 { "age_ms", std::to_string(ToMilliseconds(aRequest.age)) },
+                 { "response", ToString(aRequest.response) },
+                 { "response_age_ms",
+                   aRequest.responseAge
+                     ? std::to_string(ToMilliseconds(*aRequest.responseAge))
+                     : "" },
+                 { "position", std::to_string(aRequest.position) },
+                 { "behind", std::to_string(aRequest.behind) } } };
+    });
+}
+
 void
 TrafficNode::LogSlotUsage(Time aNow)
 {
--- a/src/fescuetillerd/trafficnode.h
+++ b/src/fescuetillerd/trafficnode.h
@@ -104,6 +104,8 @@
    * @param aSender "server" or "daemon". */
   void OnUnexpectedData(const std::string& aSender,
                         const UnexpectedData& aData);
+  /** Logs and counts a request whose connection ended without its response. */
+  void OnUnanswered(const UnansweredRequest& aRequest);
   /** Logs what the server's slots were used for, if it has changed. */
   void LogSlotUsage(Time aNow);
   /** Logs the bytes between zones so far, if they have changed. */
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -8,5 +8,6 @@
 #include "http/fetch.h"
 #include "http/messages.h"
 #include "http/server.h"
+#include "http/unansweredrequest.h"
 #include "http/upstreamcall.h"
 #include "http/urlquery.h"
--- a/src/http/pendingresponse.cpp
+++ b/src/http/pendingresponse.cpp
@@ -5,12 +5,14 @@
 void
 PendingResponse::SetWhole(HttpResponse aResponse)
 {
+  this->knownSince = BootClock::now();
   this->whole = std::move(aResponse);
 }
 
 void
 PendingResponse::Start(ResponseHeaders aHeaders)
 {
+  this->knownSince = BootClock::now();
   this->streamed = std::make_unique<Streamed>();
   this->streamed->base() = aHeaders.message.base();
   this->streamed->version(11);
@@ -36,13 +38,29 @@
 }
 
 void
-PendingResponse::Abort()
+PendingResponse::Abort(ConnectionEnd aEnd)
 {
-  this->aborted = true;
+  this->aborted = aEnd;
   this->chunk = {};
   this->next = nullptr;
 }
 
+UnansweredRequest::Response
+PendingResponse::Known() const
+{
+  if (this->whole || this->ended) {
+    return UnansweredRequest::Response::Whole;
+  }
+  return this->streamed != nullptr ? UnansweredRequest::Response::Started
+                                   : UnansweredRequest::Response::None;
+}
+
+ConnectionEnd
+PendingResponse::AbortedBy() const
+{
+  return this->aborted.value_or(ConnectionEnd::ResponseAborted);
+}
+
 PendingResponse::Step
 PendingResponse::NextStep() const
 {
--- a/src/http/pendingresponse.h
+++ b/src/http/pendingresponse.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "http/messages.h"
+#include "http/unansweredrequest.h"
 
 namespace fescuetiller {
 
@@ -32,6 +33,9 @@
   };
 
   std::weak_ptr<Exchange> exchange; ///< Expires if nobody responds any more.
+  std::string requestId;            ///< For reports.
+  Time receivedAt;                  ///< When the headers of its request were.
+  std::optional<Time> knownSince;   ///< When it, or its headers, became known.
   bool headRequest = false;         ///< The request's method is HEAD.
   /** The client does not know chunked bodies (HTTP/1.0). */
   bool mustNotChunk = false;
@@ -44,8 +48,12 @@
   /** @param aNext Called when the chunk is written. */
   void SetChunk(asio::const_buffer aChunk, std::function<void()> aNext);
   void End();
-  void Abort();
+  void Abort(ConnectionEnd aEnd);
 
+  /** How much of the response is known. */
+  UnansweredRequest::Response Known() const;
+  /** Why the connection is to be closed, if that is the next step. */
+  ConnectionEnd AbortedBy() const;
   Step NextStep() const;
   /** Whether the body ends where the connection does, since neither a length
    * nor chunks tell. */
@@ -68,7 +76,7 @@
   asio::const_buffer chunk;
   std::function<void()> next; ///< Set while a chunk waits or is written.
   bool ended = false;
-  bool aborted = false;
+  std::optional<ConnectionEnd> aborted;
 };
 
 } // namespace fescuetiller
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -162,7 +162,7 @@
 {
   auto open = this->sessions;
   for (const auto& session : open) {
-    session->Close();
+    session->Close(ConnectionEnd::Stopped);
   }
 }
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -59,7 +59,7 @@
 Exchange::~Exchange()
 {
   if (!this->responseStarted && !this->clientDisconnected) {
-    this->Abort();
+    this->Abort(ConnectionEnd::NoResponse);
   }
 }
 
@@ -104,10 +104,16 @@
 
 void
 Exchange::Abort()
+{
+  this->Abort(ConnectionEnd::ResponseAborted);
+}
+
+void
+Exchange::Abort(ConnectionEnd aEnd)
 {
   this->onClientDisconnect = nullptr;
   if (auto open = this->session.lock()) {
-    open->Abort(this->response);
+    open->Abort(this->response, aEnd);
   }
 }
 
@@ -201,7 +207,7 @@
     this->socket.non_blocking(true, ignored);
     this->socket.write_some(asio::buffer(text.str()), ignored);
   }
-  this->Close();
+  this->Close(ConnectionEnd::NoRoom);
 }
 
 void
@@ -236,7 +242,7 @@
   auto elapsed = aNow - this->since;
   if (this->state == State::Dismissed) {
     if (this->finalResponse == nullptr && elapsed > this->limits.lingerTime) {
-      this->Close();
+      this->Close(ConnectionEnd::Finished);
     }
     return;
   }
@@ -250,19 +256,24 @@
                   this->limits.readGraceTime +
                     std::chrono::seconds(this->writeBytes /
                                          this->limits.minReadBytesPerSecond);
-  if (unread || idle || (slow && this->pipeline.IsEmpty())) {
-    this->Close();
+  if (unread) {
+    this->Close(ConnectionEnd::ResponseNotRead);
+  } else if (idle) {
+    this->Close(ConnectionEnd::IdleTimeout);
+  } else if (slow && this->pipeline.IsEmpty()) {
+    this->Close(ConnectionEnd::RequestTimeout);
   } else if (slow) {
     this->pipeline.StopReading();
   }
 }
 
 void
-ServerSession::Close()
+ServerSession::Close(ConnectionEnd aEnd)
 {
   if (this->state == State::Closed) {
     return;
   }
+  this->ReportUnanswered(aEnd);
   this->state = State::Closed;
   error_code ignored; // The socket is closed in any case.
   this->socket.close(ignored);
@@ -281,8 +292,48 @@
   auto unanswered = std::move(this->responses);
   this->responses.clear();
   for (const auto& pending : unanswered) {
-    pending->Abort();
-    this->NotifyDisconnect(*pending);
+    pending->Abort(aEnd);
+    this->NotifyDisconnect(*pending, aEnd);
+  }
+}
+
+void
+ServerSession::ReportUnanswered(ConnectionEnd aEnd)
+{
+  if (!this->rules.onUnanswered) {
+    return;
+  }
+  auto now = BootClock::now();
+  UnansweredRequest report;
+  report.listener = this->listener;
+  report.client = this->address;
+  report.end = aEnd;
+  report.behind = this->responses.size();
+  for (const auto& pending : this->responses) {
+    --report.behind;
+    report.id = pending->requestId;
+    report.response = pending->Known();
+    report.age = now - pending->receivedAt;
+    report.responseAge.reset();
+    if (pending->knownSince) {
+      report.responseAge = now - *pending->knownSince;
+    }
+    this->rules.onUnanswered(report);
+    ++report.position;
+  }
+  // What the client has sent to a connection that it closes is of no use.
+  bool reading = this->state == State::Open && !IsEndedByClient(aEnd) &&
+                 (this->input != Input::Nothing || this->buffer.size() > 0 ||
+                  PeekByte(this->socket) > 0);
+  if (reading) {
+    bool hasHeader = this->parser != nullptr && this->parser->is_header_done();
+    report.id = hasHeader
+                  ? std::string(this->parser->get()[this->rules.requestIdField])
+                  : "";
+    report.response = UnansweredRequest::Response::NotRead;
+    report.age = now - this->since;
+    report.responseAge.reset();
+    this->rules.onUnanswered(report);
   }
 }
 
@@ -298,7 +349,7 @@
 {
   if (this->state == State::Open && this->pipeline.IsEmpty() &&
       this->input == Input::Nothing && !this->HasUnreadData()) {
-    this->Close();
+    this->Close(ConnectionEnd::Stopped);
   }
 }
 
@@ -329,7 +380,7 @@
         return;
       }
       if (aError) {
-        self->Close();
+        self->Close(ConnectionEnd::ConnectionLost);
         return;
       }
       error_code ignored; // DiscardData sees a lost connection.
@@ -363,7 +414,7 @@
   this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
   if (!this->pipelined && this->buffer.size() == 0 &&
       PeekByte(this->socket) <= 0) {
-    this->Close();
+    this->Close(ConnectionEnd::Finished);
     return;
   }
   this->state = State::Dismissed;
@@ -384,7 +435,7 @@
         return;
       }
       if (aError) {
-        self->Close();
+        self->Close(ConnectionEnd::Finished);
         return;
       }
       self->DiscardData();
@@ -392,7 +443,8 @@
 }
 
 void
-ServerSession::NotifyDisconnect(const PendingResponse& aPending)
+ServerSession::NotifyDisconnect(const PendingResponse& aPending,
+                                ConnectionEnd aEnd)
 {
   auto current = aPending.exchange.lock();
   if (current == nullptr || current->clientDisconnected) {
@@ -402,7 +454,7 @@
   auto notify = std::move(current->onClientDisconnect);
   current->onClientDisconnect = nullptr;
   if (notify) {
-    notify();
+    notify(aEnd);
   }
 }
 
@@ -422,7 +474,7 @@
                               return;
                             }
                             if (aError) {
-                              self->Close();
+                              self->Close(ConnectionEnd::ConnectionLost);
                               return;
                             }
                             self->OnReadable();
@@ -466,7 +518,8 @@
       return; // What follows stays with the client until a response is written.
     }
   } else if (count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
-    this->Close();
+    this->Close(count == 0 ? ConnectionEnd::ClientClosed
+                           : ConnectionEnd::ConnectionLost);
     return;
   }
   this->WaitForData();
@@ -658,7 +711,7 @@
   error_code error;
   asio::write(this->socket, asio::buffer(kContinue), error);
   if (error) {
-    this->Close();
+    this->Close(ConnectionEnd::ConnectionLost);
   }
 }
 
@@ -718,7 +771,8 @@
                http::make_error_code(http::error::bad_method).category() ||
              aError == http::error::end_of_stream ||
              aError == http::error::partial_message) {
-    this->Close();
+    this->Close(aError == asio::error::eof ? ConnectionEnd::ClientClosed
+                                           : ConnectionEnd::ConnectionLost);
     return;
   }
   if (this->DropRequestIfStopped()) {
@@ -736,7 +790,7 @@
   if (!this->parser->is_header_done()) {
     // There may be no request yet that a response could belong to.
     if (this->pipeline.IsEmpty()) {
-      this->Close();
+      this->Close(ConnectionEnd::NoRoom);
       return;
     }
     this->pipeline.StopReading();
@@ -772,6 +826,8 @@
   }
   this->input = Input::Nothing;
   auto pending = std::make_shared<PendingResponse>();
+  pending->requestId = std::string(request[this->rules.requestIdField]);
+  pending->receivedAt = this->headerReadAt;
   pending->headRequest = request.method() == http::verb::head;
   this->parser.reset();
   this->readingBody = false;
@@ -795,7 +851,7 @@
   }
   // The client may have left while its request waited to be read.
   if (PeekByte(this->socket) == 0) {
-    this->Close();
+    this->Close(ConnectionEnd::ClientClosed);
     return;
   }
   this->input = Input::Nothing;
@@ -812,6 +868,8 @@
   if (this->rules.mayRunConcurrently) {
     this->memory->Shares().OnStarted(this->id, this->address);
   }
+  pending->requestId = std::string(request[this->rules.requestIdField]);
+  pending->receivedAt = this->headerReadAt;
   pending->headRequest = request.method() == http::verb::head;
   pending->mustNotChunk = request.version() < kHttp11;
   this->responses.push_back(pending);
@@ -871,7 +929,8 @@
 }
 
 void
-ServerSession::Abort(const std::shared_ptr<PendingResponse>& aPending)
+ServerSession::Abort(const std::shared_ptr<PendingResponse>& aPending,
+                     ConnectionEnd aEnd)
 {
   auto found =
     std::find(this->responses.begin(), this->responses.end(), aPending);
@@ -879,16 +938,16 @@
     return;
   }
   if (found == this->responses.begin()) {
-    this->Close();
+    this->Close(aEnd);
     return;
   }
   // The responses before it are written; those behind it cannot be any more.
-  aPending->Abort();
+  aPending->Abort(aEnd);
   this->pipeline.StopReading();
   std::vector<std::shared_ptr<PendingResponse>> behind(std::next(found),
                                                        this->responses.end());
   for (const auto& pending : behind) {
-    this->NotifyDisconnect(*pending);
+    this->NotifyDisconnect(*pending, aEnd);
   }
 }
 
@@ -904,7 +963,7 @@
     return;
   }
   if (step == PendingResponse::Step::Abort) {
-    this->Close();
+    this->Close(pending.AbortedBy());
     return;
   }
   if (pending.EndsWithConnection()) {
@@ -935,7 +994,7 @@
     return;
   }
   if (aError && aError != http::error::need_buffer) {
-    this->Close();
+    this->Close(ConnectionEnd::ConnectionLost);
     return;
   }
   if (aStep != PendingResponse::Step::Chunk) {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -11,6 +11,7 @@
 #include "http/pendingresponse.h"
 #include "http/requestparser.h"
 #include "http/requestpipeline.h"
+#include "http/unansweredrequest.h"
 
 namespace fescuetiller {
 
@@ -50,6 +51,11 @@
   /** Completes the response to a request that is refused before it is passed
    * on. */
   std::function<void(const HttpRequest&, HttpResponse&)> onRefusal;
+  /** Name of the header that identifies a request in reports. */
+  std::string requestIdField;
+  /** Called for each request whose connection ends before its response is
+   * written. */
+  std::function<void(const UnansweredRequest&)> onUnanswered;
 };
 
 class ServerSession;
@@ -73,7 +79,8 @@
   /** The client sends further requests behind ones that must run alone, without
    * waiting for their responses. */
   bool sentAhead = false;
-  std::function<void()> onClientDisconnect; ///< Called at most once.
+  /** Called at most once. */
+  std::function<void(ConnectionEnd)> onClientDisconnect;
   /** Adds headers to the response; called with the outcome as it is logged. */
   std::function<void(http::fields&, const std::string&)> onResponseHeaders;
 
@@ -103,6 +110,8 @@
   std::shared_ptr<PendingResponse> response;
   bool responseStarted = false;
   bool clientDisconnected = false;
+
+  void Abort(ConnectionEnd aEnd);
 };
 
 /**
@@ -140,7 +149,7 @@
   /** Whether data has arrived that belongs to a request and was not read yet.
    */
   bool HasUnreadData();
-  void Close();
+  void Close(ConnectionEnd aEnd);
   /** Closes the connection unless a part of a request has arrived. */
   void CloseIfIdle();
   /** Sends a final response, which a request that is on its way gets as its
@@ -202,7 +211,8 @@
   void AccountResponse(PendingResponse& aPending, size_t aBytes);
   /** A further part of a response is known. */
   void OnResponseChanged(const std::shared_ptr<PendingResponse>& aPending);
-  void Abort(const std::shared_ptr<PendingResponse>& aPending);
+  void Abort(const std::shared_ptr<PendingResponse>& aPending,
+             ConnectionEnd aEnd);
   /** Writes what is known of the oldest response, if it is not being written.
    */
   void WriteNext();
@@ -212,7 +222,9 @@
   void SetResetOnClose(bool aReset);
   void CloseAfterResponse();
   void DiscardData();
-  void NotifyDisconnect(const PendingResponse& aPending);
+  void NotifyDisconnect(const PendingResponse& aPending, ConnectionEnd aEnd);
+  /** Reports the requests that get no response since the connection ends. */
+  void ReportUnanswered(ConnectionEnd aEnd);
 
   Tcp::socket socket;
   const Handler& handler;
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -318,7 +318,9 @@
         aExchange->Abort();
         break;
       case ServerAction::Hang:
-        aExchange->onClientDisconnect = [this] { this->requestAborted = true; };
+        aExchange->onClientDisconnect = [this](ConnectionEnd) {
+          this->requestAborted = true;
+        };
         this->pendingExchanges.push_back(std::move(aExchange));
         break;
       case ServerAction::BreakOffShort:
--- a/tests/daemon/uplinktest.cpp
+++ b/tests/daemon/uplinktest.cpp
@@ -115,7 +115,9 @@
     auto exchange = this->Request();
     auto response = this->uplink.Expect(
       exchange, aClass, BootClock::now() + std::chrono::seconds(10));
-    exchange->onClientDisconnect = [response] { response->Cancel(); };
+    exchange->onClientDisconnect = [response](ConnectionEnd) {
+      response->Cancel();
+    };
     ResponseHeaders headers;
     headers.message.result(200);
     headers.contentLength = aLength;
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -732,7 +732,9 @@
   {
     bool notified = false;
     fixture.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
-    fixture.exchanges[0]->onClientDisconnect = [&] { notified = true; };
+    fixture.exchanges[0]->onClientDisconnect = [&](ConnectionEnd) {
+      notified = true;
+    };
     fixture.client.close();
     fixture.context.restart();
     fixture.context.run_for(milliseconds(30));
--- a/tests/http/pipelinetest.cpp
+++ b/tests/http/pipelinetest.cpp
@@ -34,7 +34,9 @@
   void CountDisconnects()
   {
     for (const auto& exchange : this->exchanges) {
-      exchange->onClientDisconnect = [this] { ++this->disconnects; };
+      exchange->onClientDisconnect = [this](ConnectionEnd) {
+        ++this->disconnects;
+      };
     }
   }
 
@@ -443,6 +445,95 @@
   }
 }
 
+namespace {
+
+/** What is reported of the requests of a connection that ended: its end, and
+ * the id and known response of each request. */
+std::string
+Summary(const std::vector<UnansweredRequest>& aReports)
+{
+  std::string summary;
+  for (const auto& report : aReports) {
+    summary += summary.empty() ? ToString(report.end) + ":" : ",";
+    summary += " " + report.id + " " + ToString(report.response);
+  }
+  return summary;
+}
+
+} // namespace
+
+// Guards against connections that end with requests in them, and nobody can
+// tell afterwards who ended them and what the clients lost.
+SCENARIO("A server reports the requests that get no response", "[pipeline]")
+{
+  PipelineFixture fixture;
+  std::vector<UnansweredRequest> reports;
+  fixture.server.rules.requestIdField = "X-Id";
+  fixture.server.rules.onUnanswered = [&reports](const auto& aReport) {
+    reports.push_back(aReport);
+  };
+  auto get = [](const std::string& aId) {
+    return "GET / HTTP/1.1\r\nHost: a\r\nX-Id: " + aId + "\r\n\r\n";
+  };
+
+  GIVEN("three requests, of which the last one has its response")
+  {
+    fixture.Send(get("1") + get("2") + get("3"));
+    REQUIRE(fixture.exchanges.size() == 3);
+    fixture.exchanges[1]->StartResponse(ResponseHeaders());
+    fixture.Respond(2, "<3>");
+    WHEN("the client leaves")
+    {
+      fixture.client.close();
+      fixture.context.restart();
+      fixture.context.run_for(milliseconds(30));
+      THEN("it is reported what it has lost")
+      {
+        CHECK(Summary(reports) == "client left: 1 none, 2 started, 3 whole");
+        REQUIRE(reports.size() == 3);
+        CHECK(reports[2].client == "127.0.0.1");
+        CHECK(reports[2].position == 2);
+        CHECK(reports[2].behind == 0);
+        CHECK(reports[2].age >= *reports[2].responseAge);
+        CHECK_FALSE(reports[0].responseAge);
+        CHECK(reports[0].behind == 2);
+      }
+    }
+    WHEN("the first response breaks off")
+    {
+      fixture.exchanges[0]->StartResponse(ResponseHeaders());
+      fixture.exchanges[0]->Abort();
+      CHECK(Summary(reports) ==
+            "response aborted: 1 started, 2 started, 3 whole");
+    }
+    WHEN("nobody responds to the first one")
+    {
+      fixture.exchanges[0].reset();
+      CHECK(Summary(reports) == "no response: 1 none, 2 started, 3 whole");
+    }
+    WHEN("the server closes all connections")
+    {
+      fixture.server.CloseAll();
+      CHECK(Summary(reports) == "stopped: 1 none, 2 started, 3 whole");
+    }
+  }
+  GIVEN("a request whose rest does not arrive in time")
+  {
+    fixture.Send("POST / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n"
+                 "Content-Length: 3\r\n\r\n");
+    fixture.server.CloseTimedOut(BootClock::now() + seconds(10));
+    CHECK(Summary(reports) == "request timeout: 1 not-read");
+  }
+  GIVEN("a request with its response")
+  {
+    fixture.Send(get("1"));
+    fixture.Respond(0, "<1>");
+    fixture.Run();
+    fixture.server.CloseAll();
+    CHECK(Summary(reports).empty());
+  }
+}
+
 SCENARIO("Thousands of requests in one write run a few at a time", "[pipeline]")
 {
   constexpr size_t kCount = 5000;
