--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -22,10 +22,11 @@
 enum class ServerAction
 {
   Respond,
-  Refuse,         ///< Responds 503 and that the request did not run.
-  RefuseInChunks, ///< The same with a body of unknown length.
-  Disconnect,     ///< Closes the connection after it has read the request.
-  Hang,           ///< Never responds.
+  Refuse,          ///< Responds 503 and that the request did not run.
+  RefuseInChunks,  ///< The same with a body of unknown length.
+  Disconnect,      ///< Closes the connection after it has read the request.
+  Hang,            ///< Never responds.
+  RespondInChunks, ///< Without stating the length of the body.
   /** Breaks off a short response inside its body. */
   BreakOffShort,
   /** Breaks off a long response before its first chunk is complete. */
@@ -245,6 +246,24 @@
     return this->TrySend(this->clientAddress, std::move(request));
   }
 
+  /** The server's response to a request. */
+  HttpResponse MakeResponse(const std::string& aId) const
+  {
+    auto response = TextResponse(200, "answer");
+    response.set(headers::kRequestId, aId);
+    response.set(headers::kSignature, "signed");
+    if (!this->statedLimit.empty()) {
+      response.set(headers::kRequestLimit, this->statedLimit);
+    }
+    if (this->statesLeaving) {
+      response.set(headers::kLeaving, headers::kIsLeaving);
+    }
+    for (const auto& [name, value] : this->daemonFields) {
+      response.set(name, value);
+    }
+    return response;
+  }
+
 private:
   HttpResponse Send(const Tcp::endpoint& aAddress, HttpRequest aRequest)
   {
@@ -282,22 +301,9 @@
     this->serverRequests.push_back(aExchange->request);
     auto id = std::string(aExchange->request[headers::kRequestId]);
     switch (action) {
-      case ServerAction::Respond: {
-        auto response = TextResponse(200, "answer");
-        response.set(headers::kRequestId, id);
-        response.set(headers::kSignature, "signed");
-        if (!this->statedLimit.empty()) {
-          response.set(headers::kRequestLimit, this->statedLimit);
-        }
-        if (this->statesLeaving) {
-          response.set(headers::kLeaving, headers::kIsLeaving);
-        }
-        for (const auto& [name, value] : this->daemonFields) {
-          response.set(name, value);
-        }
-        aExchange->Respond(response);
+      case ServerAction::Respond:
+        aExchange->Respond(this->MakeResponse(id));
         break;
-      }
       case ServerAction::Refuse: {
         auto response = TextResponse(503, "");
         response.set(headers::kRequestId, id);
@@ -323,6 +329,9 @@
         };
         this->pendingExchanges.push_back(std::move(aExchange));
         break;
+      case ServerAction::RespondInChunks:
+        this->RespondInChunks(aExchange);
+        break;
       case ServerAction::BreakOffShort:
         this->BreakOff(aExchange, kShortBytes, kShortBytes / 2);
         break;
@@ -335,6 +344,21 @@
     }
   }
 
+  void RespondInChunks(const std::shared_ptr<Exchange>& aExchange)
+  {
+    ResponseHeaders headers;
+    headers.message.result(200);
+    headers.message.set(headers::kRequestId,
+                        aExchange->request[headers::kRequestId]);
+    for (const auto& [name, value] : this->daemonFields) {
+      headers.message.set(name, value);
+    }
+    aExchange->StartResponse(std::move(headers));
+    auto body = std::make_shared<std::string>("answer");
+    aExchange->WriteChunk(asio::buffer(*body),
+                          [body, aExchange] { aExchange->EndResponse(); });
+  }
+
   /** Sends the headers and a part of the body, then closes the connection.
    * @param aLength Length of the body by the headers. */
   void BreakOff(const std::shared_ptr<Exchange>& aExchange,
@@ -356,6 +380,72 @@
   }
 };
 
+/** A client that sends further requests before it has the first response. */
+class PipeliningClient
+{
+public:
+  explicit PipeliningClient(RequestPathFixture& aFixture)
+    : fixture(aFixture)
+    , socket(aFixture.context)
+  {
+    this->socket.connect(aFixture.clientAddress);
+    this->socket.non_blocking(true);
+  }
+
+  /** Sends a request with the id "r" and the path.
+   * @param aTimeLeft How long the client waits; empty: it does not say. */
+  void Get(const std::string& aPath,
+           std::optional<milliseconds> aTimeLeft = std::nullopt)
+  {
+    HttpRequest request(http::verb::get, aPath, 11);
+    request.set(http::field::host, "a.example");
+    request.set(headers::kRequestId, "r" + aPath);
+    request.set(headers::kKey, "7");
+    if (aTimeLeft) {
+      request.set(headers::kTimeLeft, std::to_string(aTimeLeft->count()));
+    }
+    http::write(this->socket, request);
+  }
+
+  /** Reads for some time, or until the daemon closes the connection. */
+  void ReadUntilClosed(Duration aTime)
+  {
+    auto end = BootClock::now() + aTime;
+    boost::system::error_code error;
+    while (BootClock::now() < end &&
+           (!error || error == asio::error::would_block)) {
+      this->fixture.context.run_for(milliseconds(2));
+      auto size =
+        this->socket.read_some(this->buffer.prepare(kLongBytes), error);
+      this->buffer.commit(size);
+    }
+  }
+
+  /** Status and id of each response that was read whole, in their order. */
+  std::vector<std::string> Responses() const
+  {
+    std::vector<std::string> responses;
+    auto rest = this->buffer.data();
+    boost::system::error_code error;
+    while (!error && rest.size() > 0) {
+      http::response_parser<http::string_body> parser;
+      parser.eager(true);
+      rest += parser.put(rest, error);
+      if (parser.is_done()) {
+        const auto& response = parser.get();
+        responses.push_back(std::to_string(response.result_int()) + " " +
+                            std::string(response[headers::kRequestId]));
+      }
+    }
+    return responses;
+  }
+
+private:
+  RequestPathFixture& fixture;
+  Tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+};
+
 /** A client whose first attempt was refused by the daemon of another member,
  * and whose target time has passed since. */
 struct RefusedClientFixture : RequestPathFixture
@@ -1100,6 +1190,54 @@
   }
 }
 
+// Guards against the loss of finished responses: one that waited for its turn
+// was held to the time limit of its call, and closed the connection.
+SCENARIO("A response waits for its turn longer than its own time limit",
+         "[path][pipeline][knownred]")
+{
+  RequestPathFixture fixture;
+  auto owner = GENERATE(as<std::string>(), "me", "other");
+  if (owner == "other") {
+    ExecutionReport report;
+    report.outcome = ExecutionOutcome::Answered;
+    fixture.daemonFields[kExecutionReportField] = Encode(report);
+  }
+  fixture.Configure(owner);
+  fixture.serverActions = { ServerAction::Hang,
+                            ServerAction::RespondInChunks,
+                            ServerAction::Respond };
+  PipeliningClient client(fixture);
+
+  GIVEN("a timeout that a new configuration shortens behind the first request")
+  {
+    client.Get("/look/1");
+    fixture.context.run_for(milliseconds(30));
+    auto changed = std::make_shared<Configuration>(*fixture.configuration);
+    changed->routes["look"].timeout = milliseconds(100);
+    fixture.configuration = changed;
+    fixture.Configure(owner);
+    client.Get("/look/2");
+    client.Get("/look/3");
+    fixture.context.run_for(milliseconds(300));
+    REQUIRE(fixture.pendingExchanges.size() == 1);
+    CHECK(client.Responses().empty());
+
+    WHEN("the first request gets its response")
+    {
+      fixture.pendingExchanges[0]->Respond(fixture.MakeResponse("r/look/1"));
+      client.ReadUntilClosed(milliseconds(100));
+      THEN("all of them do, in order")
+      {
+        CHECK(client.Responses() == std::vector<std::string>{
+                                      "200 r/look/1",
+                                      "200 r/look/2",
+                                      "200 r/look/3",
+                                    });
+      }
+    }
+  }
+}
+
 SCENARIO("A request that the server never answers times out", "[path]")
 {
   RequestPathFixture fixture;
