--- a/src/http/pendingresponse.cpp
+++ b/src/http/pendingresponse.cpp
@@ -2,16 +2,37 @@
 
 namespace fescuetiller {
 
+namespace {
+
+/** Most bytes of a body that are kept until its turn. */
+constexpr size_t kMaxHeldBytes = 32 * 1024;
+
+} // namespace
+
 void
 PendingResponse::SetWhole(HttpResponse aResponse)
 {
+  this->Discard();
   this->knownSince = BootClock::now();
   this->whole = std::move(aResponse);
 }
 
+void
+PendingResponse::Discard()
+{
+  this->whole.reset();
+  this->serializer.reset();
+  this->streamed.reset();
+  this->held.clear();
+  this->chunk = {};
+  this->next = nullptr;
+  this->ended = false;
+}
+
 void
 PendingResponse::Start(ResponseHeaders aHeaders)
 {
+  this->Discard();
   this->knownSince = BootClock::now();
   this->streamed = std::make_unique<Streamed>();
   this->streamed->base() = aHeaders.message.base();
@@ -31,6 +52,16 @@
   this->next = std::move(aNext);
 }
 
+bool
+PendingResponse::Hold(asio::const_buffer aChunk)
+{
+  bool hasRoom = this->held.size() + aChunk.size() <= kMaxHeldBytes;
+  if (hasRoom) {
+    this->held.append(static_cast<const char*>(aChunk.data()), aChunk.size());
+  }
+  return hasRoom;
+}
+
 void
 PendingResponse::End()
 {
@@ -40,7 +71,8 @@
 void
 PendingResponse::Abort(ConnectionEnd aEnd)
 {
-  this->aborted = aEnd;
+  this->aborted = this->aborted.value_or(aEnd);
+  this->held.clear();
   this->chunk = {};
   this->next = nullptr;
 }
@@ -48,7 +80,7 @@
 UnansweredRequest::Response
 PendingResponse::Known() const
 {
-  if (this->whole || this->ended) {
+  if (this->IsComplete()) {
     return UnansweredRequest::Response::Whole;
   }
   return this->streamed != nullptr ? UnansweredRequest::Response::Started
@@ -73,12 +105,24 @@
   if (this->streamed == nullptr) {
     return Step::Wait;
   }
-  if (this->next != nullptr) {
+  if (!this->held.empty() || this->next != nullptr) {
     return Step::Chunk;
   }
   return this->ended ? Step::End : Step::Wait;
 }
 
+bool
+PendingResponse::IsBegun() const
+{
+  return this->begun;
+}
+
+bool
+PendingResponse::IsComplete() const
+{
+  return this->whole || this->ended;
+}
+
 bool
 PendingResponse::EndsWithConnection() const
 {
@@ -89,12 +133,14 @@
 size_t
 PendingResponse::HeldBytes() const
 {
-  return this->whole ? this->whole->body().size() : this->chunk.size();
+  return this->whole ? this->whole->body().size()
+                     : this->held.size() + this->chunk.size();
 }
 
 void
-PendingResponse::SetKeepAlive(bool aKeepAlive)
+PendingResponse::Begin(bool aKeepAlive)
 {
+  this->begun = true;
   if (this->whole) {
     this->whole->version(11);
     this->whole->keep_alive(aKeepAlive);
@@ -119,10 +165,11 @@
 PendingResponse::Prepare()
 {
   auto& body = this->streamed->body();
-  bool atEnd = this->next == nullptr;
+  auto data = this->held.empty() ? this->chunk : asio::buffer(this->held);
+  bool atEnd = this->NextStep() == Step::End;
   // The serializer takes a non-const pointer but does not modify the data.
-  body.data = atEnd ? nullptr : const_cast<void*>(this->chunk.data());
-  body.size = atEnd ? 0 : this->chunk.size();
+  body.data = atEnd ? nullptr : const_cast<void*>(data.data());
+  body.size = atEnd ? 0 : data.size();
   body.more = !atEnd;
   if (this->serializer == nullptr) {
     this->serializer = std::make_unique<Serializer>(*this->streamed);
@@ -133,6 +180,10 @@
 std::function<void()>
 PendingResponse::TakeChunkCallback()
 {
+  if (!this->held.empty()) {
+    this->held = {};
+    return nullptr;
+  }
   auto callback = std::move(this->next);
   this->next = nullptr;
   this->chunk = {};
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -58,7 +58,7 @@
 
 Exchange::~Exchange()
 {
-  if (!this->responseStarted && !this->clientDisconnected) {
+  if (!this->response->IsComplete() && !this->clientDisconnected) {
     this->Abort(ConnectionEnd::NoResponse);
   }
 }
@@ -66,7 +66,6 @@
 void
 Exchange::Respond(HttpResponse aResponse)
 {
-  this->responseStarted = true;
   if (auto open = this->session.lock()) {
     open->Respond(this->response, std::move(aResponse));
   }
@@ -75,9 +74,9 @@
 void
 Exchange::StartResponse(ResponseHeaders aHeaders)
 {
-  this->responseStarted = true;
   this->response->Start(std::move(aHeaders));
-  if (auto open = this->session.lock()) {
+  auto open = this->session.lock();
+  if (open != nullptr && this->response->heldBytes == 0) {
     open->AccountResponse(*this->response, kStreamBytes);
   }
 }
@@ -86,9 +85,8 @@
 Exchange::WriteChunk(asio::const_buffer aChunk, std::function<void()> aNext)
 {
   auto open = this->session.lock();
-  if (open != nullptr && this->responseStarted) {
-    this->response->SetChunk(aChunk, std::move(aNext));
-    open->OnResponseChanged(this->response);
+  if (open != nullptr) {
+    open->WriteChunk(this->response, aChunk, std::move(aNext));
   }
 }
 
@@ -96,7 +94,7 @@
 Exchange::EndResponse()
 {
   auto open = this->session.lock();
-  if (open != nullptr && this->responseStarted) {
+  if (open != nullptr) {
     this->response->End();
     open->OnResponseChanged(this->response);
   }
@@ -120,7 +118,7 @@
 bool
 Exchange::HasStartedResponse() const
 {
-  return this->responseStarted;
+  return this->response->IsBegun();
 }
 
 uint64_t
@@ -901,6 +899,23 @@
   this->OnResponseChanged(aPending);
 }
 
+void
+ServerSession::WriteChunk(const std::shared_ptr<PendingResponse>& aPending,
+                          asio::const_buffer aChunk,
+                          std::function<void()> aNext)
+{
+  // A response that waits for its turn must not hold up the call that it comes
+  // from: the time limit of that call would pass meanwhile.
+  bool waits = !this->responses.empty() && aPending != this->responses.front();
+  if (waits && aPending->Hold(aChunk)) {
+    this->AccountResponse(*aPending, aChunk.size());
+    asio::post(this->socket.get_executor(), std::move(aNext));
+  } else {
+    aPending->SetChunk(aChunk, std::move(aNext));
+  }
+  this->OnResponseChanged(aPending);
+}
+
 void
 ServerSession::AccountResponse(PendingResponse& aPending, size_t aBytes)
 {
@@ -919,9 +934,12 @@
   }
   if (aPending == this->responses.front()) {
     this->WriteNext();
-  } else if (aPending->waitedBytes == 0) {
-    aPending->waitedBytes = aPending->HeldBytes();
-    this->pipeline.OnResponseWaiting(aPending->waitedBytes);
+    return;
+  }
+  auto bytes = aPending->HeldBytes();
+  if (bytes > aPending->waitedBytes) {
+    this->pipeline.OnResponseWaiting(bytes - aPending->waitedBytes);
+    aPending->waitedBytes = bytes;
     if (aPending->heldBytes == 0) {
       this->AccountResponse(*aPending, aPending->waitedBytes);
     }
@@ -972,7 +990,7 @@
   if (this->limits.closeAfterResponse || pending.EndsWithConnection()) {
     this->pipeline.StopReading();
   }
-  pending.SetKeepAlive(!this->pipeline.ClosesAfterNextResponse());
+  pending.Begin(!this->pipeline.ClosesAfterNextResponse());
   this->writing = true;
   this->writeStartedAt = BootClock::now();
   this->writeBytes = pending.HeldBytes();
@@ -1002,7 +1020,9 @@
     return;
   }
   auto next = this->responses.front()->TakeChunkCallback();
-  next();
+  if (next) {
+    next();
+  }
   this->WriteNext();
 }
 
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -84,17 +84,22 @@
   /** Adds headers to the response; called with the outcome as it is logged. */
   std::function<void(http::fields&, const std::string&)> onResponseHeaders;
 
-  /** Sends a complete response. */
+  /** Sends a complete response. May take the place of one that was started if
+   * HasStartedResponse is false. */
   void Respond(HttpResponse aResponse);
-  /** Starts a response whose body follows in chunks. */
+  /** Starts a response whose body follows in chunks. May take the place of one
+   * that was started before, as above. */
   void StartResponse(ResponseHeaders aHeaders);
-  /** Writes a part of the body. @param aNext Called when it is written. */
+  /** Writes a part of the body. @param aNext Called when it is written, or kept
+   * until the responses before it are. */
   void WriteChunk(asio::const_buffer aChunk, std::function<void()> aNext);
   void EndResponse();
   /** Closes the connection once the responses before this one are written, so
    * that the client sees a response that was started as incomplete. */
   void Abort();
 
+  /** Whether a part of a response has been written. One that waits for those
+   * before it has not. */
   bool HasStartedResponse() const;
 
   /** Identifies the open connection; 0 if it is closed. */
@@ -108,7 +113,6 @@
 
   std::weak_ptr<ServerSession> session;
   std::shared_ptr<PendingResponse> response;
-  bool responseStarted = false;
   bool clientDisconnected = false;
 
   void Abort(ConnectionEnd aEnd);
@@ -207,6 +211,9 @@
 
   void Respond(const std::shared_ptr<PendingResponse>& aPending,
                HttpResponse aResponse);
+  void WriteChunk(const std::shared_ptr<PendingResponse>& aPending,
+                  asio::const_buffer aChunk,
+                  std::function<void()> aNext);
   /** Adds what a response holds to the account. */
   void AccountResponse(PendingResponse& aPending, size_t aBytes);
   /** A further part of a response is known. */
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -31,8 +31,11 @@
   BreakOffShort,
   /** Breaks off a long response before its first chunk is complete. */
   BreakOffLongEarly,
+  /** Breaks off a long response behind the first part that is passed on. */
+  BreakOffBehindPart,
   /** Breaks off a long response after several chunks. */
   BreakOffLong,
+  RespondLong, ///< With a body that is passed on in chunks.
 };
 
 /** Responses that break off before anything of them is passed on. */
@@ -338,9 +341,18 @@
       case ServerAction::BreakOffLongEarly:
         this->BreakOff(aExchange, kLongBytes, kShortBytes);
         break;
+      case ServerAction::BreakOffBehindPart:
+        this->BreakOff(aExchange, kLongBytes, kLongBytes / 5);
+        break;
       case ServerAction::BreakOffLong:
         this->BreakOff(aExchange, kLongBytes, kLongBytes / 2);
         break;
+      case ServerAction::RespondLong: {
+        auto response = this->MakeResponse(id);
+        response.body() = std::string(kLongBytes, 'x');
+        aExchange->Respond(std::move(response));
+        break;
+      }
     }
   }
 
@@ -1190,54 +1202,94 @@
   }
 }
 
+namespace {
+
+/** Three requests over one connection, of which the first one has no response
+ * yet. Their key is owned by the daemon itself or by another one. */
+struct WaitingResponseFixture : RequestPathFixture
+{
+  MemberId owner = GENERATE(as<MemberId>(), "me", "other");
+  std::unique_ptr<PipeliningClient> client;
+
+  WaitingResponseFixture()
+  {
+    if (this->owner == "other") {
+      this->daemonFields[kExecutionReportField] = Encode(ExecutionReport());
+    }
+    this->Configure(this->owner);
+    this->client = std::make_unique<PipeliningClient>(*this);
+  }
+
+  /** @param aSecond How the server handles the second request. */
+  void SendThree(ServerAction aSecond, Duration aTimeoutOfLast)
+  {
+    this->serverActions = { ServerAction::Hang, aSecond };
+    this->client->Get("/look/1");
+    this->context.run_for(milliseconds(30));
+    this->configuration = std::make_shared<Configuration>(*this->configuration);
+    this->configuration->routes["look"].timeout = aTimeoutOfLast;
+    this->Configure(this->owner);
+    this->client->Get("/look/2");
+    this->context.run_for(milliseconds(30));
+    this->client->Get("/look/3");
+    this->context.run_for(milliseconds(200));
+    REQUIRE(this->pendingExchanges.size() == 1);
+    CHECK(this->client->Responses().empty());
+  }
+
+  /** Responds to the first request. @return What the client gets. */
+  std::vector<std::string> RespondToFirst()
+  {
+    this->pendingExchanges[0]->Respond(this->MakeResponse("r/look/1"));
+    this->client->ReadUntilClosed(milliseconds(200));
+    return this->client->Responses();
+  }
+};
+
+} // namespace
+
 // Guards against the loss of finished responses: one that waited for its turn
 // was held to the time limit of its call, and closed the connection.
 SCENARIO("A response waits for its turn longer than its own time limit",
-         "[path][pipeline][knownred]")
+         "[path][pipeline]")
 {
-  RequestPathFixture fixture;
-  auto owner = GENERATE(as<std::string>(), "me", "other");
-  if (owner == "other") {
-    ExecutionReport report;
-    report.outcome = ExecutionOutcome::Answered;
-    fixture.daemonFields[kExecutionReportField] = Encode(report);
+  WaitingResponseFixture fixture;
+
+  GIVEN("a short response of unknown length")
+  {
+    fixture.SendThree(ServerAction::RespondInChunks, milliseconds(100));
+    CHECK(fixture.RespondToFirst() ==
+          std::vector<std::string>{
+            "200 r/look/1", "200 r/look/2", "200 r/look/3" });
   }
-  fixture.Configure(owner);
-  fixture.serverActions = { ServerAction::Hang,
-                            ServerAction::RespondInChunks,
-                            ServerAction::Respond };
-  PipeliningClient client(fixture);
-
-  GIVEN("a timeout that a new configuration shortens behind the first request")
-  {
-    client.Get("/look/1");
-    fixture.context.run_for(milliseconds(30));
-    auto changed = std::make_shared<Configuration>(*fixture.configuration);
-    changed->routes["look"].timeout = milliseconds(100);
-    fixture.configuration = changed;
-    fixture.Configure(owner);
-    client.Get("/look/2");
-    client.Get("/look/3");
-    fixture.context.run_for(milliseconds(300));
-    REQUIRE(fixture.pendingExchanges.size() == 1);
-    CHECK(client.Responses().empty());
-
-    WHEN("the first request gets its response")
+  GIVEN("a response that is too long to be kept")
+  {
+    fixture.SendThree(ServerAction::RespondLong, milliseconds(100));
+    THEN("only the request that it belongs to fails")
     {
-      fixture.pendingExchanges[0]->Respond(fixture.MakeResponse("r/look/1"));
-      client.ReadUntilClosed(milliseconds(100));
-      THEN("all of them do, in order")
-      {
-        CHECK(client.Responses() == std::vector<std::string>{
-                                      "200 r/look/1",
-                                      "200 r/look/2",
-                                      "200 r/look/3",
-                                    });
-      }
+      CHECK(fixture.RespondToFirst() ==
+            std::vector<std::string>{
+              "200 r/look/1", "504 r/look/2", "200 r/look/3" });
     }
   }
 }
 
+// Guards against the loss of finished responses behind one that broke off
+// before anything of it was written.
+SCENARIO("A response breaks off while it waits for its turn",
+         "[path][pipeline]")
+{
+  WaitingResponseFixture fixture;
+  fixture.SendThree(ServerAction::BreakOffBehindPart, milliseconds(600));
+  THEN("that of another attempt takes its place")
+  {
+    CHECK(fixture.RespondToFirst() ==
+          std::vector<std::string>{
+            "200 r/look/1", "200 r/look/2", "200 r/look/3" });
+    CHECK(fixture.serverRequests.size() == 4);
+  }
+}
+
 SCENARIO("A request that the server never answers times out", "[path]")
 {
   RequestPathFixture fixture;
--- a/tests/http/pipelinetest.cpp
+++ b/tests/http/pipelinetest.cpp
@@ -231,13 +231,70 @@
       fixture.Run();
       THEN("it follows whole when the first one is written")
       {
-        CHECK_FALSE(written);
+        CHECK(fixture.received.empty());
         fixture.Respond(0, "<1>");
         fixture.Run();
-        CHECK(written);
         CHECK(fixture.Answers() == "123");
         CHECK(CountOf(fixture.received, "\r\n0\r\n") == 1);
       }
+      THEN("it is taken whole, so that nobody has to keep the rest for it")
+      {
+        CHECK(written);
+        fixture.exchanges[1].reset();
+        fixture.Respond(0, "<1>");
+        fixture.Run();
+        CHECK(fixture.Answers() == "123");
+      }
+    }
+    WHEN("a long response in chunks waits for the first one")
+    {
+      std::vector<std::string> chunks = { std::string(20 * 1024, 'x') + "<",
+                                          "2" + std::string(20 * 1024, 'y'),
+                                          std::string(20 * 1024, 'z') + ">" };
+      size_t written = 0;
+      std::function<void()> next = [&] {
+        if (written == chunks.size()) {
+          fixture.exchanges[1]->EndResponse();
+          return;
+        }
+        fixture.exchanges[1]->WriteChunk(asio::buffer(chunks[written]), [&] {
+          ++written;
+          next();
+        });
+      };
+      fixture.exchanges[1]->StartResponse(ResponseHeaders());
+      next();
+      fixture.Respond(2, "<3>");
+      fixture.Run();
+      THEN("its beginning is kept, and the rest waits with its server")
+      {
+        CHECK(written == 1);
+        CHECK(fixture.received.empty());
+        CHECK_FALSE(fixture.exchanges[1]->HasStartedResponse());
+        fixture.Respond(0, "<1>");
+        for (int round = 0; round < 10; ++round) {
+          fixture.Run();
+        }
+        CHECK(written == 3);
+        CHECK(fixture.received.find(chunks[0]) != std::string::npos);
+        CHECK(fixture.received.find(chunks[1]) != std::string::npos);
+        CHECK(fixture.received.find(chunks[2]) != std::string::npos);
+        CHECK(CountOf(fixture.received, "<3>") == 1);
+      }
+      THEN("another response can still take its place")
+      {
+        fixture.Respond(1, "<other>");
+        fixture.Respond(0, "<1>");
+        fixture.Run();
+        CHECK(fixture.Answers() == "1other3");
+        CHECK(fixture.Run());
+      }
+      THEN("no other response can once a part of it is written")
+      {
+        fixture.Respond(0, "<1>");
+        fixture.Run();
+        CHECK(fixture.exchanges[1]->HasStartedResponse());
+      }
     }
   }
   GIVEN("a client that disconnects behind more requests than run at once")
