--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -15,9 +15,16 @@
 
 using std::chrono::milliseconds;
 
-/** Time reserved before the client's deadline for the response to travel back.
- */
+/** Time reserved before the deadline for the response of another daemon to
+ * travel back. */
 constexpr Duration kResponseTravelTime = milliseconds(8);
+/** Time that a message to a client and back is taken to take at least. The
+ * client counts its wait from when it sends the request. */
+constexpr Duration kMinClientRoundTrip = milliseconds(20);
+/** Time reserved for writing a response to a client. */
+constexpr Duration kResponseWriteTime = milliseconds(10);
+/** Share of the client's wait that is reserved for its response at most. */
+constexpr int kMaxReserveDivisor = 8;
 /** Clients that say that they wait for longer are taken to wait for this. */
 constexpr milliseconds kMaxClientWait = std::chrono::hours(24);
 /** Time before the exit of the process in which the last responses are written
@@ -64,6 +71,8 @@
   return aStatus == 503 || aStatus < kFirstServerError;
 }
 
+/** Reason of requests that were sent and have no response at their deadline. */
+constexpr const char* kNoResponseReason = "no-response";
 /** Reason of requests that the owner of their key would refuse. */
 constexpr const char* kHeldBackReason = "owner-overloaded";
 /** Reason of retries that are sent too early. */
@@ -110,6 +119,7 @@
   , startedAt(exchange->receivedAt)
   , deadline(startedAt)
   , timer(aIngress.context)
+  , deadlineTimer(aIngress.context)
 {
   ++this->ingress.inFlight;
 }
@@ -137,10 +147,64 @@
   if (this->ReadRequest() && !this->RefuseIfStopping() &&
       !this->RefuseIfEarly() && !this->RefuseIfBlocked()) {
     this->ingress.RetryBudgetFor(this->dispatch.service).CountRequest();
+    this->ArmDeadlineTimer();
     this->Send();
   }
 }
 
+Duration
+IngressRequest::ResponseReserve(Duration aWait) const
+{
+  auto roundTrip =
+    std::max(this->exchange->RoundTripTime(), kMinClientRoundTrip);
+  return std::min(roundTrip + kResponseWriteTime,
+                  Duration(aWait / kMaxReserveDivisor));
+}
+
+void
+IngressRequest::ArmDeadlineTimer()
+{
+  this->deadlineTimer.expires_after(this->responseDue - BootClock::now());
+  this->deadlineTimer.async_wait(
+    [weak = this->weak_from_this()](boost::system::error_code aError) {
+      auto self = weak.lock();
+      if (!aError && self != nullptr) {
+        self->OnDeadline();
+      }
+    });
+}
+
+void
+IngressRequest::OnDeadline()
+{
+  if (this->ended || this->passingOn) {
+    return; // A response that waits for its turn is still delivered.
+  }
+  auto self = this->shared_from_this();
+  bool sent = this->remoteCall != nullptr || this->localExecution != nullptr;
+  this->timer.cancel();
+  if (sent) {
+    this->RecordUnansweredAttempt();
+    this->CancelAttempt();
+    this->GiveUp(FailedAttempt::OutcomeUnknown(kNoResponseReason));
+  } else {
+    this->GiveUp(FailedAttempt::NotSent(
+      this->lastFailure.empty() ? "no-time" : this->lastFailure));
+  }
+}
+
+void
+IngressRequest::RecordUnansweredAttempt()
+{
+  if (this->remoteCall != nullptr) {
+    auto now = BootClock::now();
+    this->ingress.peers.OnClientDisconnect(now,
+                                           this->currentMember,
+                                           this->dispatch.requestClass,
+                                           now - this->sentAt);
+  }
+}
+
 bool
 IngressRequest::RefuseIfStopping()
 {
@@ -241,11 +305,17 @@
         std::string(request[headers::kTimeLeft]), requested) &&
       requested >= 0) {
     auto wait = std::min(milliseconds(requested), kMaxClientWait);
-    timeout = std::min<Duration>(timeout, wait);
+    if (wait - wait / kMaxReserveDivisor < timeout + kResponseMargin) {
+      auto longest = wait - this->ResponseReserve(wait);
+      timeout = std::min<Duration>(timeout, longest);
+      this->responseDue = this->startedAt + longest;
+    }
     this->clientDeadline = this->startedAt + wait;
     this->RecognizeRetry();
   }
   this->deadline = this->startedAt + timeout;
+  this->responseDue =
+    std::min(this->responseDue, Time(this->deadline + kResponseMargin));
   this->dispatch.service = this->ingress.destinations.Pick(this->route);
   this->dispatch.requestClass = this->route.name;
   this->dispatch.priority = this->route.priority;
@@ -527,6 +597,7 @@
   this->remoteCall.reset();
   this->localExecution.reset();
   this->headers.reset();
+  this->passingOn = false;
 }
 
 void
@@ -638,6 +709,7 @@
   if (this->headers) {
     this->exchange->StartResponse(std::move(*this->headers));
     this->headers.reset();
+    this->passingOn = true;
   }
 }
 
@@ -798,13 +870,7 @@
   this->ended = true;
   this->timer.cancel();
   auto self = this->shared_from_this();
-  if (this->remoteCall != nullptr) {
-    auto now = BootClock::now();
-    this->ingress.peers.OnClientDisconnect(now,
-                                           this->currentMember,
-                                           this->dispatch.requestClass,
-                                           now - this->sentAt);
-  }
+  this->RecordUnansweredAttempt();
   this->CancelAttempt();
   this->ExpectRetry();
   this->RecordOutcome("cancelled", ToString(aEnd));
--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -51,6 +51,9 @@
   /** Finds the route, deadline, service and key. @return False if the request
    * was refused. */
   bool ReadRequest();
+  /** Time before the end of the client's wait at which its response must be
+   * written, so that it arrives before the client leaves. */
+  Duration ResponseReserve(Duration aWait) const;
   RequestFingerprint RetryFingerprint() const;
   /** Finds out whether the client sends this request again. */
   void RecognizeRetry();
@@ -96,6 +99,12 @@
   /** Records what the failure of a call says about the other daemon. */
   void RecordPeerFailure(const CallFailure& aFailure);
   void OnClientDisconnected(ConnectionEnd aEnd);
+  /** Responds when the request is out of time, whatever other daemons and
+   * servers do. */
+  void ArmDeadlineTimer();
+  void OnDeadline();
+  /** Records that the current member has not responded so far. */
+  void RecordUnansweredAttempt();
   /** Responds that the request was refused or that its outcome is unknown. */
   void GiveUp(const FailedAttempt& aAttempt);
   void RespondWithError(unsigned aStatus,
@@ -138,6 +147,10 @@
   /** Until when the client waits, retries included; empty if it did not say. */
   std::optional<Time> clientDeadline;
   Time deadline;
+  /** When the client gets a response at the latest. Later than the deadline if
+   * the client waits for longer than its route allows: other daemons respond at
+   * the deadline. */
+  Time responseDue = Time::max();
   std::string currentMember;  ///< Member of the last attempt.
   std::string currentAddress; ///< Of that member, if it is another one.
   /** Zone of that member; nothing if it is the own one. */
@@ -149,13 +162,15 @@
   std::set<std::string> triedMembers;
   std::shared_ptr<UpstreamCall> remoteCall;    ///< Attempt at another daemon.
   std::shared_ptr<Cancellable> localExecution; ///< Attempt at this daemon.
-  asio::steady_timer timer;
+  asio::steady_timer timer;         ///< For the pause before an attempt.
+  asio::steady_timer deadlineTimer; ///< See OnDeadline.
   /** Failed attempts that reached a backend server or may have. */
   uint32_t serverAttempts = 0;
   bool mayHaveRun = false; ///< In any of the attempts.
   uint32_t hops = 0;       ///< Attempts, and pauses to wait for a new owner.
   std::string lastFailure; ///< Reason of the last failed attempt.
   Duration minRetryAfter = Duration::max(); ///< Of all failed attempts.
+  bool passingOn = false; ///< A response to the current attempt has begun.
   bool ended = false;
 };
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -139,6 +139,15 @@
   return fescuetiller::BytesInFlight(open->socket);
 }
 
+Duration
+Exchange::RoundTripTime() const
+{
+  auto open = this->session.lock();
+  return open == nullptr || open->IsClosed()
+           ? Duration(0)
+           : fescuetiller::RoundTripTime(open->socket);
+}
+
 ServerSession::ServerSession(Tcp::socket aSocket,
                              const Handler& aHandler,
                              const SessionRules& aRules,
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -107,6 +107,9 @@
   /** Bytes that were written over the connection and are not acknowledged yet;
    * empty if it is closed. */
   std::optional<uint64_t> BytesInFlight() const;
+  /** Time that a message to the client and back takes at present, as far as it
+   * is known. */
+  Duration RoundTripTime() const;
 
 private:
   friend class ServerSession;
--- a/src/http/socketstate.cpp
+++ b/src/http/socketstate.cpp
@@ -4,6 +4,8 @@
 
 #include <linux/filter.h>
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -31,6 +33,17 @@
   return known && bytes > 0 ? static_cast<uint64_t>(bytes) : 0;
 }
 
+Duration
+RoundTripTime(Tcp::socket& aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  bool known =
+    ::getsockopt(
+      aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+  return std::chrono::microseconds(known ? info.tcpi_rtt : 0);
+}
+
 void
 DropConnectionAttempts(Tcp::acceptor& aAcceptor)
 {
--- a/src/http/socketstate.h
+++ b/src/http/socketstate.h
@@ -24,6 +24,11 @@
 uint64_t
 BytesInFlight(Tcp::socket& aSocket);
 
+/** Time that a message and its acknowledgement take at present, as the kernel
+ * estimates it; 0 if it does not tell. */
+Duration
+RoundTripTime(Tcp::socket& aSocket);
+
 /** Makes the kernel drop further attempts to connect to a listening socket.
  * Their clients repeat them, and find the address closed in the end. Those that
  * have been replied to are completed. */
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -419,17 +419,35 @@
     http::write(this->socket, request);
   }
 
+  /** Reads what has arrived. @return Whether the connection is open. */
+  bool Read()
+  {
+    boost::system::error_code error;
+    auto size = this->socket.read_some(this->buffer.prepare(kLongBytes), error);
+    this->buffer.commit(size);
+    return !error || error == asio::error::would_block;
+  }
+
   /** Reads for some time, or until the daemon closes the connection. */
   void ReadUntilClosed(Duration aTime)
   {
     auto end = BootClock::now() + aTime;
-    boost::system::error_code error;
-    while (BootClock::now() < end &&
-           (!error || error == asio::error::would_block)) {
+    do {
+      this->fixture.context.run_for(milliseconds(2));
+    } while (this->Read() && BootClock::now() < end);
+  }
+
+  /** Reads what has arrived after a time, as a client that then leaves. */
+  void ReadAfter(Duration aTime)
+  {
+    bool passed = false;
+    asio::steady_timer limit(this->fixture.context, aTime);
+    limit.async_wait([&](boost::system::error_code) {
+      this->Read();
+      passed = true;
+    });
+    while (!passed) {
       this->fixture.context.run_for(milliseconds(2));
-      auto size =
-        this->socket.read_some(this->buffer.prepare(kLongBytes), error);
-      this->buffer.commit(size);
     }
   }
 
@@ -1248,6 +1266,20 @@
 
 } // namespace
 
+// Guards against the loss of finished responses: a client that gets none to its
+// first request closes the connection at its own limit.
+SCENARIO("A client gets all responses before its own limit", "[path][pipeline]")
+{
+  constexpr milliseconds kLimit(400); // Less than the timeout of the route.
+  WaitingResponseFixture fixture;
+  fixture.serverActions = { ServerAction::Hang };
+  fixture.client->Get("/look/1", kLimit);
+  fixture.client->Get("/look/2", kLimit);
+  fixture.client->ReadAfter(kLimit);
+  CHECK(fixture.client->Responses() ==
+        std::vector<std::string>{ "504 r/look/1", "200 r/look/2" });
+}
+
 // Guards against the loss of finished responses: one that waited for its turn
 // was held to the time limit of its call, and closed the connection.
 SCENARIO("A response waits for its turn longer than its own time limit",
