--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -520,6 +520,7 @@
     this->discardedBytes += static_cast<size_t>(count);
   } else if (count > 0) {
     this->buffer.commit(static_cast<size_t>(count));
+    this->arrivals.OnReceived(BootClock::now(), static_cast<size_t>(count));
     if (this->memory->SetInput(this->id, this->InputBytes()) !=
         RoomReason::None) {
       return; // What follows stays with the client until a response is written.
@@ -624,6 +625,7 @@
         return;
       }
       self->buffer.commit(aSize);
+      self->arrivals.OnReceived(BootClock::now(), aSize);
       self->memory->Account().OnReceived(self->id, aSize);
       self->ParseInput();
     });
@@ -634,7 +636,9 @@
 {
   error_code error = http::error::need_more;
   if (this->buffer.size() > 0) {
-    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    auto consumed = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(consumed);
+    this->arrivals.OnConsumed(consumed);
   }
   if (error && error != http::error::need_more) {
     this->RejectRequest(error);
@@ -683,7 +687,7 @@
   if (this->DropRequestIfStopped()) {
     return;
   }
-  this->headerReadAt = BootClock::now();
+  this->headerReceivedAt = this->arrivals.LastConsumed();
   const auto& request = this->parser->get();
   // The client waits for an interim response before it sends the body, and
   // that response belongs to the oldest request.
@@ -819,6 +823,7 @@
 {
   this->pipelined = this->pipelined || this->buffer.size() > 0;
   this->buffer = boost::beast::flat_buffer();
+  this->arrivals.Clear();
   this->memory->SetInput(this->id, this->InputBytes());
 }
 
@@ -834,7 +839,7 @@
   this->input = Input::Nothing;
   auto pending = std::make_shared<PendingResponse>();
   pending->requestId = std::string(request[this->rules.requestIdField]);
-  pending->receivedAt = this->headerReadAt;
+  pending->receivedAt = this->since;
   pending->headRequest = request.method() == http::verb::head;
   this->parser.reset();
   this->readingBody = false;
@@ -876,7 +881,7 @@
     this->memory->Shares().OnStarted(this->id, this->address);
   }
   pending->requestId = std::string(request[this->rules.requestIdField]);
-  pending->receivedAt = this->headerReadAt;
+  pending->receivedAt = this->headerReceivedAt;
   pending->headRequest = request.method() == http::verb::head;
   pending->mustNotChunk = request.version() < kHttp11;
   this->responses.push_back(pending);
@@ -890,7 +895,7 @@
   this->UpdatePhase();
   auto current = std::make_shared<Exchange>(
     std::move(request), this->weak_from_this(), pending);
-  current->receivedAt = this->headerReadAt;
+  current->receivedAt = this->headerReceivedAt;
   bool othersWait = this->buffer.size() > 0 || this->responses.size() > 1;
   bool beyondShare =
     othersWait && !this->memory->Shares().MayRunBeside(this->id, this->address);
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "http/arrivaltimes.h"
 #include "http/connectionmemory.h"
 #include "http/messages.h"
 #include "http/pendingresponse.h"
@@ -75,7 +76,7 @@
   ~Exchange();
 
   HttpRequest request;
-  Time receivedAt;
+  Time receivedAt; ///< When the headers of the request arrived.
   /** The client sends further requests behind ones that must run alone, without
    * waiting for their responses. */
   bool sentAhead = false;
@@ -245,6 +246,7 @@
   std::string listener;
   std::string address; ///< The client's.
   boost::beast::flat_buffer buffer;
+  ArrivalTimes arrivals; ///< Of the buffer.
   std::string discarded; ///< Buffer for data that is not handled.
   std::unique_ptr<RequestParser> parser;
   bool readingBody = false;
@@ -255,8 +257,8 @@
   std::unique_ptr<HttpResponse> finalResponse;
   State state = State::Open;
   Input input = Input::Nothing;
-  Time since; ///< When the state or the input last changed.
-  Time headerReadAt;
+  Time since;                ///< When the state or the input last changed.
+  Time headerReceivedAt;     ///< Of the request that is being read.
   size_t discardedBytes = 0; ///< Arrived after the last request that is read.
   bool sentAhead = false;    ///< See Exchange.
   Time writeStartedAt;
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1280,6 +1280,24 @@
         std::vector<std::string>{ "504 r/look/1", "200 r/look/2" });
 }
 
+// Guards against responses that come after their client has left: its wait was
+// counted from when the request was parsed, behind another one.
+SCENARIO("A client waits for a request behind a booking", "[path][pipeline]")
+{
+  constexpr milliseconds kLimit(500);
+  WaitingResponseFixture fixture;
+  fixture.serverActions = { ServerAction::Hang, ServerAction::Hang };
+  fixture.client->Get("/book/1");
+  fixture.client->Get("/look/2", kLimit);
+  asio::steady_timer booked(fixture.context, kLimit / 2);
+  booked.async_wait([&](boost::system::error_code) {
+    fixture.pendingExchanges[0]->Respond(fixture.MakeResponse("r/book/1"));
+  });
+  fixture.client->ReadAfter(kLimit);
+  CHECK(fixture.client->Responses() ==
+        std::vector<std::string>{ "200 r/book/1", "504 r/look/2" });
+}
+
 // Guards against the loss of finished responses: one that waited for its turn
 // was held to the time limit of its call, and closed the connection.
 SCENARIO("A response waits for its turn longer than its own time limit",
--- a/tests/http/pipelinetest.cpp
+++ b/tests/http/pipelinetest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "http/arrivaltimes.h"
 #include "http/http.h"
 #include "http/pendingresponse.h"
 #include "http/requestpipeline.h"
@@ -81,6 +82,28 @@
 
 } // namespace
 
+SCENARIO("The bytes of a buffer have the times at which they arrived",
+         "[pipeline][pure]")
+{
+  ArrivalTimes arrivals;
+  Time start = BootClock::now();
+  arrivals.OnReceived(start, 10);
+  arrivals.OnReceived(start + seconds(1), 5);
+
+  arrivals.OnConsumed(10);
+  CHECK(arrivals.LastConsumed() == start);
+  arrivals.OnConsumed(1);
+  CHECK(arrivals.LastConsumed() == start + seconds(1));
+  arrivals.OnReceived(start + seconds(2), 1);
+  arrivals.OnConsumed(5);
+  CHECK(arrivals.LastConsumed() == start + seconds(2));
+  arrivals.OnReceived(start + seconds(3), 7);
+  arrivals.Clear();
+  arrivals.OnReceived(start + seconds(4), 1);
+  arrivals.OnConsumed(1);
+  CHECK(arrivals.LastConsumed() == start + seconds(4));
+}
+
 SCENARIO("A client sends further requests before the first response",
          "[pipeline][pure]")
 {
