--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -300,11 +300,13 @@
   }
   this->route = *found;
   auto timeout = this->route.timeout;
+  this->lastResponseAt = this->startedAt + timeout;
   int64_t requested = 0;
   if (boost::conversion::try_lexical_convert(
         std::string(request[headers::kTimeLeft]), requested) &&
       requested >= 0) {
     auto wait = std::min(milliseconds(requested), kMaxClientWait);
+    this->lastResponseAt = this->startedAt + std::min<Duration>(timeout, wait);
     if (wait - wait / kMaxReserveDivisor < timeout + kResponseMargin) {
       auto longest = wait - this->ResponseReserve(wait);
       timeout = std::min<Duration>(timeout, longest);
@@ -314,6 +316,7 @@
     this->RecognizeRetry();
   }
   this->deadline = this->startedAt + timeout;
+  this->lastResponseAt += kResponseMargin;
   this->responseDue =
     std::min(this->responseDue, Time(this->deadline + kResponseMargin));
   this->dispatch.service = this->ingress.destinations.Pick(this->route);
@@ -536,7 +539,7 @@
   }
   CallOptions options;
   options.connectTimeout = kConnectTimeout;
-  options.timeout = this->TimeLeft() + kResponseMargin;
+  options.timeout = this->lastResponseAt - BootClock::now();
   options.idleTimeout = kPeerIdleTimeout;
   options.correlationField = headers::kRequestId;
   this->remoteCall = UpstreamCall::Start(this->ingress.pool,
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -36,6 +36,7 @@
   /** Breaks off a long response after several chunks. */
   BreakOffLong,
   RespondLong, ///< With a body that is passed on in chunks.
+  StopInBody,  ///< Sends a part of a long response, and nothing further.
 };
 
 /** Responses that break off before anything of them is passed on. */
@@ -347,6 +348,10 @@
       case ServerAction::BreakOffLong:
         this->BreakOff(aExchange, kLongBytes, kLongBytes / 2);
         break;
+      case ServerAction::StopInBody:
+        this->SendPart(aExchange, kLongBytes, kLongBytes / 2, [] {});
+        this->pendingExchanges.push_back(std::move(aExchange));
+        break;
       case ServerAction::RespondLong: {
         auto response = this->MakeResponse(id);
         response.body() = std::string(kLongBytes, 'x');
@@ -376,6 +381,17 @@
   void BreakOff(const std::shared_ptr<Exchange>& aExchange,
                 size_t aLength,
                 size_t aSentBytes)
+  {
+    this->SendPart(
+      aExchange, aLength, aSentBytes, [aExchange] { aExchange->Abort(); });
+  }
+
+  /** Sends the headers and a part of the body.
+   * @param aNext Called when it is written. */
+  void SendPart(const std::shared_ptr<Exchange>& aExchange,
+                size_t aLength,
+                size_t aSentBytes,
+                std::function<void()> aNext)
   {
     ResponseHeaders headers;
     headers.message.result(200);
@@ -388,7 +404,7 @@
     aExchange->StartResponse(std::move(headers));
     auto part = std::make_shared<std::string>(aSentBytes, 'x');
     aExchange->WriteChunk(asio::buffer(*part),
-                          [part, aExchange] { aExchange->Abort(); });
+                          [part, next = std::move(aNext)] { next(); });
   }
 };
 
@@ -1280,6 +1296,28 @@
         std::vector<std::string>{ "504 r/look/1", "200 r/look/2" });
 }
 
+// Guards against responses that end midway although their clients still wait
+// for the rest.
+SCENARIO("A response that has begun may last until its client leaves", "[path]")
+{
+  constexpr milliseconds kLimit(400);
+  WaitingResponseFixture fixture;
+  fixture.serverActions = { ServerAction::StopInBody };
+  bool passed = false;
+  bool open = true;
+  asio::steady_timer limit(fixture.context, kLimit);
+  limit.async_wait([&](boost::system::error_code) {
+    open = open && fixture.client->Read();
+    passed = true;
+  });
+  fixture.client->Get("/look/1", kLimit);
+  while (!passed) {
+    fixture.context.run_for(milliseconds(2));
+    open = open && fixture.client->Read();
+  }
+  CHECK(open);
+}
+
 // Guards against responses that come after their client has left: its wait was
 // counted from when the request was parsed, behind another one.
 SCENARIO("A client waits for a request behind a booking", "[path][pipeline]")
