--- a/tests/daemon/deployment.sh
+++ b/tests/daemon/deployment.sh
@@ -103,19 +103,31 @@
   echo "$1: $2"
 }
 
-start_deployment() {
-  "$build/tests/storestandin" --ports-file "$folder/store" &
-  wait_for "$folder/store"
-  store=127.0.0.1:$(port "$folder/store" port)
-  curl -sf -o /dev/null --data-binary @- "http://$store/standin/config" <<JSON
-{"version":"r1","routes":{
+# configuration VERSION: prints a configuration. Optional: further_routes (JSON
+# members, each with a comma before it).
+configuration() {
+  cat <<JSON
+{"version":"r$1","routes":{
 "book":{"host":"a.example","prefix":"/book/","kind":"unsafe","timeout":"$route_timeout",
 "target-latency":"200ms","priority":1,"service":"agenda","attempts":2},
 "look":{"host":"a.example","prefix":"/look/","kind":"safe","timeout":"$route_timeout",
-"target-latency":"200ms","priority":2,"service":"agenda","attempts":2}},
+"target-latency":"200ms","priority":2,"service":"agenda","attempts":2}${further_routes:-}},
 "services":{"agenda":{"health-check":"/h","max-connections":100,
 "protocol":"h1","tls":false,"sharded":true$service_fields}}$limits}
 JSON
+}
+
+# set_configuration VERSION: writes the configuration to the store.
+set_configuration() {
+  configuration "$1" | curl -sf -o /dev/null --data-binary @- \
+    "http://$store/standin/config"
+}
+
+start_deployment() {
+  "$build/tests/storestandin" --ports-file "$folder/store" &
+  wait_for "$folder/store"
+  store=127.0.0.1:$(port "$folder/store" port)
+  set_configuration 1
 
   for number in $(seq $pairs); do
     cat >"$folder/node-$number.ini" <<INI
--- a/tests/standins/checkedrequest.cpp
+++ b/tests/standins/checkedrequest.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/** How long the clients say that they wait. */
-constexpr Duration kDeadline = std::chrono::milliseconds(800);
 /** How much of a wrong answer is reported. */
 constexpr size_t kReportedBytes = 300;
 
@@ -103,10 +101,14 @@
   request.set(http::field::host, "a.example");
   request.set(headers::kRequestId, aRequest.id);
   request.set(headers::kKey, std::to_string(aKey));
-  request.set(headers::kTimeLeft, std::to_string(ToMilliseconds(kDeadline)));
+  request.set(headers::kTimeLeft,
+              std::to_string(ToMilliseconds(aRequest.limit)));
   if (aRequest.bodyBytes > 0) {
     request.set(kBodyBytesField, std::to_string(aRequest.bodyBytes));
   }
+  if (aRequest.work) {
+    request.set(kWorkTimeField, std::to_string(ToMilliseconds(*aRequest.work)));
+  }
   if (booking) {
     request.body() = "booking";
     request.body().resize(std::max(request.body().size(), aRequest.uploadBytes),
--- a/tests/standins/checkedrequest.h
+++ b/tests/standins/checkedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "http/http.h"
@@ -36,6 +37,9 @@
   size_t bodyBytes = 0;   ///< Of the body that is asked for.
   size_t uploadBytes = 0; ///< Of the request's own body; 0: a short one.
   bool old = false;       ///< Sent as HTTP/1.0.
+  /** How long the client says that it waits. */
+  Duration limit = std::chrono::milliseconds(800);
+  std::optional<Duration> work; ///< How long the server works, if stated.
   Reply reply = Reply::None;
   unsigned status = 0;
   bool withoutId = false; ///< The answer did not name its request.
--- a/tests/standins/faultyserver.cpp
+++ b/tests/standins/faultyserver.cpp
@@ -64,7 +64,7 @@
 {
   if (!this->faults.IsEmpty()) {
     std::cout << ToBootNanoseconds(BootClock::now()) << " connection "
-              << aConnection << ' ' << aText << ' ' << aRequestId << '\n';
+              << aConnection << ' ' << aText << ' ' << aRequestId << std::endl;
   }
 }
 
--- a/tests/standins/keyserverstandin.cpp
+++ b/tests/standins/keyserverstandin.cpp
@@ -296,11 +296,13 @@
       std::string(aRequest[kBodyBytesField]), bodyBytes);
     bool isFatal = !this->options.fatalBody.empty() &&
                    aRequest.body() == this->options.fatalBody;
+    auto workMs = std::uniform_int_distribution<int64_t>(
+      this->options.leastWorkMs, this->options.mostWorkMs)(this->random);
+    boost::conversion::try_lexical_convert(
+      std::string(aRequest[kWorkTimeField]), workMs);
     auto work = std::make_shared<asio::steady_timer>(this->context);
-    work->expires_after(milliseconds(
-      std::uniform_int_distribution<int64_t>(
-        this->options.leastWorkMs, this->options.mostWorkMs)(this->random) *
-      this->speedPercent / kUsualPercent));
+    work->expires_after(
+      milliseconds(workMs * this->speedPercent / kUsualPercent));
     work->async_wait([this,
                       respond = std::move(aRespond),
                       work,
