--- a/tests/standins/pipelineaudit.cpp
+++ b/tests/standins/pipelineaudit.cpp
@@ -20,8 +20,10 @@
 } // namespace
 
 PipelineAudit::PipelineAudit(const std::vector<Run>& aRuns,
-                             std::map<std::string, Time> aAnswers)
+                             std::map<std::string, Time> aAnswers,
+                             Duration aLeastTimeout)
   : answers(std::move(aAnswers))
+  , leastTimeout(aLeastTimeout)
 {
   for (const auto& run : aRuns) {
     this->ran.insert(run.request);
@@ -36,7 +38,7 @@
   this->behindAnother += aRequest.behindAnother ? 1 : 0;
   switch (aRequest.end) {
     case WaitEnd::Replied:
-      this->late += checked.repliedAt > checked.sentAt + checked.limit ? 1 : 0;
+      this->CheckReply(aRequest);
       break;
     case WaitEnd::Waiting:
       this->AddBroken("still waiting", aRequest);
@@ -62,6 +64,21 @@
   }
 }
 
+void
+PipelineAudit::CheckReply(const PipelinedRequest& aRequest)
+{
+  const auto& checked = aRequest.checked;
+  if (checked.repliedAt > checked.sentAt + checked.limit) {
+    ++this->late;
+  }
+  auto deadline = checked.sentAt + std::min(checked.limit, this->leastTimeout);
+  auto answer = this->answers.find(checked.id);
+  if (checked.reply == Reply::Failed && answer != this->answers.end() &&
+      answer->second + kDeliveryTime < deadline) {
+    this->AddBroken("failed though its server answered in time", aRequest);
+  }
+}
+
 void
 PipelineAudit::CheckCut(const PipelinedRequest& aRequest)
 {
--- a/tests/standins/pipeliningload.cpp
+++ b/tests/standins/pipeliningload.cpp
@@ -72,7 +72,8 @@
   RequestAudit audit(aValues["name"].as<std::string>() + "-");
   PipelineAudit pipelines(
     runs,
-    ReadAnswerTimes(aValues["server-log"].as<std::vector<std::string>>()));
+    ReadAnswerTimes(aValues["server-log"].as<std::vector<std::string>>()),
+    std::chrono::milliseconds(aValues["least-timeout-ms"].as<uint32_t>()));
   for (const auto& client : aClients) {
     std::vector<CheckedRequest> requests;
     for (const auto& request : client.Requests()) {
@@ -117,6 +118,9 @@
   add("seed", options::value<uint32_t>()->default_value(1), "for the requests");
   add("clients", options::value<uint32_t>()->default_value(24), "how many");
   add("seconds", options::value<uint32_t>()->default_value(4), "how long");
+  add("least-timeout-ms",
+      options::value<uint32_t>()->default_value(300),
+      "shortest timeout of the route");
   add("least-served",
       options::value<double>()->default_value(0.4),
       "share of the requests that must be answered");
