--- /dev/null
+++ b/tests/http/connectionendtest.cpp
@@ -0,0 +1,140 @@
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "http/http.h"
+#include "http/serverfixture.h"
+
+using namespace fescuetiller; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A server that runs GET requests of a connection at the same time, and a
+ * client whose data may arrive while the server's process does not run. */
+struct ConnectionEndFixture : ServerFixture
+{
+  ConnectionEndFixture()
+  {
+    this->server.rules.mayRunConcurrently = [](const HttpRequest& aRequest) {
+      return aRequest.method() == http::verb::get;
+    };
+  }
+
+  /** Sends a text that the server has not read when this returns. */
+  void SendUnread(const std::string& aText)
+  {
+    asio::write(this->client, asio::buffer(aText));
+  }
+
+  void Respond(size_t aIndex, const std::string& aText)
+  {
+    this->exchanges[aIndex]->Respond(TextResponse(200, aText));
+    this->Run();
+  }
+
+  /** Targets of the requests that were passed on, in their order. */
+  std::string PassedOn() const
+  {
+    std::string targets;
+    for (const auto& exchange : this->exchanges) {
+      targets += std::string(exchange->request.target());
+    }
+    return targets;
+  }
+
+  /** Number of the responses that the client has got. */
+  size_t ResponseCount() const
+  {
+    const std::string kStart = "HTTP/1.1 ";
+    size_t count = 0;
+    for (auto at = this->received.find(kStart); at != std::string::npos;
+         at = this->received.find(kStart, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+};
+
+std::string
+Get(const std::string& aPath)
+{
+  return "GET /" + aPath + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+std::string
+Post(const std::string& aPath)
+{
+  return "POST /" + aPath +
+         " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+}
+
+} // namespace
+
+// Guards against the loss of requests that had arrived whole: the process had
+// not read the rest of them in time, or a new configuration shortened the time.
+SCENARIO("A request is cut whose rest has arrived and was not read yet",
+         "[http][requesttimeout][knownred]")
+{
+  ConnectionEndFixture fixture;
+  auto sendInParts = [&](const std::string& aRequest, size_t aFirst) {
+    fixture.Send(aRequest.substr(0, aFirst));
+    fixture.SendUnread(aRequest.substr(aFirst));
+  };
+
+  GIVEN("a request whose headers arrive in two parts")
+  {
+    sendInParts(Get("1"), 9);
+    WHEN("its time is over before the second part is read")
+    {
+      fixture.server.CloseTimedOut(BootClock::now() + seconds(10));
+      THEN("it is passed on")
+      {
+        CHECK(fixture.Run());
+        CHECK(fixture.PassedOn() == "/1");
+      }
+    }
+  }
+  GIVEN("a request whose body arrives behind its headers")
+  {
+    sendInParts(Post("1"), Post("1").size() - 3);
+    WHEN("its time is over before the body is read")
+    {
+      fixture.server.CloseTimedOut(BootClock::now() + seconds(10));
+      THEN("it is passed on")
+      {
+        CHECK(fixture.Run());
+        CHECK(fixture.PassedOn() == "/1");
+      }
+    }
+    WHEN("a new configuration shortens the time to less than has passed")
+    {
+      std::this_thread::sleep_for(milliseconds(20));
+      SessionLimits limits;
+      limits.headerTimeout = milliseconds(10);
+      fixture.server.SetLimits(limits);
+      fixture.server.CloseTimedOut(BootClock::now());
+      THEN("it is passed on")
+      {
+        CHECK(fixture.Run());
+        CHECK(fixture.PassedOn() == "/1");
+      }
+    }
+  }
+  GIVEN("a request in two parts behind one that runs")
+  {
+    fixture.Send(Get("1"));
+    sendInParts(Get("2"), 9);
+    WHEN("its time is over before the second part is read")
+    {
+      fixture.server.CloseTimedOut(BootClock::now() + seconds(10));
+      fixture.Run();
+      THEN("it is passed on")
+      {
+        CHECK(fixture.PassedOn() == "/1/2");
+      }
+    }
+  }
+}
