--- a/tests/http/connectionendtest.cpp
+++ b/tests/http/connectionendtest.cpp
@@ -138,3 +138,34 @@
     }
   }
 }
+
+// Guards against requests that are cut although their clients keep to the limit
+// that was in force when they began to send them.
+SCENARIO("A new limit on the time of requests cuts one that has begun before",
+         "[http][requesttimeout][knownred]")
+{
+  ConnectionEndFixture fixture;
+  auto limitTo = [&](Duration aTime) {
+    SessionLimits limits;
+    limits.headerTimeout = aTime;
+    fixture.server.SetLimits(limits);
+  };
+  limitTo(seconds(3));
+
+  GIVEN("a request of which a part has arrived")
+  {
+    auto request = Post("1");
+    fixture.Send(request.substr(0, request.size() - 3));
+    WHEN("the time limit becomes shorter than the time that it takes")
+    {
+      limitTo(seconds(1));
+      fixture.server.CloseTimedOut(BootClock::now() + seconds(2));
+      THEN("its rest is read")
+      {
+        REQUIRE(fixture.Run());
+        fixture.Send(request.substr(request.size() - 3));
+        CHECK(fixture.PassedOn() == "/1");
+      }
+    }
+  }
+}
