--- a/tests/http/connectionendtest.cpp
+++ b/tests/http/connectionendtest.cpp
@@ -169,3 +169,41 @@
     }
   }
 }
+
+// Guards against the loss of a response that the client reads: the server's
+// process had not run for longer than the client may take.
+SCENARIO("A client that has read its part is taken for one that does not read",
+         "[http][responsetimeout][knownred]")
+{
+  ConnectionEndFixture fixture;
+  SessionLimits limits;
+  limits.readGraceTime = milliseconds(200);
+  limits.minReadBytesPerSecond = 1024 * 1024 * 1024;
+  fixture.server.SetLimits(limits);
+  // More than the buffers of both sockets take.
+  constexpr size_t kBytes = 20 * 1024 * 1024;
+
+  GIVEN("a response that the client has not read whole yet")
+  {
+    fixture.Send(Get("1"));
+    REQUIRE(fixture.exchanges.size() == 1);
+    fixture.Respond(0, std::string(kBytes, 'x'));
+    WHEN("the client reads what has arrived while the process does not run")
+    {
+      for (size_t before = 0; before < fixture.received.size();) {
+        before = fixture.received.size();
+        fixture.ReadAvailable();
+      }
+      REQUIRE(fixture.received.size() < kBytes);
+      fixture.server.CloseTimedOut(BootClock::now() + seconds(1));
+      THEN("it gets the rest")
+      {
+        while (fixture.received.size() < kBytes && fixture.ReadAvailable()) {
+          fixture.context.restart();
+          fixture.context.poll();
+        }
+        CHECK(fixture.received.size() > kBytes);
+      }
+    }
+  }
+}
