--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1252,6 +1252,39 @@
   CHECK(fixture.requestAborted);
 }
 
+// Guards against servers that are told more time than is left, and responses
+// that come after the client's time limit, by requests that waited behind
+// others of their connection.
+SCENARIO("The time that a request waits behind others is lost to its deadline",
+         "[path][pipeline][knownred]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  fixture.serverActions = { ServerAction::Hang };
+  Tcp::socket client(fixture.context);
+  client.connect(fixture.clientAddress);
+  for (const std::string path : { "/book/1", "/book/2" }) {
+    asio::write(client,
+                asio::buffer("POST " + path +
+                             " HTTP/1.1\r\nHost: a.example\r\n"
+                             "X-Request-Id: r" +
+                             path +
+                             "\r\nX-Timeout-Ms: 500\r\nX-Shard-Key: 7\r\n"
+                             "Content-Length: 0\r\n\r\n"));
+  }
+  fixture.context.run_for(milliseconds(30));
+  REQUIRE(fixture.pendingExchanges.size() == 1);
+  auto arrivedUntil = BootClock::now();
+  fixture.context.run_for(milliseconds(200));
+  fixture.pendingExchanges[0]->Respond(fixture.MakeResponse("r/book/1"));
+  auto waited = BootClock::now() - arrivedUntil;
+  fixture.context.run_for(milliseconds(50));
+  REQUIRE(fixture.serverRequests.size() == 2);
+  auto stated =
+    std::stoi(std::string(fixture.serverRequests[1][headers::kTimeLeft]));
+  CHECK(milliseconds(stated) <= milliseconds(500) - waited);
+}
+
 SCENARIO("A request that cannot be served is refused at once", "[path]")
 {
   RequestPathFixture fixture;
--- a/tests/http/connectionendtest.cpp
+++ b/tests/http/connectionendtest.cpp
@@ -207,3 +207,50 @@
     }
   }
 }
+
+// Guards against requests that run past their clients' time limits, whose
+// clients close the connection and lose the finished responses behind them.
+SCENARIO("The time that a request waits to be read does not count",
+         "[http][pipeline][knownred]")
+{
+  ConnectionEndFixture fixture;
+  // What waits until the first response is written has arrived before it.
+  auto checkLast = [&](size_t aCount) {
+    auto arrivedUntil = BootClock::now();
+    fixture.context.run_for(milliseconds(30));
+    fixture.Respond(0, "a");
+    fixture.Run();
+    REQUIRE(fixture.exchanges.size() == aCount);
+    CHECK(fixture.exchanges.back()->receivedAt <= arrivedUntil);
+  };
+
+  GIVEN("a booking behind another one")
+  {
+    fixture.Send(Post("1") + Post("2"));
+    REQUIRE(fixture.PassedOn() == "/1");
+    checkLast(2);
+  }
+  GIVEN("a booking that is sent while another one runs")
+  {
+    fixture.Send(Post("1"));
+    fixture.Send(Post("2"));
+    REQUIRE(fixture.PassedOn() == "/1");
+    checkLast(2);
+  }
+  GIVEN("a lookup behind as many as run at the same time")
+  {
+    for (size_t count = 0; count <= RequestPipeline::kMaxRequests; ++count) {
+      fixture.SendUnread(Get("x"));
+    }
+    fixture.Run();
+    REQUIRE(fixture.exchanges.size() == RequestPipeline::kMaxRequests);
+    checkLast(RequestPipeline::kMaxRequests + 1);
+  }
+  GIVEN("a server that runs one request of a connection at a time")
+  {
+    fixture.server.rules.mayRunConcurrently = nullptr;
+    fixture.Send(Get("1") + Get("2"));
+    REQUIRE(fixture.PassedOn() == "/1");
+    checkLast(2);
+  }
+}
