--- a/tests/http/connectionendtest.cpp
+++ b/tests/http/connectionendtest.cpp
@@ -254,3 +254,65 @@
     checkLast(2);
   }
 }
+
+// Guards against requests that are dropped in a stop, and their clients are not
+// told: the head of the response before them said that the connection is kept.
+SCENARIO("A server that stops drops requests behind a response in chunks",
+         "[http][pipeline][stop][knownred]")
+{
+  ConnectionEndFixture fixture;
+  std::string chunk = "part";
+  auto writeChunk = [&] {
+    fixture.exchanges[0]->WriteChunk(asio::buffer(chunk), [] {});
+    fixture.Run();
+  };
+  auto checkAnswered = [&] {
+    fixture.exchanges[0]->EndResponse();
+    fixture.Run();
+    for (size_t next = 1; next < fixture.exchanges.size(); ++next) {
+      fixture.Respond(next, "next");
+    }
+    fixture.Run();
+    CAPTURE(fixture.received);
+    bool isTold =
+      fixture.received.find("Connection: close") != std::string::npos;
+    CHECK((isTold || fixture.ResponseCount() == 2));
+  };
+
+  GIVEN("a response of which a part has been written")
+  {
+    fixture.Send(Get("1"));
+    REQUIRE(fixture.exchanges.size() == 1);
+    fixture.exchanges[0]->StartResponse(ResponseHeaders());
+    writeChunk();
+    REQUIRE(fixture.ResponseCount() == 1);
+    WHEN("a booking waits behind it and the server stops")
+    {
+      fixture.Send(Post("2"));
+      fixture.server.AnnounceClose();
+      THEN("the booking gets an answer, or its client is told")
+      {
+        checkAnswered();
+      }
+    }
+    WHEN("the server stops before it has read a lookup")
+    {
+      fixture.server.AnnounceClose();
+      fixture.Send(Get("2"));
+      THEN("the lookup gets an answer, or its client is told")
+      {
+        checkAnswered();
+      }
+    }
+    WHEN("the server stops and writes a further part before a lookup arrives")
+    {
+      fixture.server.AnnounceClose();
+      writeChunk();
+      fixture.Send(Get("2"));
+      THEN("the lookup gets an answer, or its client is told")
+      {
+        checkAnswered();
+      }
+    }
+  }
+}
