--- a/tests/http/connectionendtest.cpp
+++ b/tests/http/connectionendtest.cpp
@@ -316,3 +316,57 @@
     }
   }
 }
+
+// Guards against the loss of requests that have arrived over connections that
+// are closed since too many are open, before the process has read them.
+SCENARIO("A connection is closed for others although a request has arrived",
+         "[http][limits][knownred]")
+{
+  ConnectionEndFixture fixture;
+  auto budget = MakeNodeBudgets(0, 0).traffic;
+  budget.connections = 4;
+  budget.unfinished = 4;
+  auto memory = std::make_shared<ConnectionMemory>(fixture.context, budget);
+  fixture.server.SetMemory(memory, "clients");
+  fixture.client = Tcp::socket(fixture.context);
+  fixture.client.connect(fixture.server.Address());
+  fixture.client.non_blocking(true);
+  auto openOthers = [&] {
+    for (size_t count = 0; count < budget.connections; ++count) {
+      auto id = memory->Open("clients", "127.0.0.1", {});
+      memory->Account().SetPhase(
+        BootClock::now(), id, ConnectionPhase::Running);
+    }
+  };
+
+  GIVEN("a kept connection on which the next request arrives")
+  {
+    fixture.Send(Get("1"));
+    REQUIRE(fixture.exchanges.size() == 1);
+    fixture.Respond(0, "one");
+    fixture.SendUnread(Post("2"));
+    WHEN("others need its room before the request is read")
+    {
+      openOthers();
+      THEN("the request is passed on")
+      {
+        fixture.Run();
+        CHECK(fixture.PassedOn() == "/1/2");
+      }
+    }
+  }
+  GIVEN("a new connection with a request")
+  {
+    fixture.Run();
+    fixture.SendUnread(Get("1"));
+    WHEN("others need its room before the request is read")
+    {
+      openOthers();
+      THEN("the request is passed on")
+      {
+        fixture.Run();
+        CHECK(fixture.PassedOn() == "/1");
+      }
+    }
+  }
+}
