--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1791,6 +1791,59 @@
   }
 }
 
+// Guards against requests whose clients waited for longer than the process had
+// left when a stop began: they were cut at its exit, unlike later ones, which
+// are refused, and took finished responses behind them along.
+SCENARIO("A daemon exits before it has responded to what it has taken",
+         "[path][stop][knownred]")
+{
+  RequestPathFixture fixture;
+  fixture.serverActions = { ServerAction::Hang };
+  fixture.configuration->routes["look"].timeout = seconds(5);
+  fixture.configuration->routes["look"].targetLatency = seconds(5);
+  auto exitAt = BootClock::now() + milliseconds(600);
+  auto stop = [&] {
+    fixture.context.run_for(milliseconds(50));
+    REQUIRE(fixture.pendingExchanges.size() == 1);
+    fixture.node->AnnounceClose();
+    fixture.node->StopAccepting(exitAt);
+  };
+
+  GIVEN("a lookup with its response behind one that has none")
+  {
+    fixture.Configure();
+    PipeliningClient client(fixture);
+    client.Get("/look/1");
+    client.Get("/look/2");
+    stop();
+    REQUIRE(fixture.serverRequests.size() == 2);
+    THEN("the client gets the response before the exit")
+    {
+      client.ReadUntilClosed(exitAt - BootClock::now());
+      auto responses = client.Responses();
+      REQUIRE(responses.size() == 2);
+      CHECK(responses[1] == "200 r/look/2");
+    }
+  }
+  GIVEN("a lookup that waits for the only slot")
+  {
+    fixture.serving.slots = 1;
+    fixture.Configure();
+    PipeliningClient running(fixture);
+    PipeliningClient waiting(fixture);
+    running.Get("/look/1");
+    fixture.context.run_for(milliseconds(30));
+    waiting.Get("/look/2");
+    stop();
+    REQUIRE(fixture.serverRequests.size() == 1);
+    THEN("it is refused before the exit")
+    {
+      waiting.ReadUntilClosed(exitAt - BootClock::now());
+      CHECK(waiting.Responses() == std::vector<std::string>{ "503 r/look/2" });
+    }
+  }
+}
+
 SCENARIO("A stopping daemon refuses a request that crosses the close of its "
          "connection",
          "[path]")
