--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1392,6 +1392,39 @@
   CHECK(fixture.requestAborted);
 }
 
+// Guards against servers that are told more time than is left, and responses
+// that come after the client's time limit, by requests that waited behind
+// others of their connection.
+SCENARIO("The time that a request waits behind others is lost to its deadline",
+         "[path][pipeline]")
+{
+  RequestPathFixture fixture;
+  fixture.Configure();
+  fixture.serverActions = { ServerAction::Hang };
+  Tcp::socket client(fixture.context);
+  client.connect(fixture.clientAddress);
+  for (const std::string path : { "/book/1", "/book/2" }) {
+    asio::write(client,
+                asio::buffer("POST " + path +
+                             " HTTP/1.1\r\nHost: a.example\r\n"
+                             "X-Request-Id: r" +
+                             path +
+                             "\r\nX-Timeout-Ms: 500\r\nX-Shard-Key: 7\r\n"
+                             "Content-Length: 0\r\n\r\n"));
+  }
+  fixture.context.run_for(milliseconds(30));
+  REQUIRE(fixture.pendingExchanges.size() == 1);
+  auto arrivedUntil = BootClock::now();
+  fixture.context.run_for(milliseconds(200));
+  fixture.pendingExchanges[0]->Respond(fixture.MakeResponse("r/book/1"));
+  auto waited = BootClock::now() - arrivedUntil;
+  fixture.context.run_for(milliseconds(50));
+  REQUIRE(fixture.serverRequests.size() == 2);
+  auto stated =
+    std::stoi(std::string(fixture.serverRequests[1][headers::kTimeLeft]));
+  CHECK(milliseconds(stated) <= milliseconds(500) - waited);
+}
+
 SCENARIO("A request that cannot be served is refused at once", "[path]")
 {
   RequestPathFixture fixture;
@@ -1898,6 +1931,59 @@
   }
 }
 
+// Guards against requests whose clients waited for longer than the process had
+// left when a stop began: they were cut at its exit, unlike later ones, which
+// are refused, and took finished responses behind them along.
+SCENARIO("A daemon exits before it has responded to what it has taken",
+         "[path][stop][knownred]")
+{
+  RequestPathFixture fixture;
+  fixture.serverActions = { ServerAction::Hang };
+  fixture.configuration->routes["look"].timeout = seconds(5);
+  fixture.configuration->routes["look"].targetLatency = seconds(5);
+  auto exitAt = BootClock::now() + milliseconds(600);
+  auto stop = [&] {
+    fixture.context.run_for(milliseconds(50));
+    REQUIRE(fixture.pendingExchanges.size() == 1);
+    fixture.node->AnnounceClose();
+    fixture.node->StopAccepting(exitAt);
+  };
+
+  GIVEN("a lookup with its response behind one that has none")
+  {
+    fixture.Configure();
+    PipeliningClient client(fixture);
+    client.Get("/look/1");
+    client.Get("/look/2");
+    stop();
+    REQUIRE(fixture.serverRequests.size() == 2);
+    THEN("the client gets the response before the exit")
+    {
+      client.ReadUntilClosed(exitAt - BootClock::now());
+      auto responses = client.Responses();
+      REQUIRE(responses.size() == 2);
+      CHECK(responses[1] == "200 r/look/2");
+    }
+  }
+  GIVEN("a lookup that waits for the only slot")
+  {
+    fixture.serving.slots = 1;
+    fixture.Configure();
+    PipeliningClient running(fixture);
+    PipeliningClient waiting(fixture);
+    running.Get("/look/1");
+    fixture.context.run_for(milliseconds(30));
+    waiting.Get("/look/2");
+    stop();
+    REQUIRE(fixture.serverRequests.size() == 1);
+    THEN("it is refused before the exit")
+    {
+      waiting.ReadUntilClosed(exitAt - BootClock::now());
+      CHECK(waiting.Responses() == std::vector<std::string>{ "503 r/look/2" });
+    }
+  }
+}
+
 SCENARIO("A stopping daemon refuses a request that crosses the close of its "
          "connection",
          "[path]")
