--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -794,6 +794,7 @@
 IngressRequest::OnAttemptFailed(const FailedAttempt& aAttempt)
 {
   this->lastFailure = aAttempt.reason;
+  this->exchange->DiscardResponse();
   if (aAttempt.retryAfter > Duration(0)) {
     this->minRetryAfter = std::min(this->minRetryAfter, aAttempt.retryAfter);
   }
--- a/src/http/pendingresponse.cpp
+++ b/src/http/pendingresponse.cpp
@@ -1,5 +1,7 @@
 #include "http/pendingresponse.h"
 
+#include <cassert>
+
 namespace fescuetiller {
 
 namespace {
@@ -20,6 +22,7 @@
 void
 PendingResponse::Discard()
 {
+  assert(!this->begun);
   this->whole.reset();
   this->serializer.reset();
   this->streamed.reset();
@@ -27,6 +30,7 @@
   this->chunk = {};
   this->next = nullptr;
   this->ended = false;
+  this->knownSince.reset();
 }
 
 void
--- a/src/http/pendingresponse.h
+++ b/src/http/pendingresponse.h
@@ -44,6 +44,8 @@
   size_t requestBytes = 0; ///< What its request holds in the account.
   size_t heldBytes = 0;    ///< What the response itself holds there.
 
+  /** Drops what is known of the response. Not once it is begun. */
+  void Discard();
   /** Sets the complete response, in place of one that was started. */
   void SetWhole(HttpResponse aResponse);
   /** Starts a response, in place of one that was started before. */
@@ -82,9 +84,6 @@
   std::function<void()> TakeChunkCallback();
 
 private:
-  /** Drops what is known of the response. */
-  void Discard();
-
   std::optional<HttpResponse> whole;
   std::unique_ptr<Streamed> streamed;
   std::unique_ptr<Serializer> serializer;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -100,6 +100,14 @@
   }
 }
 
+void
+Exchange::DiscardResponse()
+{
+  if (!this->response->IsBegun()) {
+    this->response->Discard();
+  }
+}
+
 void
 Exchange::Abort()
 {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -95,6 +95,9 @@
    * until the responses before it are. */
   void WriteChunk(asio::const_buffer aChunk, std::function<void()> aNext);
   void EndResponse();
+  /** Drops a response that was started, unless a part of it is written: its
+   * turn must not come before that of another attempt is known. */
+  void DiscardResponse();
   /** Closes the connection once the responses before this one are written, so
    * that the client sees a response that was started as incomplete. */
   void Abort();
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -467,6 +467,15 @@
     }
   }
 
+  /** Whether a response began inside the body of another one. */
+  bool HasBrokenResponse() const
+  {
+    auto data = this->buffer.cdata();
+    std::string_view received(static_cast<const char*>(data.data()),
+                              data.size());
+    return received.find("xHTTP/1.1") != std::string_view::npos;
+  }
+
   /** Status and id of each response that was read whole, in their order. */
   std::vector<std::string> Responses() const
   {
@@ -1378,6 +1387,39 @@
   }
 }
 
+// Guards against the parts of two responses in one: the beginning of a response
+// that broke off was written when its turn came, although another attempt had
+// been started.
+SCENARIO("The turn of a response comes while its request is sent again",
+         "[path][pipeline]")
+{
+  WaitingResponseFixture fixture;
+  fixture.serverActions = { ServerAction::Hang,
+                            ServerAction::BreakOffBehindPart,
+                            ServerAction::Hang };
+  fixture.client->Get("/look/1");
+  fixture.context.run_for(milliseconds(30));
+  fixture.client->Get("/look/2");
+  fixture.context.run_for(milliseconds(200));
+  REQUIRE(fixture.pendingExchanges.size() == 2);
+
+  CHECK(fixture.RespondToFirst() == std::vector<std::string>{ "200 r/look/1" });
+  WHEN("the other attempt gets a response")
+  {
+    fixture.pendingExchanges[1]->Respond(fixture.MakeResponse("r/look/2"));
+    fixture.client->ReadUntilClosed(milliseconds(100));
+    CHECK(fixture.client->Responses() ==
+          std::vector<std::string>{ "200 r/look/1", "200 r/look/2" });
+    CHECK_FALSE(fixture.client->HasBrokenResponse());
+  }
+  WHEN("the other attempt gets no response")
+  {
+    fixture.client->ReadUntilClosed(milliseconds(600));
+    CHECK(fixture.client->Responses() ==
+          std::vector<std::string>{ "200 r/look/1", "504 r/look/2" });
+  }
+}
+
 SCENARIO("A request that the server never answers times out", "[path]")
 {
   RequestPathFixture fixture;
