--- a/src/http/unansweredrequest.cpp
+++ b/src/http/unansweredrequest.cpp
@@ -18,8 +18,6 @@
       return "idle timeout";
     case ConnectionEnd::NoRoom:
       return "no room";
-    case ConnectionEnd::InvalidRequest:
-      return "invalid request";
     case ConnectionEnd::ResponseAborted:
       return "response aborted";
     case ConnectionEnd::NoResponse:
--- a/src/http/unansweredrequest.h
+++ b/src/http/unansweredrequest.h
@@ -17,7 +17,6 @@
   RequestTimeout,  ///< A request did not arrive whole in time.
   IdleTimeout,
   NoRoom,          ///< There is no memory for the request.
-  InvalidRequest,  ///< What arrived is no request.
   ResponseAborted, ///< A response that had been started broke off.
   NoResponse,      ///< A request was dropped without a response.
   Finished,        ///< The last response was sent.
