--- a/src/fescuetillerd/execution.cpp
+++ b/src/fescuetillerd/execution.cpp
@@ -11,9 +11,9 @@
 
 /** For connections to the backend server on the same machine. */
 constexpr Duration kConnectTimeout = milliseconds(400);
-/** Extra time for a response that the server sends at the request's deadline.
- */
-constexpr Duration kResponseMargin = milliseconds(40);
+/** Extra time for a response that has begun at the request's deadline, which is
+ * before that of the client. The caller does not wait for another one. */
+constexpr Duration kResponseMargin = milliseconds(100);
 /** Time before a retry if the backend server itself refused a request. */
 constexpr Duration kServerRefusalRetryAfter = milliseconds(100);
 /** Time before a retry if the backend server could not be reached. */
--- a/src/fescuetillerd/ingressrequest.cpp
+++ b/src/fescuetillerd/ingressrequest.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kResponseWriteTime = milliseconds(10);
 /** Share of the client's wait that is reserved for its response at most. */
 constexpr int kMaxReserveDivisor = 8;
+/** The same for the response of another daemon, in addition. */
+constexpr int kMaxMarginDivisor = 16;
 /** Clients that say that they wait for longer are taken to wait for this. */
 constexpr milliseconds kMaxClientWait = std::chrono::hours(24);
 /** Time before the exit of the process in which the last responses are written
@@ -181,13 +183,19 @@
     return; // A response that waits for its turn is still delivered.
   }
   auto self = this->shared_from_this();
-  bool sent = this->remoteCall != nullptr || this->localExecution != nullptr;
+  bool sent = this->localExecution != nullptr ||
+              (this->remoteCall != nullptr &&
+               this->remoteCall->Stage() != CallStage::NotSent);
   this->timer.cancel();
   if (sent) {
-    this->RecordUnansweredAttempt();
+    // At the timeout of the route, the other daemon may be in time as well.
+    if (this->responseDue < this->lastResponseAt) {
+      this->RecordUnansweredAttempt();
+    }
     this->CancelAttempt();
     this->GiveUp(FailedAttempt::OutcomeUnknown(kNoResponseReason));
   } else {
+    this->CancelAttempt();
     this->GiveUp(FailedAttempt::NotSent(
       this->lastFailure.empty() ? "no-time" : this->lastFailure));
   }
@@ -307,11 +315,11 @@
       requested >= 0) {
     auto wait = std::min(milliseconds(requested), kMaxClientWait);
     this->lastResponseAt = this->startedAt + std::min<Duration>(timeout, wait);
-    if (wait - wait / kMaxReserveDivisor < timeout + kResponseMargin) {
-      auto longest = wait - this->ResponseReserve(wait);
-      timeout = std::min<Duration>(timeout, longest);
-      this->responseDue = this->startedAt + longest;
-    }
+    auto longest = wait - this->ResponseReserve(wait);
+    this->responseDue = this->startedAt + longest;
+    // Other daemons respond at the deadline, and that takes time.
+    Duration shortWait = wait / kMaxMarginDivisor;
+    timeout = std::min(timeout, longest - std::min(kResponseMargin, shortWait));
     this->clientDeadline = this->startedAt + wait;
     this->RecognizeRetry();
   }
--- a/src/http/upstreamcall.cpp
+++ b/src/http/upstreamcall.cpp
@@ -154,6 +154,12 @@
   }
 }
 
+CallStage
+UpstreamCall::Stage() const
+{
+  return this->stage;
+}
+
 void
 UpstreamCall::ArmTimer(Duration aTimeout, const char* aOperation)
 {
--- a/src/http/upstreamcall.h
+++ b/src/http/upstreamcall.h
@@ -61,6 +61,8 @@
 
   /** Closes the connection; the receiver is not called again. */
   void Cancel();
+  /** How far the call has come. */
+  CallStage Stage() const;
 
 private:
   UpstreamCall(ConnectionPool& aPool,
--- a/tests/daemon/requestpathtest.cpp
+++ b/tests/daemon/requestpathtest.cpp
@@ -1305,6 +1305,25 @@
         std::vector<std::string>{ "504 r/look/1", "200 r/look/2" });
 }
 
+// Guards against 504 for a request of which another daemon states at its
+// deadline that it has not run.
+SCENARIO("Another daemon can respond at its deadline", "[path]")
+{
+  constexpr milliseconds kLimit(400);
+  constexpr milliseconds kReserve(30); // For the response to the client.
+  constexpr milliseconds kOneWay(8);
+  RequestPathFixture fixture;
+  fixture.Configure("other");
+  fixture.serverActions = { ServerAction::Hang };
+  PipeliningClient client(fixture);
+  client.Get("/book/1", kLimit);
+  fixture.context.run_for(milliseconds(50));
+  REQUIRE(fixture.pendingExchanges.size() == 1);
+  auto dispatch = TakeDispatch(fixture.pendingExchanges[0]->request, "agenda");
+  REQUIRE(dispatch);
+  CHECK(dispatch->untilDeadline + 2 * kOneWay < kLimit - kReserve);
+}
+
 // Guards against responses that end midway although their clients still wait
 // for the rest.
 SCENARIO("A response that has begun may last until its client leaves", "[path]")
@@ -1446,13 +1465,12 @@
   Tcp::socket client(fixture.context);
   client.connect(fixture.clientAddress);
   for (const std::string path : { "/book/1", "/book/2" }) {
-    asio::write(client,
-                asio::buffer("POST " + path +
-                             " HTTP/1.1\r\nHost: a.example\r\n"
-                             "X-Request-Id: r" +
-                             path +
-                             "\r\nX-Timeout-Ms: 500\r\nX-Shard-Key: 7\r\n"
-                             "Content-Length: 0\r\n\r\n"));
+    std::string request = "POST ";
+    request.append(path).append(" HTTP/1.1\r\nHost: a.example\r\n");
+    request.append("X-Request-Id: r").append(path).append("\r\n");
+    request += "X-Timeout-Ms: 500\r\nX-Shard-Key: 7\r\n"
+               "Content-Length: 0\r\n\r\n";
+    asio::write(client, asio::buffer(request));
   }
   fixture.context.run_for(milliseconds(30));
   REQUIRE(fixture.pendingExchanges.size() == 1);
