--- a/src/fescuetillerd/ingressrequest.h
+++ b/src/fescuetillerd/ingressrequest.h
@@ -151,8 +151,8 @@
    * the client waits for longer than its route allows: other daemons respond at
    * the deadline. */
   Time responseDue = Time::max();
-  Time lastResponseAt; ///< Until when a response that has begun may last.
-  std::string currentMember;  ///< Member of the last attempt.
+  Time lastResponseAt;       ///< Until when a response that has begun may last.
+  std::string currentMember; ///< Member of the last attempt.
   std::string currentAddress; ///< Of that member, if it is another one.
   /** Zone of that member; nothing if it is the own one. */
   std::optional<std::string> otherZone;
